--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -187,12 +187,12 @@
     }
 }
 
-shard_keeper& controller::keeper_of(const std::string& shard)
+controller::keeper_type& controller::keeper_of(const std::string& shard)
 {
     auto& keeper = this->keepers[shard];
     if (!keeper) {
-        keeper = std::make_unique<shard_keeper>(shard, this->self, this->values, this->platform, this->clock,
-                                                [this](const engine_order& order) { this->send(order); });
+        keeper = std::make_unique<keeper_type>(shard, this->self, this->values, this->platform, this->clock,
+                                               [this](const engine_order& order) { this->send(order); });
     }
     return *keeper;
 }
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -42,6 +42,8 @@
     [[nodiscard]] bool is_ready() const noexcept { return this->table_read; }
 
 private:
+    using keeper_type = shard_keeper<platform_client, monotonic_clock>;
+
     void poll_loop();
     void work_loop();
     bool wait(time_ms length);
@@ -58,7 +60,7 @@
     void choose_polled();
     void log_changes(const fleet& view);
     void account(const fleet& view);
-    shard_keeper& keeper_of(const std::string& shard);
+    keeper_type& keeper_of(const std::string& shard);
     void send(const engine_order& order);
 
     settings values;
@@ -83,7 +85,7 @@
     fleet_snapshot snapshot;
     row_freshness member_rows;
     std::vector<std::string> members;
-    std::map<std::string, std::unique_ptr<shard_keeper>> keepers;
+    std::map<std::string, std::unique_ptr<keeper_type>> keepers;
     std::map<std::string, replica_fault> known_faults;
     fleet_account totals;
     std::thread poll_thread;
--- /dev/null
+++ b/test/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/test/claim_ledger_test.cpp
@@ -0,0 +1,359 @@
+#include "coriander/claim_ledger.hpp"
+
+#include "support/faulty_table.hpp"
+#include "support/manual_clock.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <memory>
+#include <random>
+
+namespace coriander {
+namespace {
+
+using ledger = claim_ledger<faulty_table, manual_clock, std::mt19937_64>;
+
+const claim_key booking{"gent", "order-17"};
+
+/// Two routers on one table.
+struct two_routers {
+    platform_table rows;
+    manual_clock clock;
+    faulty_table first_table{rows};
+    faulty_table second_table{rows};
+    bool first_alive = true;
+    ledger first{first_table, clock, std::mt19937_64{1}, "entry-1@1", [](const auto&) { return true; }};
+    ledger second{second_table, clock, std::mt19937_64{2}, "entry-2@1",
+                  [this](const auto& owner) { return owner == "entry-1@1" && this->first_alive; }};
+};
+
+/// What a repeat through the other router must be told, by how the first request stands.
+struct repeat_case {
+    const char* name;
+    std::vector<commit_fault> faults; ///< Of the first router's commits.
+    claim_verdict first;
+    claim_verdict repeat;
+};
+
+} // namespace
+
+TEST_CASE("claim ledger: the first request with a key is granted and a repeat elsewhere is told that it runs")
+{
+    two_routers routers;
+    CHECK(routers.first.begin(booking, "digest").verdict == claim_verdict::granted);
+    CHECK(routers.second.begin(booking, "digest").verdict == claim_verdict::running);
+}
+
+TEST_CASE("claim ledger: a repeat after the owner died is told that the outcome is unknown")
+{
+    two_routers routers;
+    CHECK(routers.first.begin(booking, "digest").verdict == claim_verdict::granted);
+    routers.first_alive = false;
+    CHECK(routers.second.begin(booking, "digest").verdict == claim_verdict::outcome_unknown);
+}
+
+TEST_CASE("claim ledger: a repeat after the end gets the kept answer at any router")
+{
+    two_routers routers;
+    const auto decision = routers.first.begin(booking, "digest");
+    routers.first.complete(decision.grant, {201, "text/plain", "booked"});
+    for (auto* router : {&routers.first, &routers.second}) {
+        const auto repeat = router->begin(booking, "digest");
+        CHECK(repeat.verdict == claim_verdict::replay);
+        CHECK(repeat.answer.status == 201);
+        CHECK(repeat.answer.body == "booked");
+    }
+}
+
+TEST_CASE("claim ledger: the same key with another body is a conflict")
+{
+    two_routers routers;
+    CHECK(routers.first.begin(booking, "digest").verdict == claim_verdict::granted);
+    CHECK(routers.second.begin(booking, "other digest").verdict == claim_verdict::body_conflict);
+}
+
+TEST_CASE("claim ledger: keys of two customers never meet")
+{
+    two_routers routers;
+    CHECK(routers.first.begin({"gent", "a/b"}, "digest").verdict == claim_verdict::granted);
+    CHECK(routers.second.begin({"leuven", "a/b"}, "digest").verdict == claim_verdict::granted);
+    CHECK(routers.second.begin({"gent/a", "b"}, "digest").verdict == claim_verdict::granted);
+}
+
+TEST_CASE("claim ledger: faults of the claim's write")
+{
+    using enum commit_fault;
+    const auto cases = {
+        repeat_case{"the answer is lost once", {answer_lost}, claim_verdict::granted, claim_verdict::running},
+        repeat_case{
+            "the request is lost once", {request_lost}, claim_verdict::granted, claim_verdict::running},
+        repeat_case{"the answer is lost each time",
+                    {answer_lost, answer_lost, answer_lost},
+                    claim_verdict::store_down,
+                    claim_verdict::running},
+        repeat_case{"an outage", {outage, outage, outage}, claim_verdict::store_down, claim_verdict::granted},
+        repeat_case{"all requests are lost",
+                    {request_lost, request_lost, request_lost},
+                    claim_verdict::store_down,
+                    claim_verdict::granted},
+        repeat_case{"it takes effect late",
+                    {takes_effect_late, outage, outage},
+                    claim_verdict::store_down,
+                    claim_verdict::granted},
+    };
+    for (const auto& one : cases) {
+        DYNAMIC_SECTION(one.name)
+        {
+            two_routers routers;
+            routers.first_table.faults.assign(one.faults.begin(), one.faults.end());
+            const auto decision = routers.first.begin(booking, "digest");
+            CHECK(decision.verdict == one.first);
+            CHECK(routers.second.begin(booking, "digest").verdict == one.repeat);
+        }
+    }
+}
+
+TEST_CASE("claim ledger: a claim that lands after it was given up does not block the key for good")
+{
+    two_routers routers;
+    using enum commit_fault;
+    routers.first_table.faults = {takes_effect_late, outage, outage};
+    REQUIRE(routers.first.begin(booking, "digest").verdict == claim_verdict::store_down);
+    routers.first_table.land_late();
+    CHECK(routers.second.begin(booking, "digest").verdict == claim_verdict::running);
+    CHECK(routers.first.settle() == 1); // Meets the late claim ...
+    CHECK(routers.first.settle() == 0); // ... and overtakes it.
+    CHECK(routers.second.begin(booking, "digest").verdict == claim_verdict::granted);
+}
+
+TEST_CASE("claim ledger: a claim that was released before it landed can't land any more")
+{
+    two_routers routers;
+    using enum commit_fault;
+    routers.first_table.faults = {takes_effect_late, outage, outage};
+    REQUIRE(routers.first.begin(booking, "digest").verdict == claim_verdict::store_down);
+    CHECK(routers.first.settle() == 0);
+    routers.first_table.land_late();
+    CHECK(routers.second.begin(booking, "digest").verdict == claim_verdict::granted);
+}
+
+TEST_CASE("claim ledger: an answer that can't be written is kept for repeats here and written later")
+{
+    two_routers routers;
+    const auto decision = routers.first.begin(booking, "digest");
+    routers.first_table.faults = {commit_fault::outage};
+    routers.first.complete(decision.grant, {200, "text/plain", "booked"});
+    CHECK(routers.first.begin(booking, "digest").verdict == claim_verdict::replay);
+    CHECK(routers.first.settle() == 0);
+    CHECK(routers.second.begin(booking, "digest").verdict == claim_verdict::replay);
+}
+
+TEST_CASE("claim ledger: a key older than answers are kept is refused, not run as new")
+{
+    platform_table rows;
+    faulty_table table{rows};
+    manual_clock clock{time_ms{0x018bcfe56800 + 8LL * 24 * 3600 * 1000}};
+    ledger router{table, clock, std::mt19937_64{1}, "entry-1@1", [](const auto&) { return true; }};
+    CHECK(router.begin({"gent", "018bcfe5-6800-7abc-8def-0123456789ab"}, "digest").verdict ==
+          claim_verdict::key_expired);
+    CHECK(router.begin({"gent", "018bcfe5-6800-4abc-8def-0123456789ab"}, "digest").verdict ==
+          claim_verdict::granted);
+}
+
+namespace {
+
+/// Drives several routers through a random schedule of requests and faults, and counts what a target would
+/// see.
+class claim_schedule {
+public:
+    explicit claim_schedule(std::uint64_t seed) : random{seed}
+    {
+        for (int i = 0; i < router_count; ++i) {
+            this->restart(i);
+        }
+    }
+
+    void step()
+    {
+        const auto router = draw_index(this->random, router_count);
+        switch (draw_index(this->random, 7)) {
+        case 0:
+        case 1:
+        case 2:
+            this->request(router);
+            break;
+        case 3:
+            this->go_on(router);
+            break;
+        case 4:
+            (void)this->routers[router].claims->settle();
+            break;
+        case 5:
+            this->routers[router].table->land_late();
+            break;
+        default:
+            this->kill_sometimes(router);
+            break;
+        }
+    }
+
+    /// Ends all faults and everything that is under way, in random order.
+    void calm_down()
+    {
+        for (auto& router : this->routers) {
+            router.table->faults.clear();
+            router.table->land_late();
+            while (!router.held.empty()) {
+                this->send(router);
+            }
+            for (int i = 0; i < 5; ++i) {
+                (void)router.claims->settle();
+            }
+        }
+    }
+
+    std::map<std::string, int> runs;           ///< By key.
+    std::map<std::string, int> not_run_claims; ///< Runs of tokens whose caller was told "not run".
+    std::set<std::string> orphaned;            ///< Keys that a killed router may have held.
+
+    claim_verdict ask_again(const std::string& key)
+    {
+        return this->routers.front().claims->begin({"gent", key}, "digest").verdict;
+    }
+
+    static constexpr int router_count = 3;
+    static constexpr int key_count = 4;
+
+private:
+    struct held_grant {
+        std::string key;
+        claim_grant grant;
+    };
+    struct one_router {
+        std::unique_ptr<faulty_table> table;
+        std::unique_ptr<ledger> claims;
+        std::vector<held_grant> held; ///< Granted, not yet sent: the router may be frozen here for long.
+        std::set<std::string> claimed_keys;
+    };
+
+    void restart(std::size_t place)
+    {
+        auto& router = this->routers[place];
+        auto table = std::make_unique<faulty_table>(this->rows);
+        if (router.table) {
+            router.table->land_late(); // Writes of the dead still land.
+        }
+        router.claims = std::make_unique<ledger>(
+            *table, this->clock, std::mt19937_64{this->random()},
+            "entry-" + std::to_string(place) + "@" + std::to_string(++this->incarnation),
+            [this](const auto&) {
+                return draw_index(this->random, 2) == 0; // Soft state may say anything.
+            });
+        router.table = std::move(table);
+        router.held.clear();
+        this->orphaned.insert(router.claimed_keys.begin(), router.claimed_keys.end());
+        router.claimed_keys.clear();
+    }
+
+    void request(std::size_t place)
+    {
+        auto& router = this->routers[place];
+        const auto key = std::to_string(draw_index(this->random, key_count));
+        for (int i = 0; i < 3; ++i) {
+            router.table->faults.push_back(static_cast<commit_fault>(draw_index(this->random, 5)));
+        }
+        auto decision = router.claims->begin({"gent", key}, "digest");
+        router.table->faults.clear();
+        router.claimed_keys.insert(key);
+        if (decision.verdict == claim_verdict::granted) {
+            router.held.push_back({key, std::move(decision.grant)});
+        }
+    }
+
+    void go_on(std::size_t place)
+    {
+        auto& router = this->routers[place];
+        if (router.held.empty()) {
+            return;
+        }
+        router.table->faults = {static_cast<commit_fault>(draw_index(this->random, 5))};
+        if (draw_index(this->random, 4) == 0) {
+            // No target had room: the caller is told "not run", and the key is free again.
+            const auto grant = router.held.back().grant;
+            router.held.pop_back();
+            this->refused_tokens.insert(grant.record.token);
+            router.claims->release(grant);
+        }
+        else {
+            this->send(router);
+        }
+        router.table->faults.clear();
+    }
+
+    void send(one_router& router)
+    {
+        const auto one = router.held.back();
+        router.held.pop_back();
+        ++this->runs[one.key];
+        this->not_run_claims[one.key] += this->refused_tokens.contains(one.grant.record.token) ? 1 : 0;
+        if (draw_index(this->random, 3) == 0) {
+            router.claims->give_up(one.grant);
+        }
+        else {
+            router.claims->complete(one.grant, {200, "text/plain", "done"});
+        }
+    }
+
+    void kill_sometimes(std::size_t place)
+    {
+        if (draw_index(this->random, 4) == 0) {
+            this->restart(place);
+        }
+    }
+
+    std::mt19937_64 random;
+    platform_table rows;
+    manual_clock clock;
+    int incarnation = 0;
+    std::array<one_router, router_count> routers;
+    std::set<std::string> refused_tokens;
+};
+
+} // namespace
+
+TEST_CASE(
+    "claim ledger: over random schedules of faults no key runs twice and nothing told not run ever runs")
+{
+    rc::prop("at most once", [](std::uint64_t seed) {
+        claim_schedule schedule{seed};
+        for (int i = 0; i < 150; ++i) {
+            schedule.step();
+        }
+        schedule.calm_down();
+        for (const auto& [key, count] : schedule.runs) {
+            RC_ASSERT(count <= 1);
+            RC_ASSERT(schedule.not_run_claims[key] == 0);
+        }
+    });
+}
+
+TEST_CASE("claim ledger: once faults end, a key that never ran and whose routers lived is free")
+{
+    rc::prop("no key is blocked for good", [](std::uint64_t seed) {
+        claim_schedule schedule{seed};
+        for (int i = 0; i < 150; ++i) {
+            schedule.step();
+        }
+        schedule.calm_down();
+        for (int i = 0; i < claim_schedule::key_count; ++i) {
+            const auto key = std::to_string(i);
+            if (schedule.runs[key] == 0 && !schedule.orphaned.contains(key)) {
+                RC_ASSERT(schedule.ask_again(key) == claim_verdict::granted);
+            }
+        }
+    });
+}
+
+} // namespace coriander
