Wait for a silent host before re-forming its replica

When one host was lost and another of the same replica had been silent for less than the time after which hosts count as lost, the replica was re-formed with the second host's incarnation unknown; the empty incarnation in the row never matched a report, and was excluded from the check for restarted hosts, so that nothing mended it. Ruled out: lease and orders (the trace shows the lease held and renewed, and the engines holding what the rows say). Now a replica is re-formed only when each of its hosts has spoken or is lost, and an incarnation that was never known counts as a restart.

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -28,7 +28,7 @@
 {
     for (const auto& member : replica.members) {
         const auto* host = fleet.find_host(member.host);
-        const bool has_restarted = host != nullptr && host->report && !member.incarnation.empty() &&
+        const bool has_restarted = host != nullptr && host->report &&
                                    host->report->incarnation != member.incarnation;
         if (host != nullptr && (host->lost || has_restarted)) {
             return host;
@@ -118,7 +118,7 @@
             this->move_off(replica, *leaving);
             return;
         }
-        if (replica.state == replica_state::draining) {
+        if (replica.state == replica_state::draining && !this->has_doubtful_host(replica)) {
             // The cause of the drain is gone: take it back into service with the same hosts.
             this->add(placement_action::replace, placement_reason::place_empty, replica, {},
                       hosts_of(replica));
@@ -172,8 +172,20 @@
         return hosts;
     }
 
+    /// Whether some host is silent, but not for long enough to be lost. Its incarnation is not known.
+    [[nodiscard]] bool has_doubtful_host(const replica_record& replica) const
+    {
+        return std::any_of(replica.members.begin(), replica.members.end(), [this](const auto& member) {
+            const auto* host = this->view.find_host(member.host);
+            return host != nullptr && !host->lost && !host->report;
+        });
+    }
+
     void mend(const replica_record& replica, const std::string& blamed)
     {
+        if (this->has_doubtful_host(replica)) {
+            return; // Soon it will have spoken or be lost.
+        }
         auto hosts = this->renewed_hosts(replica);
         if (hosts.empty()) {
             this->add(placement_action::dissolve, placement_reason::no_spare, replica, blamed);
@@ -191,6 +203,9 @@
         if (!is_idle(replica, this->view)) {
             return;
         }
+        if (this->has_doubtful_host(replica)) {
+            return;
+        }
         auto hosts = this->renewed_hosts(replica);
         if (hosts.empty()) {
             this->add(placement_action::dissolve, placement_reason::host_leaving, replica, leaving.record.id);
--- /dev/null
+++ b/test/shard_keeper_test.cpp
@@ -0,0 +1,400 @@
+#include "controller/shard_keeper.hpp"
+
+#include "coriander/replica_health.hpp"
+#include "support/faulty_table.hpp"
+#include "support/manual_clock.hpp"
+#include "support/model_engine.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace coriander {
+namespace {
+
+constexpr auto config_text = R"(
+[[profile]]
+name = "steady"
+kind = "model"
+model = "stroller-7b"
+hosts_per_replica = 2
+
+[[service]]
+name = "assistant"
+profile = "steady"
+replicas = 2
+)";
+
+settings model_settings(bool checks_fence)
+{
+    settings values;
+    values.lease_duration = 3_s;
+    values.dark_grace = 4_s;
+    values.reform_interval = 100_ms;
+    values.targets_check_fence = checks_fence;
+    return values;
+}
+
+/// Controllers, engines, a router's view and the table, on one clock that the test moves. One fabric domain.
+class model_fleet {
+public:
+    model_fleet(std::size_t controller_count, std::size_t engine_count, bool checks_fence)
+        : values{model_settings(checks_fence)}, config{parse_configuration(config_text, "model").config}
+    {
+        for (std::size_t i = 0; i < engine_count; ++i) {
+            const auto id = "host-" + std::to_string(i);
+            this->engines.emplace(id, std::make_unique<model_engine>(id, checks_fence));
+        }
+        for (std::size_t i = 0; i < controller_count; ++i) {
+            this->controllers.push_back(std::make_unique<one_controller>(*this, i));
+        }
+    }
+
+    struct one_controller {
+        one_controller(model_fleet& fleet, std::size_t number)
+            : table{fleet.rows}, health{2_s}, keeper{"fabric",
+                                                     "entry-" + std::to_string(number) + "@1",
+                                                     fleet.values,
+                                                     table,
+                                                     fleet.clock,
+                                                     [this](const engine_order& order) { this->orders.push_back(order); }}
+        {
+        }
+        faulty_table table;
+        replica_health health;
+        std::vector<engine_order> orders; ///< Decided on, not yet sent: the controller may freeze here.
+        shard_keeper<faulty_table, manual_clock> keeper;
+        bool frozen = false;
+    };
+
+    /// One round of a controller. `send_now` false leaves its orders unsent.
+    void run(std::size_t number, bool send_now = true)
+    {
+        auto& one = *this->controllers[number];
+        if (one.frozen) {
+            return;
+        }
+        for (const auto& [id, engine] : this->engines) {
+            if (engine->answers()) {
+                one.health.on_report(engine->report(), this->clock.now());
+            }
+        }
+        if (one.keeper.hold()) {
+            auto snapshot = this->snapshot_of(one);
+            one.keeper.work(this->config, snapshot);
+        }
+        if (send_now) {
+            this->send_orders(number);
+        }
+    }
+
+    void send_orders(std::size_t number)
+    {
+        for (const auto& order : std::exchange(this->controllers[number]->orders, {})) {
+            this->engines.at(order.host)->receive(order.body);
+        }
+    }
+
+    /// Moves the time in small steps in which all controllers run.
+    void run_for(time_ms length)
+    {
+        for (time_ms passed; passed < length; passed = passed + 250_ms) {
+            for (std::size_t i = 0; i < this->controllers.size(); ++i) {
+                this->run(i);
+            }
+            this->look();
+            this->clock.advance(250_ms);
+        }
+    }
+
+    /// A router asks all hosts.
+    void look()
+    {
+        for (const auto& [id, engine] : this->engines) {
+            if (engine->answers()) {
+                this->router_view.on_report(engine->report(), this->clock.now());
+            }
+        }
+    }
+
+    [[nodiscard]] std::vector<replica_record> replicas()
+    {
+        std::vector<replica_record> list;
+        const auto found = this->rows.scan(replica_prefix);
+        for (const auto& row : found.value()) {
+            list.push_back(*decode_replica(row.value));
+        }
+        return list;
+    }
+
+    [[nodiscard]] std::size_t serving()
+    {
+        std::size_t count = 0;
+        for (const auto& replica : this->replicas()) {
+            count += this->router_view.judge(replica, this->clock.now()).serves() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// The first broken promise, or an empty text.
+    [[nodiscard]] std::string broken_promise()
+    {
+        std::set<std::string> owned;
+        for (const auto& replica : this->replicas()) {
+            for (const auto& member : replica.members) {
+                if (!owned.insert(member.host).second) {
+                    return member.host + " belongs to two replicas";
+                }
+                const auto claim = this->rows.read(host_claim_row_key(member.host)).value();
+                const auto owner = claim ? decode_host_claim(claim->value) : std::nullopt;
+                if (!owner || owner->replica != replica.id() || owner->generation != replica.generation) {
+                    return member.host + " is in " + replica.id() + " but its row says otherwise";
+                }
+            }
+        }
+        return {};
+    }
+
+    platform_table rows;
+    manual_clock clock;
+    settings values;
+    configuration config;
+    std::map<std::string, std::unique_ptr<model_engine>> engines;
+    std::vector<std::unique_ptr<one_controller>> controllers;
+    replica_health router_view{2_s};
+
+private:
+    fleet_snapshot snapshot_of(one_controller& one)
+    {
+        std::vector<host_record> hosts;
+        for (const auto& [id, engine] : this->engines) {
+            hosts.push_back({id, id + ":1", "fabric", "gent", "", host_kind::engine, host_state::live});
+        }
+        auto snapshot = make_snapshot(std::move(hosts), this->rows.scan(replica_prefix).value(),
+                                      this->rows.scan(host_claim_prefix).value(), std::vector<table_row>{});
+        const auto now = this->clock.now();
+        for (auto& host : snapshot.view.hosts) {
+            if (const auto* report = one.health.fresh_report(host.record.id, now)) {
+                host.report = *report;
+            }
+            const auto since = one.keeper.held_since();
+            const auto heard = std::max(since, one.health.last_heard(host.record.id).value_or(since));
+            host.lost = now - heard > this->values.lost_after;
+        }
+        return snapshot;
+    }
+};
+
+} // namespace
+
+TEST_CASE("shard keeper: forms the wanted replicas and routers see them serve")
+{
+    model_fleet fleet{1, 5, true};
+    fleet.run_for(3_s);
+    CHECK(fleet.serving() == 2);
+    CHECK(fleet.broken_promise() == "");
+}
+
+TEST_CASE("shard keeper: a replica with a dead host stops serving within the window and gets the spare host")
+{
+    model_fleet fleet{1, 5, true};
+    fleet.run_for(3_s);
+    const auto victim = fleet.replicas().front().members.back().host;
+    fleet.engines.at(victim)->die();
+    fleet.run_for(2500_ms);
+    CHECK(fleet.serving() == 1);
+    fleet.run_for(4_s);
+    CHECK(fleet.serving() == 2);
+    CHECK(fleet.broken_promise() == "");
+}
+
+TEST_CASE("shard keeper: a host that restarted as if nothing happened keeps its replica down until re-formed")
+{
+    model_fleet fleet{1, 4, true};
+    fleet.run_for(3_s);
+    auto& victim = *fleet.engines.at(fleet.replicas().front().members.back().host);
+    const auto before = fleet.replicas().front().generation;
+    victim.restart();
+    fleet.look();
+    CHECK(fleet.serving() == 1);
+    fleet.run_for(3_s);
+    CHECK(fleet.serving() == 2);
+    CHECK(fleet.replicas().front().generation > before);
+}
+
+TEST_CASE("shard keeper: a frozen host that was replaced is emptied before it is used again")
+{
+    for (const bool checks_fence : {true, false}) {
+        model_fleet fleet{1, 5, checks_fence};
+        fleet.run_for(3_s);
+        const auto victim = fleet.replicas().front().members.front().host;
+        fleet.engines.at(victim)->freeze();
+        fleet.run_for(7_s);
+        CHECK(fleet.serving() == 2);
+        CHECK_FALSE(fleet.engines.at(victim)->replica.empty());
+        fleet.engines.at(victim)->thaw();
+        fleet.run_for(6_s);
+        CHECK(fleet.engines.at(victim)->replica.empty());
+        CHECK_FALSE(fleet.rows.read(host_claim_row_key(victim)).value().has_value());
+        CHECK(fleet.serving() == 2);
+    }
+}
+
+TEST_CASE("shard keeper: a holder that wakes after its lease lapsed changes nothing and orders nothing")
+{
+    model_fleet fleet{2, 5, false};
+    fleet.run_for(3_s);
+    auto& sleeper = *fleet.controllers[0];
+    REQUIRE(sleeper.keeper.is_held());
+    sleeper.frozen = true;
+    fleet.run_for(8_s);
+    REQUIRE(fleet.controllers[1]->keeper.is_held());
+    sleeper.frozen = false;
+    fleet.run(0);
+    CHECK_FALSE(sleeper.keeper.is_held());
+    CHECK(sleeper.orders.empty());
+    CHECK(fleet.broken_promise() == "");
+}
+
+TEST_CASE("shard keeper: the lost answer of an allocation is resolved from the rows")
+{
+    model_fleet fleet{1, 4, true};
+    fleet.run(0);
+    fleet.clock.advance(250_ms);
+    fleet.controllers[0]->table.faults = {commit_fault::none, commit_fault::answer_lost};
+    fleet.run_for(5_s);
+    CHECK(fleet.serving() == 2);
+    CHECK(fleet.broken_promise() == "");
+}
+
+TEST_CASE("shard keeper: a domain that goes dark at once is waited for and found as it was")
+{
+    model_fleet fleet{2, 5, true};
+    fleet.run_for(3_s);
+    const auto before = fleet.replicas();
+    for (auto& [id, engine] : fleet.engines) {
+        engine->freeze();
+    }
+    fleet.run_for(5_s);
+    CHECK(fleet.serving() == 0);
+    for (auto& [id, engine] : fleet.engines) {
+        engine->thaw();
+    }
+    fleet.run_for(1_s);
+    CHECK(fleet.serving() == 2);
+    REQUIRE(fleet.replicas().size() == before.size());
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        CHECK(fleet.replicas()[i].generation == before[i].generation);
+    }
+}
+
+namespace {
+
+/// One random event of a schedule.
+void disturb(model_fleet& fleet, std::mt19937_64& random)
+{
+    const auto pick_engine = [&]() -> model_engine& {
+        auto one = fleet.engines.begin();
+        std::advance(one, static_cast<std::ptrdiff_t>(random() % fleet.engines.size()));
+        return *one->second;
+    };
+    auto& controller = *fleet.controllers[random() % fleet.controllers.size()];
+    switch (random() % 12) {
+    case 0:
+        pick_engine().freeze();
+        break;
+    case 1:
+    case 2:
+        pick_engine().thaw();
+        break;
+    case 3:
+        pick_engine().die();
+        break;
+    case 4:
+    case 5:
+        pick_engine().restart();
+        break;
+    case 6:
+        controller.frozen = true;
+        break;
+    case 7:
+    case 8:
+        controller.frozen = false;
+        break;
+    case 9:
+        controller.table.faults.push_back(static_cast<commit_fault>(random() % 5));
+        break;
+    case 10:
+        controller.table.land_late();
+        break;
+    default:
+        controller.table.down = !controller.table.down;
+        break;
+    }
+}
+
+} // namespace
+
+TEST_CASE("shard keeper: over random faults no host is in two replicas and none serves with a host missing")
+{
+    rc::prop("hosts and replicas", [](std::uint64_t seed, bool checks_fence) {
+        std::mt19937_64 random{seed};
+        model_fleet fleet{3, 6, checks_fence};
+        for (int step = 0; step < 250; ++step) {
+            disturb(fleet, random);
+            const auto acting = random() % fleet.controllers.size();
+            fleet.run(acting, random() % 4 != 0);
+            if (random() % 2 == 0) {
+                // Orders that were decided on before a pause leave only while the sender was not frozen in
+                // it.
+                fleet.send_orders(acting);
+            }
+            fleet.look();
+            const auto broken = fleet.broken_promise();
+            RC_ASSERT(broken == "");
+            for (const auto& replica : fleet.replicas()) {
+                if (!fleet.router_view.judge(replica, fleet.clock.now()).serves()) {
+                    continue;
+                }
+                for (const auto& member : replica.members) {
+                    const auto& engine = *fleet.engines.at(member.host);
+                    const auto heard = fleet.router_view.last_heard(member.host);
+                    RC_ASSERT(engine.answers() || fleet.clock.now() - *heard <= 2_s);
+                }
+            }
+            fleet.clock.advance(time_ms{static_cast<std::int64_t>(random() % 700)});
+        }
+    });
+}
+
+TEST_CASE("shard keeper: once faults end, all wanted replicas serve again")
+{
+    rc::prop("recovery", [](std::uint64_t seed, bool checks_fence) {
+        std::mt19937_64 random{seed};
+        model_fleet fleet{3, 6, checks_fence};
+        for (int step = 0; step < 120; ++step) {
+            disturb(fleet, random);
+            fleet.run(random() % fleet.controllers.size());
+            fleet.clock.advance(time_ms{static_cast<std::int64_t>(random() % 700)});
+        }
+        for (auto& controller : fleet.controllers) {
+            controller->frozen = false;
+            controller->table.down = false;
+            controller->table.faults.clear();
+        }
+        for (auto& [id, engine] : fleet.engines) {
+            if (!engine->answers()) {
+                engine->restart();
+            }
+        }
+        fleet.run_for(40_s);
+        RC_ASSERT(fleet.broken_promise() == "");
+        RC_ASSERT(fleet.serving() == 2U);
+    });
+}
+
+} // namespace coriander
--- a/test/shard_lease_test.cpp
+++ b/test/shard_lease_test.cpp
@@ -86,7 +86,8 @@
 {
     two_holders both;
     REQUIRE(both.first.try_hold());
-    const std::array<table_write, 2> late{table_write{"replicas/a/0", 0, "by the first"}, both.first.renewal()};
+    const std::array<table_write, 2> late{table_write{"replicas/a/0", 0, "by the first"},
+                                          both.first.renewal()};
     both.advance(7_s);
     (void)both.second.try_hold();
     both.advance(7_s);
@@ -115,7 +116,8 @@
         std::vector<std::unique_ptr<lease>> leases;
         for (int i = 0; i < count; ++i) {
             tables.push_back(std::make_unique<faulty_table>(rows));
-            clocks.push_back(std::make_unique<manual_clock>(time_ms{static_cast<std::int64_t>(random() % 100'000)}));
+            clocks.push_back(
+                std::make_unique<manual_clock>(time_ms{static_cast<std::int64_t>(random() % 100'000)}));
             leases.push_back(
                 std::make_unique<lease>(*tables[i], *clocks[i], "gent", "entry-" + std::to_string(i) + "@1"));
         }
--- a/test/stream_progress_test.cpp
+++ b/test/stream_progress_test.cpp
@@ -68,7 +68,8 @@
     CHECK(progress.accept(token("b", 1)) == stream_step::emit);
 }
 
-TEST_CASE("stream progress: over random attempts, resumes, repeats and losses the caller sees each token once")
+TEST_CASE(
+    "stream progress: over random attempts, resumes, repeats and losses the caller sees each token once")
 {
     rc::prop("no token twice, none missing", [](std::uint64_t seed) {
         std::mt19937_64 random{seed};
--- a/test/support/faulty_table.hpp
+++ b/test/support/faulty_table.hpp
@@ -12,9 +12,9 @@
 /// What happens to one commit.
 enum class commit_fault {
     none,
-    outage,          ///< Surely not sent.
-    answer_lost,     ///< Takes effect; the answer is lost.
-    request_lost,    ///< Does not take effect; nobody is told.
+    outage,            ///< Surely not sent.
+    answer_lost,       ///< Takes effect; the answer is lost.
+    request_lost,      ///< Does not take effect; nobody is told.
     takes_effect_late, ///< The answer is lost; takes effect when `land_late` is called.
 };
 
