--- /dev/null
+++ b/test/configuration_test.cpp
@@ -0,0 +1,124 @@
+#include "coriander/configuration.hpp"
+
+#include "coriander/settings.hpp"
+#include "runtime/program.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+/// A fault in a file and where it must be reported.
+struct fault_case {
+    const char* name;
+    const char* text;
+    std::uint32_t line;
+    const char* message;
+};
+
+bool has_finding(const findings& list, std::uint32_t line, const std::string& part)
+{
+    return std::any_of(list.begin(), list.end(), [&](const auto& one) {
+        return one.line == line && one.message.find(part) != std::string::npos;
+    });
+}
+
+constexpr auto good_settings = R"([entry_host]
+name = "entry-1"
+failure_domain = "gent"
+address = "127.0.0.1"
+[platform]
+table_url = "http://127.0.0.1:1"
+object_url = "http://127.0.0.1:1"
+host_list_url = "http://127.0.0.1:1"
+)";
+
+} // namespace
+
+TEST_CASE("configuration: the sample has no findings and says what it says")
+{
+    const auto text = read_file(CORIANDER_SOURCE_DIR "/samples/two-services.toml");
+    REQUIRE(text);
+    const auto checked = parse_configuration(*text, "sample");
+    CHECK(findings_text(checked.faults) == "");
+    const auto* rules = checked.config.profile_of("assistant");
+    REQUIRE(rules != nullptr);
+    CHECK(rules->hosts_per_replica == 2);
+    CHECK(rules->stream_idle_limit == 1_s);
+    REQUIRE(checked.config.profile_of("parts") != nullptr);
+    CHECK_FALSE(checked.config.profile_of("parts")->calls.at(1).repeatable);
+}
+
+TEST_CASE("configuration: all faults of a file are found at once, each at its place")
+{
+    const auto text = read_file(CORIANDER_SOURCE_DIR "/samples/faulty.toml");
+    REQUIRE(text);
+    CHECK(parse_configuration(*text, "faulty").faults.size() == 12);
+}
+
+TEST_CASE("configuration: faults and their places")
+{
+    const auto cases = {
+        fault_case{"a syntax error", "[[profile]]\nname = \n", 2, ""},
+        fault_case{"an unknown key", "[[customers]]\nname = \"a\"\n", 1, "did you mean 'customer'"},
+        fault_case{"a unit is missing",
+                   "[[profile]]\nname = \"a\"\nkind = \"model\"\nmodel = \"m\"\nqueue_limit = 5\n", 5,
+                   "with its unit"},
+        fault_case{"an unknown unit",
+                   "[[profile]]\nname = \"a\"\nkind = \"model\"\nmodel = \"m\"\nqueue_limit = \"5 sec\"\n", 5,
+                   "with its unit"},
+        fault_case{"out of range",
+                   "[[profile]]\nname = \"a\"\nkind = \"model\"\nmodel = \"m\"\ndowntime_weight = 1.5\n", 5,
+                   "must be from 0 to 1"},
+        fault_case{"a name twice",
+                   "[[profile]]\nname = \"a\"\nkind = \"model\"\nmodel = \"m\"\n[[profile]]\nname = \"a\"\n",
+                   6, "used twice"},
+        fault_case{
+            "a call that does not say whether it may repeat",
+            "[[profile]]\nname = \"a\"\nkind = \"plain\"\n[[profile.call]]\nname = \"b\"\npath = \"/b\"\n", 4,
+            "'repeatable' is missing"},
+        fault_case{"a table where a list of tables belongs", "[profile]\nname = \"a\"\n", 1, "[[profile]]"},
+    };
+    for (const auto& one : cases) {
+        DYNAMIC_SECTION(one.name)
+        {
+            const auto faults = parse_configuration(one.text, "file").faults;
+            CAPTURE(findings_text(faults));
+            CHECK(has_finding(faults, one.line, one.message));
+        }
+    }
+}
+
+TEST_CASE("settings: a whole file has no findings and missing values have defaults")
+{
+    const auto checked = parse_settings(good_settings, "file");
+    CHECK(findings_text(checked.faults) == "");
+    CHECK(checked.values.name == "entry-1");
+    CHECK(checked.values.lease_duration == 5_s);
+}
+
+TEST_CASE("settings: faults and their places")
+{
+    const std::string good = good_settings;
+    const auto cases = {
+        fault_case{"a name instead of an IP number", "[entry_host]\naddress = \"localhost\"\n", 2,
+                   "IP number"},
+        fault_case{"two equal ports", "[entry_host]\nhttp_port = 80\npeer_port = 80\n", 3, "must differ"},
+        fault_case{"an address without its scheme", "[platform]\ntable_url = \"127.0.0.1:1\"\n", 2,
+                   "http://"},
+        fault_case{"a window that is too short",
+                   "[timing]\nhealth_interval = \"1s\"\nhealth_window = \"1s\"\n", 3, "at least twice"},
+        fault_case{"an unknown section", "[timings]\n", 1, "did you mean 'timing'"},
+        fault_case{"a level that does not exist", "[log]\nlevel = \"LOUD\"\n", 2, "DEBUG, INFO"},
+    };
+    for (const auto& one : cases) {
+        DYNAMIC_SECTION(one.name)
+        {
+            const auto faults = parse_settings(one.text, "file").faults;
+            CAPTURE(findings_text(faults));
+            CHECK(has_finding(faults, one.line, one.message));
+        }
+    }
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/event_test.cpp
@@ -0,0 +1,48 @@
+#include "coriander/event.hpp"
+
+#include "runtime/program.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <string>
+
+namespace coriander {
+namespace {
+
+const char* level_name(log_level level)
+{
+    constexpr std::array names{"debug", "info", "warn", "error"};
+    return names[static_cast<std::size_t>(level)];
+}
+
+} // namespace
+
+TEST_CASE("events: the catalogue in the docs lists each event with its number, name and level")
+{
+    const auto page = read_file(CORIANDER_SOURCE_DIR "/docs/LOG-EVENTS.md");
+    REQUIRE(page);
+    std::size_t rows = 0;
+    for (std::size_t at = page->find("\n| "); at != std::string::npos; at = page->find("\n| ", at + 1)) {
+        ++rows;
+    }
+    CHECK(rows == event_catalogue.size() + 1); // The head of the table is a row, too.
+    for (const auto& entry : event_catalogue) {
+        const auto line = "\n| " + std::to_string(static_cast<int>(entry.id)) + " | " +
+                          std::string{entry.name} + " | " + level_name(entry.level) + " | ";
+        CAPTURE(line);
+        CHECK(page->find(line) != std::string::npos);
+    }
+}
+
+TEST_CASE("events: no number and no name stands twice")
+{
+    std::set<int> numbers;
+    std::set<std::string_view> names;
+    for (const auto& entry : event_catalogue) {
+        CHECK(numbers.insert(static_cast<int>(entry.id)).second);
+        CHECK(names.insert(entry.name).second);
+    }
+}
+
+} // namespace coriander
--- a/test/placement_test.cpp
+++ b/test/placement_test.cpp
@@ -223,8 +223,8 @@
     auto view = two_domains(3, 0);
     give(view, 0, {"a0", "a1"});
     fleet_snapshot snapshot{view, {{"replicas/assistant/0", 7}, {"hosts/a0", 5}, {"hosts/a1", 6}}};
-    const placement_step step{placement_action::replace, placement_reason::host_lost, "assistant", 0, "a1",
-                              {"a0", "a2"}};
+    const placement_step step{
+        placement_action::replace, placement_reason::host_lost, "assistant", 0, "a1", {"a0", "a2"}};
     std::map<std::string, table_write> writes;
     for (auto& write : writes_for(step, snapshot, "a", "stroller-7b")) {
         writes[write.key] = write;
