--- /dev/null
+++ b/test/membership_test.cpp
@@ -0,0 +1,189 @@
+#include "coriander/membership.hpp"
+
+#include "coriander/isolation_watch.hpp"
+#include "peer/peer_message.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <memory>
+#include <random>
+#include <set>
+
+namespace coriander {
+namespace {
+
+/// Daemons that exchange beats in rounds of a second.
+class beat_exchange {
+public:
+    explicit beat_exchange(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            this->members.push_back(std::make_unique<membership>(identity(i, 1)));
+        }
+        for (auto& one : this->members) {
+            for (std::size_t i = 0; i < count; ++i) {
+                one->introduce(identity(i, 1), this->now);
+            }
+        }
+    }
+
+    static member_identity identity(std::size_t number, std::uint64_t incarnation)
+    {
+        const auto name = "entry-" + std::to_string(number);
+        return {name, incarnation, name + ":80", name + ":81", "gent", "flanders"};
+    }
+
+    void round()
+    {
+        this->now = this->now + 1_s;
+        for (std::size_t i = 0; i < this->members.size(); ++i) {
+            if (this->stopped.contains(i)) {
+                continue;
+            }
+            auto& one = *this->members[i];
+            one.beat(1, false, true);
+            const auto beats = one.beats_to_send(this->now);
+            for (const auto& target : one.choose_targets(3, this->now, this->random)) {
+                this->deliver(i, target, beats);
+            }
+        }
+    }
+
+    void deliver(std::size_t from, const member_identity& target, const std::vector<member_beat>& beats)
+    {
+        const auto to = static_cast<std::size_t>(std::stoul(target.name.substr(6)));
+        const bool is_cut = this->cut_off.contains(from) != this->cut_off.contains(to);
+        if (is_cut || this->stopped.contains(to)) {
+            return;
+        }
+        for (const auto& beat : beats) {
+            this->members[to]->merge(beat, this->now);
+        }
+    }
+
+    [[nodiscard]] std::size_t alive_at(std::size_t number) const
+    {
+        return this->members[number]->alive(this->now).size();
+    }
+
+    std::vector<std::unique_ptr<membership>> members;
+    std::set<std::size_t> stopped;
+    std::set<std::size_t> cut_off;
+    time_ms now = 100_s;
+    std::mt19937_64 random{20261204};
+};
+
+} // namespace
+
+TEST_CASE("membership: being introduced is no sign of life")
+{
+    membership one{beat_exchange::identity(0, 1)};
+    one.introduce(beat_exchange::identity(1, 1), 100_s);
+    CHECK(one.alive(100_s).empty());
+}
+
+TEST_CASE("membership: all daemons see each other within a few rounds")
+{
+    for (const std::size_t count : {2U, 8U, 40U}) {
+        beat_exchange exchange{count};
+        for (int i = 0; i < 8; ++i) {
+            exchange.round();
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            CAPTURE(count, i);
+            CHECK(exchange.alive_at(i) == count - 1);
+        }
+    }
+}
+
+TEST_CASE("membership: a daemon that stops is missed after the window, and only it")
+{
+    beat_exchange exchange{8};
+    for (int i = 0; i < 8; ++i) {
+        exchange.round();
+    }
+    exchange.stopped.insert(3);
+    for (int i = 0; i < 10; ++i) {
+        exchange.round();
+    }
+    CHECK(exchange.alive_at(0) == 6);
+    CHECK_FALSE(exchange.members[0]->is_alive("entry-3", 1, exchange.now));
+}
+
+TEST_CASE("membership: groups that are cut from each other keep their own and meet again")
+{
+    beat_exchange exchange{8};
+    exchange.cut_off = {0, 1, 2};
+    for (int i = 0; i < 12; ++i) {
+        exchange.round();
+    }
+    CHECK(exchange.alive_at(0) == 2);
+    CHECK(exchange.alive_at(5) == 4);
+    exchange.cut_off.clear();
+    for (int i = 0; i < 10; ++i) {
+        exchange.round();
+    }
+    CHECK(exchange.alive_at(0) == 7);
+}
+
+TEST_CASE("membership: an old incarnation's beats never hide the new one")
+{
+    membership one{beat_exchange::identity(0, 1)};
+    const auto id = member_id("entry-1");
+    one.merge({id, 2, 1, 0, false, true}, 100_s);
+    one.merge({id, 1, 900, 0, false, true}, 101_s);
+    one.introduce(beat_exchange::identity(1, 2), 101_s);
+    CHECK(one.is_alive("entry-1", 2, 101_s));
+    CHECK_FALSE(one.is_alive("entry-1", 1, 101_s));
+}
+
+TEST_CASE("isolation watch: who sees neither the table nor others stops after the bound")
+{
+    isolation_watch watch{5_s};
+    watch.on_table_contact(100_s);
+    CHECK(watch.may_serve(0, 7, 105_s));
+    CHECK_FALSE(watch.may_serve(0, 7, 106_s));
+    CHECK(watch.may_serve(1, 7, 1000_s)); // The store is down for all: serving goes on.
+    CHECK(watch.may_serve(0, 0, 1000_s)); // There is no one else.
+}
+
+TEST_CASE("peer message: what is written is read back")
+{
+    peer_message message;
+    message.identities = {beat_exchange::identity(1, 5)};
+    message.beats = {{7, 5, 3, 9, true, false}};
+    message.strikes = {{"digest", 2, 1, true}};
+    message.demands = {{"gent", 12.5F}};
+    message.config = config_record{9, "an", "token", 5_s, "[[profile]]"};
+    const auto read = decode_peer_message(encode_peer_message(message));
+    REQUIRE(read);
+    const auto& back = read.value();
+    CHECK(back.identities.front().peer_address == "entry-1:81");
+    CHECK(back.beats.front().config_number == 9);
+    CHECK(back.beats.front().stopping);
+    CHECK_FALSE(back.beats.front().table_reachable);
+    CHECK(back.strikes.front().deaths_alone == 1);
+    CHECK(back.demands.front().requests_per_second == 12.5F);
+    CHECK(back.config->toml == "[[profile]]");
+}
+
+TEST_CASE("peer message: damaged bytes are refused or read, never a crash")
+{
+    peer_message message;
+    message.identities = {beat_exchange::identity(1, 5), beat_exchange::identity(2, 5)};
+    message.beats = {{7, 5, 3, 9, true, false}};
+    const auto whole = encode_peer_message(message);
+    rc::prop("damage", [&](std::uint64_t seed) {
+        std::mt19937_64 random{seed};
+        auto bytes = whole;
+        bytes.resize(random() % (whole.size() + 1));
+        for (int i = 0; i < 3 && !bytes.empty(); ++i) {
+            bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+        }
+        const auto read = decode_peer_message(bytes);
+        RC_ASSERT(read || read.error().kind == error_kind::malformed);
+    });
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/strike_table_test.cpp
@@ -0,0 +1,112 @@
+#include "coriander/outlier_tracker.hpp"
+#include "coriander/prefix_index.hpp"
+#include "coriander/strike_table.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <random>
+
+namespace coriander {
+
+TEST_CASE("strike table: a death beside others makes suspects and refuses nobody")
+{
+    strike_table table;
+    for (int i = 0; i < 5; ++i) {
+        table.on_target_death({"poison", "innocent"}, false, 1_s);
+    }
+    CHECK(table.judge("innocent", 2_s) == strike_verdict::suspect);
+    CHECK(table.judge("other", 2_s) == strike_verdict::clear);
+}
+
+TEST_CASE("strike table: deaths that other routers saw count here")
+{
+    strike_table first;
+    strike_table second;
+    first.on_target_death({"poison"}, false, 1_s);
+    first.on_target_death({"poison"}, true, 2_s);
+    first.on_target_death({"poison"}, true, 3_s);
+    for (const auto& report : first.recent(10, 4_s)) {
+        second.merge(report, 4_s);
+    }
+    CHECK(second.judge("poison", 4_s) == strike_verdict::refused);
+}
+
+TEST_CASE("strike table: news that is older than what is known does not bring a suspicion back")
+{
+    strike_table first;
+    strike_table second;
+    first.on_target_death({"innocent"}, false, 1_s);
+    const auto old_news = first.recent(10, 1_s);
+    second.merge(old_news.front(), 2_s);
+    second.on_success("innocent", 3_s);
+    second.merge(old_news.front(), 4_s);
+    CHECK(second.judge("innocent", 4_s) == strike_verdict::clear);
+    first.merge(second.recent(10, 4_s).front(), 5_s);
+    CHECK(first.judge("innocent", 5_s) == strike_verdict::clear);
+}
+
+TEST_CASE("strike table: a history is forgotten in time")
+{
+    strike_table table;
+    table.on_target_death({"poison"}, true, 1_s);
+    table.on_target_death({"poison"}, true, 1_s);
+    CHECK(table.judge("poison", 2_s) == strike_verdict::refused);
+    CHECK(table.judge("poison", 1000_s) == strike_verdict::clear);
+}
+
+TEST_CASE("outlier tracker: whatever happens, two thirds of the targets stay")
+{
+    rc::prop("floor", [](std::uint64_t seed) {
+        std::mt19937_64 random{seed};
+        outlier_tracker tracker;
+        time_ms now = 1_s;
+        const std::size_t count = 1 + random() % 9;
+        for (int i = 0; i < 300; ++i) {
+            const auto target = std::to_string(random() % count);
+            if (random() % 3 != 0) {
+                tracker.on_failure(target, now);
+            }
+            else {
+                tracker.on_success(target, time_ms{static_cast<std::int64_t>(random() % 500)}, now);
+            }
+            now = now + 10_ms;
+            std::size_t out = 0;
+            for (std::size_t j = 0; j < count; ++j) {
+                out += tracker.is_ejected(std::to_string(j), now) ? 1 : 0;
+            }
+            RC_ASSERT(static_cast<double>(out) <= 0.34 * static_cast<double>(count));
+        }
+    });
+}
+
+TEST_CASE("outlier tracker: a straggler is ejected and returns on probation")
+{
+    outlier_tracker tracker;
+    time_ms now = 1_s;
+    for (int i = 0; i < 20; ++i, now = now + 100_ms) {
+        for (const auto* target : {"a", "b", "c", "d"}) {
+            tracker.on_success(target, *target == 'd' ? 900_ms : 60_ms, now);
+        }
+    }
+    CHECK(tracker.is_ejected("d", now));
+    CHECK_FALSE(tracker.is_ejected("a", now));
+    CHECK_FALSE(tracker.is_ejected("d", now + 10_s));
+}
+
+TEST_CASE("prefix index: late events are taken in, repeats ignored, and a gap asks for a rescan")
+{
+    prefix_index index;
+    CHECK(index.apply("a", {{1, "x", true}, {2, "y", true}}, 2));
+    CHECK(index.apply("a", {{2, "y", true}, {3, "x", false}}, 3));
+    CHECK_FALSE(index.holds("a", "x"));
+    CHECK(index.holds("a", "y"));
+    CHECK_FALSE(index.apply("a", {{5, "z", true}}, 5));
+    CHECK_FALSE(index.holds("a", "y"));
+    CHECK(index.last_event("a") == 0);
+    index.replace("a", {"z"}, 5);
+    CHECK(index.holds("a", "z"));
+    CHECK(index.apply("a", {{6, "w", true}}, 6));
+}
+
+} // namespace coriander
