--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -139,3 +139,81 @@
   done
   echo "$list"
 }
+
+# send_signal NAME SIGNAL
+send_signal() {
+  kill "-$2" "${PID_OF[$1]}"
+}
+
+# fault ADDRESS JSON: switches faults of a stand-in.
+fault() {
+  curl -s -X POST "http://$1/fault" -d "$2" >/dev/null
+}
+
+platform_fault() {
+  fault "${PLATFORM_URL#http://}" "$1"
+}
+
+# host_address HOST: where a host listens, from the platform's list.
+host_address() {
+  curl -s "$PLATFORM_URL/v1/hosts" | python3 -c '
+import json, sys
+print(next(h["address"] for h in json.load(sys.stdin)["hosts"] if h["id"] == sys.argv[1]))' "$1"
+}
+
+# list_host_state HOST STATE: what the platform's list says of a host.
+list_host_state() {
+  curl -s -X PUT "$PLATFORM_URL/v1/hosts" -d "{\"id\":\"$1\",\"state\":\"$2\"}" >/dev/null
+}
+
+# book ENTRY KEY [CUSTOMER_KEY] [REFERENCE]: sends a booking; prints the status and the body.
+book() {
+  local answer
+  answer=$(curl -s -m 60 -w '\n%{http_code}' "127.0.0.1:${PORT_OF[$1]}/v1/services/parts/book" \
+    -H "Authorization: Bearer ${3:-gent-demo-key}" -H "Idempotency-Key: $2" \
+    -d "{\"reference\":\"${4:-$2}\"}") || true
+  echo "${answer##*$'\n'} ${answer%$'\n'*}"
+}
+
+# runs REFERENCE: how often a booking ran.
+runs() {
+  grep -cx "$1" "$RUN_DIR/journal" 2>/dev/null || true
+}
+
+# hosts_of REPLICA: the hosts of a replica, one a line, the leader first.
+hosts_of() {
+  ctl list replicas | awk -F'\t' -v replica="$1" '$1 == replica { gsub(", ", "\n", $5); print $5 }'
+}
+
+# load SECONDS RATE [FLAGS...]: runs coriander_load against all entry hosts.
+load() {
+  local seconds=$1 rate=$2
+  shift 2
+  "$BUILD/coriander_load" --entry_hosts="$(entry_hosts)" --customers=gent:gent-demo-key:2,leuven:leuven-demo-key:1 \
+    --seconds="$seconds" --rate="$rate" "$@"
+}
+
+FAILURES=0
+# expect DESCRIPTION ACTUAL EXPECTED: EXPECTED is a pattern of the shell.
+expect() {
+  # shellcheck disable=SC2053
+  if [[ "$2" == $3 ]]; then
+    echo "ok: $1"
+  else
+    echo "NOT OK: $1: expected '$3', got '$2'"
+    FAILURES=$((FAILURES + 1))
+  fi
+}
+
+# finish: the test's verdict.
+finish() {
+  if [ "$FAILURES" -gt 0 ]; then
+    for log in "$RUN_DIR"/*.log; do
+      echo "--- $log"
+      tail -n 40 "$log"
+    done
+    echo "$FAILURES expectations failed"
+    exit 1
+  fi
+  echo "all expectations met"
+}
--- a/src/controller/shard_keeper.hpp
+++ b/src/controller/shard_keeper.hpp
@@ -93,12 +93,8 @@
 template <table_store Table, clock_source Clock>
 shard_keeper<Table, Clock>::shard_keeper(std::string shard, std::string self, const settings& values,
                                          Table& table, const Clock& clock, send_order send)
-    : shard{std::move(shard)}, values{values}, clock{clock}, table{table}, lease{table,
-                                                                                 clock,
-                                                                                 this->shard,
-                                                                                 std::move(self),
-                                                                                 {values.lease_duration,
-                                                                                  values.lease_duration / 5}},
+    : shard{std::move(shard)}, values{values}, clock{clock}, table{table},
+      lease{table, clock, this->shard, std::move(self), {values.lease_duration, values.lease_duration / 5}},
       send{std::move(send)}, darkness{values.dark_grace}
 {
 }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -28,8 +28,8 @@
 {
     for (const auto& member : replica.members) {
         const auto* host = fleet.find_host(member.host);
-        const bool has_restarted = host != nullptr && host->report &&
-                                   host->report->incarnation != member.incarnation;
+        const bool has_restarted =
+            host != nullptr && host->report && host->report->incarnation != member.incarnation;
         if (host != nullptr && (host->lost || has_restarted)) {
             return host;
         }
--- a/src/ctl/operator_session.cpp
+++ b/src/ctl/operator_session.cpp
@@ -52,6 +52,23 @@
     return text;
 }
 
+/// The object that keeps a configuration of the past for people.
+std::string history_name(std::uint64_t number)
+{
+    return "configs/" + std::to_string(number) + ".toml";
+}
+
+/// Tells an operator to whom and to what the change was lost. `before` is what it was made from.
+exit_code report_conflict(const std::string& before, const config_record& winner)
+{
+    std::cerr << "corianderctl: conflict: " << winner.author << " was first with number " << winner.number
+              << "; nothing was changed.\n";
+    if (const auto diff = line_diff(before, winner.toml); !diff.empty()) {
+        std::cerr << "What it changed:\n" << diff;
+    }
+    return exit_code::conflict;
+}
+
 const char* name_of(host_kind kind)
 {
     switch (kind) {
@@ -106,7 +123,8 @@
     const auto& base = current.value();
     const auto number = base.record ? base.record->number : 0;
     if (this->options.base && *this->options.base != number && base.record) {
-        return this->report_conflict(base, *base.record);
+        const auto before = this->platform.get_object(history_name(*this->options.base));
+        return report_conflict(before ? before.value() : base.record->toml, *base.record);
     }
     auto random = seeded_generator();
     const config_record record{number + 1, this->options.author, draw_token(random), wall_clock_now(), *text};
@@ -116,7 +134,7 @@
         return written;
     }
     // History serves people only; the row is what counts.
-    (void)this->platform.put_object("configs/" + std::to_string(record.number) + ".toml", record.toml);
+    (void)this->platform.put_object(history_name(record.number), record.toml);
     return this->await_acks(record.number, started);
 }
 
@@ -136,7 +154,8 @@
             if (winner && winner->token == record.token) {
                 return exit_code::ok;
             }
-            return this->report_conflict(base, winner.value_or(config_record{}));
+            return report_conflict(base.record ? base.record->toml : std::string{},
+                                   winner.value_or(config_record{}));
         }
     }
     std::cerr << "corianderctl: the table does not answer; the change may still take effect. "
@@ -144,17 +163,6 @@
     return exit_code::unavailable;
 }
 
-exit_code operator_session::report_conflict(const current_config& base, const config_record& winner) const
-{
-    const auto before = base.record ? base.record->toml : std::string{};
-    std::cerr << "corianderctl: conflict: " << winner.author << " was first with number " << winner.number
-              << "; nothing was changed.\n";
-    if (const auto diff = line_diff(before, winner.toml); !diff.empty()) {
-        std::cerr << "What it changed:\n" << diff;
-    }
-    return exit_code::conflict;
-}
-
 /// A member that the platform's host list no longer shows is gone: its row is taken out.
 void operator_session::forget_gone_member(const table_row& row)
 {
--- a/src/ctl/operator_session.hpp
+++ b/src/ctl/operator_session.hpp
@@ -61,7 +61,6 @@
 
     [[nodiscard]] result<current_config> read_current();
     [[nodiscard]] exit_code commit_config(const config_record& record, const current_config& base);
-    [[nodiscard]] exit_code report_conflict(const current_config& base, const config_record& winner) const;
     [[nodiscard]] exit_code await_acks(std::uint64_t number, time_ms since);
     [[nodiscard]] std::optional<std::vector<std::string>> missing_acks(std::uint64_t number);
     void forget_gone_member(const table_row& row);
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -54,6 +54,12 @@
 }
 
 router::~router()
+{
+    this->end_threads();
+    this->workers.join();
+}
+
+void router::end_threads()
 {
     {
         const std::scoped_lock lock{this->mutex};
@@ -63,7 +69,7 @@
     for (auto& thread : this->threads) {
         thread.join();
     }
-    this->workers.join();
+    this->threads.clear();
 }
 
 void router::start()
@@ -318,6 +324,8 @@
     // Callers may hold an answer that names this host for as long as it says; they are still served.
     this->pause(this->values.address_ttl + stop_margin);
     this->wait_for_sessions(this->values.drain_limit);
+    this->end_threads();
+    this->follower.remove_row();
     log_event(event::process_stopped, {{"name", this->values.name}});
 }
 
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -49,6 +49,7 @@
     void poll_cache_events();
     void update_routes();
     void update_gauges();
+    void end_threads();
     void wait_for_sessions(time_ms limit);
     [[nodiscard]] bool is_ready();
     bool pause(time_ms length);
--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -136,6 +136,13 @@
     }
 }
 
+void table_follower::remove_row()
+{
+    const std::array<table_write, 1> writes{
+        table_write{member_row_key(this->values.name), this->row_version, std::nullopt}};
+    (void)this->platform.commit(writes);
+}
+
 bool table_follower::may_serve()
 {
     const auto alive = this->peers.alive().size();
--- a/src/router/table_follower.hpp
+++ b/src/router/table_follower.hpp
@@ -39,6 +39,9 @@
     /// Writes the router's row if something changed or its renewal is due. Blocks.
     void write_row(bool stopping);
 
+    /// Takes the router's row out at the end of a planned stop. Call when no round runs any more. Blocks.
+    void remove_row();
+
     [[nodiscard]] std::shared_ptr<const target_list> targets() const;
     [[nodiscard]] bool table_reachable() const noexcept { return this->reachable; }
 
--- a/testing/engine_host.cpp
+++ b/testing/engine_host.cpp
@@ -240,7 +240,9 @@
             flag = bool_member(wanted, name);
         }
     };
-    set_flag("silent", this->faults.silent);
+    if (bool_member(wanted, "mute_streams")) {
+        this->mute_streams();
+    }
     set_flag("unresponsive", this->faults.unresponsive);
     set_flag("ignore_fence", this->faults.ignore_fence);
     set_flag("drop_cache_events", this->faults.drop_cache_events);
@@ -257,7 +259,7 @@
     if (bool_member(wanted, "restart")) {
         this->crash();
     }
-    send_json(reply, 200, to_text({{"served", this->served}}));
+    send_json(reply, 200, to_text({{"served", this->served}, {"crashes", this->crashes}}));
 }
 
 void engine_host::start_waiting(clock::time_point now)
@@ -277,7 +279,7 @@
 {
     const std::scoped_lock lock{this->mutex};
     const auto now = clock::now();
-    if (this->faults.silent || this->faults.unresponsive) {
+    if (this->faults.unresponsive) {
         return;
     }
     for (auto one = this->running.begin(); one != this->running.end();) {
@@ -294,6 +296,9 @@
 /// Sends the tokens that are due. False when the stream has ended.
 bool engine_host::advance(stream& one, clock::time_point now)
 {
+    if (one.muted) {
+        return true;
+    }
     if (one.reply->disconnected()) {
         return false;
     }
@@ -318,6 +323,16 @@
     return false;
 }
 
+/// The streams that run now fall silent for good; later ones are not affected.
+void engine_host::mute_streams()
+{
+    for (auto* list : {&this->running, &this->waiting}) {
+        for (auto& one : *list) {
+            one.muted = true;
+        }
+    }
+}
+
 void engine_host::end_all(const std::string& why)
 {
     for (auto* list : {&this->running, &this->waiting}) {
@@ -335,6 +350,7 @@
     if (this->exit_on_crash) {
         std::_Exit(EXIT_FAILURE);
     }
+    ++this->crashes;
     this->end_all("crashed");
     this->incarnation = new_incarnation();
     this->replica.clear();
--- a/testing/engine_host.hpp
+++ b/testing/engine_host.hpp
@@ -65,7 +65,7 @@
         std::uint64_t next = 0;
         std::uint64_t count = 0;
         int priority = 0;
-        bool first = true;
+        bool muted = false; ///< Its connection was lost track of: nothing comes through, and it does not close.
         clock::time_point due;
     };
     struct cache_event {
@@ -84,6 +84,7 @@
     host_report lagged_report();
     void start_waiting(clock::time_point now);
     bool advance(stream& one, clock::time_point now);
+    void mute_streams();
     void end_all(const std::string& why);
     void crash();
     void note_prefix(const std::string& prompt);
@@ -109,6 +110,7 @@
     std::deque<cache_event> cache_events;
     std::uint64_t last_cache_event = 0;
     std::uint64_t served = 0;
+    std::uint64_t crashes = 0;
     std::vector<std::shared_ptr<http_reply>> unanswered;
 };
 
