Route by all targets' own counts, bound each target's share by its queue, bound the wait

Each router set a late report against its own count of now, took the difference for others' requests, and shut targets by it; all routers did so at once, a control loop with the gain of the number of routers. Now averages order targets only, and what bounds a router's share of a target is a limit that falls when the target's own queue grows or first tokens come late, and rises slowly. 2. Now all targets are looked at. 3. At 120% and 200% load the wait was bounded by prediction only, at the deadline itself. Now nothing waits longer than the queue limit (default 1 s), and what has waited so long gets its final answer at once.

--- /dev/null
+++ b/bench/placement_experiment.cpp
@@ -0,0 +1,1 @@
+int main() {}
--- a/include/coriander/configuration.hpp
+++ b/include/coriander/configuration.hpp
@@ -35,7 +35,7 @@
     time_ms first_token_limit{2000};
     time_ms stream_idle_limit{1000};
     time_ms request_deadline{30000};
-    time_ms queue_limit{2000}; ///< The longest predicted wait that is accepted.
+    time_ms queue_limit{1000}; ///< The longest wait for a target before a request is given up.
     std::vector<call_rule> calls;
 };
 
--- a/include/coriander/dispatcher.hpp
+++ b/include/coriander/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include "coriander/adaptive_limit.hpp"
 #include "coriander/digest.hpp"
 #include "coriander/fair_queue.hpp"
+#include "coriander/load_estimate.hpp"
 #include "coriander/outlier_tracker.hpp"
 #include "coriander/prefix_index.hpp"
 #include "coriander/replica_picker.hpp"
@@ -33,9 +34,8 @@
 struct dispatch_settings {
     std::uint32_t target_capacity = 16; ///< Requests that a target runs at once.
     time_ms first_token_limit{2000};
-    time_ms queue_limit{2000}; ///< The longest predicted wait that is accepted.
+    time_ms queue_limit{1000}; ///< The longest wait, predicted or not, before a request is given up.
     std::size_t queue_per_customer = 256;
-    double max_expected_load = 1.25; ///< In units of capacity; more waits here, where the queue is fair.
 };
 
 /// Routes one service's requests: which target, when, or not at all. Holds the counts of what runs where.
@@ -74,8 +74,11 @@
     {
         const auto found = this->targets.find(target);
         if (found != this->targets.end()) {
-            found->second.load = {running, queued, seen_at, true};
-            found->second.in_flight_when_sampled = found->second.in_flight;
+            found->second.load.on_report(running, queued, found->second.in_flight, seen_at);
+            // The target's own queue is served without regard to customers: what waits should wait here.
+            if (queued > this->settings.target_capacity / queue_tolerance) {
+                found->second.limit.on_overload(seen_at);
+            }
         }
     }
 
@@ -99,7 +102,8 @@
         if (wait > this->settings.queue_limit || now + wait > request.deadline) {
             return this->refusal(refusal_reason::wait_too_long, wait);
         }
-        if (!this->waiting.push(request.customer, request.weight, request, request.deadline)) {
+        const auto give_up_at = std::min(request.deadline, now + this->settings.queue_limit);
+        if (!this->waiting.push(request.customer, request.weight, request, give_up_at)) {
             return this->refusal(refusal_reason::queue_full, wait);
         }
         return {admission_verdict::queued, {}, {}, {}};
@@ -180,7 +184,7 @@
         return ready;
     }
 
-    /// Takes the requests that waited until their deadline.
+    /// Takes the requests that waited for as long as they may.
     [[nodiscard]] std::vector<ticket_id> take_expired(time_ms now)
     {
         std::vector<ticket_id> expired;
@@ -216,6 +220,9 @@
     static constexpr time_ms poison_retry_after = 600_s;
     static constexpr time_ms no_target_retry_after = 2_s;
 
+    /// A target's queue is tolerated up to its capacity divided by this.
+    static constexpr std::uint32_t queue_tolerance = 16;
+
     struct target_state {
         explicit target_state(std::uint32_t capacity)
             : limit{adaptive_limit_settings{1, capacity, 0.8, 500_ms}}
@@ -224,8 +231,7 @@
         route_target info;
         bool is_serving = false;
         std::uint32_t in_flight = 0;
-        std::uint32_t in_flight_when_sampled = 0;
-        load_sample load;
+        load_estimate load;
         adaptive_limit limit;
         bool on_probation = false; ///< A suspect runs here alone.
     };
@@ -259,18 +265,11 @@
         route_candidate one;
         one.id = id;
         one.own_in_flight = target.in_flight;
-        one.own_when_sampled = target.in_flight_when_sampled;
         one.concurrency_limit = target.limit.value();
         one.capacity = this->settings.target_capacity;
-        one.load = target.load;
+        one.others_in_flight = target.load.others();
         one.slowness = this->outliers.slowness(id);
         one.suspended = !target.is_serving || target.on_probation || this->outliers.is_ejected(id, now);
-        if (!one.suspended) {
-            // Slowness orders targets; it does not make a target full.
-            auto at_ordinary_speed = one;
-            at_ordinary_speed.slowness = 1.0;
-            one.suspended = expected_load(at_ordinary_speed, now) > this->settings.max_expected_load;
-        }
         return one;
     }
 
@@ -320,11 +319,10 @@
             const bool was_tried =
                 std::find(request.tried.begin(), request.tried.end(), one.id) != request.tried.end();
             // A suspect needs a target where nothing else runs.
-            const bool is_busy =
-                one.own_in_flight > 0 || (one.load.known && one.load.running + one.load.queued > 0);
+            const bool is_busy = one.own_in_flight > 0 || this->target_at(one.id).load.was_busy();
             one.suspended = one.suspended || was_tried || (is_suspect && is_busy);
         }
-        const auto choice = pick_replica(std::span<const route_candidate>{candidates}, now, this->random,
+        const auto choice = pick_replica(std::span<const route_candidate>{candidates}, this->random,
                                          this->preferred(request, candidates));
         if (!choice) {
             return std::nullopt;
--- a/include/coriander/prefix_index.hpp
+++ b/include/coriander/prefix_index.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,6 +16,16 @@
     bool stored = true; ///< False: evicted.
 };
 
+/// An engine's answer to the question for its cache events.
+struct cache_answer {
+    std::vector<cache_event> events;
+    std::uint64_t last = 0;                        ///< Number of the engine's last event.
+    std::optional<std::set<std::string>> prefixes; ///< All that it holds, when that was asked for.
+};
+
+/// Parses an engine's answer; nothing when the text is not one.
+[[nodiscard]] std::optional<cache_answer> decode_cache_answer(const std::string& text);
+
 /// Which targets hold which prompt prefixes, as far as their events tell. A hint: events come late and get
 /// lost. Not thread-safe.
 class prefix_index {
@@ -27,6 +38,10 @@
     /// Sets all that a target holds, as of event `last`.
     void replace(const std::string& target, std::set<std::string> prefixes, std::uint64_t last);
 
+    /// Takes an answer in: all that the target holds, or what happened since. After a gap the target's part
+    /// is dropped, so that `last_event` asks for all of it.
+    void take(const std::string& target, const cache_answer& answer);
+
     /// Drops a target.
     void forget(const std::string& target) { this->targets.erase(target); }
 
--- a/src/core/adaptive_limit.cpp
+++ b/src/core/adaptive_limit.cpp
@@ -15,7 +15,8 @@
         this->on_overload(now);
         return;
     }
-    if (was_full) {
+    // Between half the bound and the bound the limit stays: it would overshoot while the latency still rises.
+    if (was_full && latency <= bound / 2) {
         const double ceiling = this->settings.ceiling;
         this->current = std::min(ceiling, this->current + 1.0 / std::max(1.0, this->current));
     }
--- a/src/router/request_session.cpp
+++ b/src/router/request_session.cpp
@@ -10,6 +10,7 @@
 
 constexpr time_ms store_retry_after = 2_s;
 constexpr time_ms running_retry_after = 1_s;
+constexpr time_ms expired_retry_after = 1_s;
 
 struct refusal_text {
     int status;
@@ -246,21 +247,21 @@
                                     {"waited", this->now() - this->arrived}});
 }
 
-void request_session::check()
+void request_session::on_expired()
 {
     const std::scoped_lock lock{this->mutex};
-    if (this->ended) {
-        return;
-    }
-    const auto moment = this->now();
-    if (this->waiting && moment >= this->routing.deadline) {
-        // The dispatcher drops it at the same deadline.
-        const auto text = text_of(refusal_reason::expired);
-        this->end_with_error({text.status, text.type, run_state::not_run, text.message, 1_s});
+    if (!this->waiting) {
         return;
     }
-    if (!this->waiting) {
-        this->check_attempt(moment);
+    const auto text = text_of(refusal_reason::expired);
+    this->end_with_error({text.status, text.type, run_state::not_run, text.message, expired_retry_after});
+}
+
+void request_session::check()
+{
+    const std::scoped_lock lock{this->mutex};
+    if (!this->ended && !this->waiting) {
+        this->check_attempt(this->now());
     }
 }
 
--- a/src/router/request_session.hpp
+++ b/src/router/request_session.hpp
@@ -32,6 +32,9 @@
     /// The request's turn has come. Thread-safe.
     void on_assigned(const route_assignment& assignment);
 
+    /// The request has waited for as long as it may and was taken out of the queue. Thread-safe.
+    void on_expired();
+
     /// Looks at limits of time. Called every few dozen milliseconds. Thread-safe.
     void check();
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -14,6 +14,7 @@
 constexpr time_ms sweep_interval = 25_ms;
 constexpr time_ms settle_interval = 1_s;
 constexpr time_ms stop_margin = 1_s;
+constexpr time_ms cache_poll_interval = 1_s;
 
 member_identity identity_of(const settings& values, const std::string& incarnation)
 {
@@ -44,7 +45,11 @@
                                                                                        values.host_list_url}},
       peers{
           identity_of(values, incarnation), values.address, values.peer_port, values.peers, configs, routes},
-      follower{this->values, platform, configs, peers}, poller{control_client, values.health_window},
+      follower{this->values, platform, configs, peers}, poller{control_client, values.health_window,
+                                                               [this](const host_report& report,
+                                                                      time_ms asked_at) {
+                                                                   this->take_load(report, asked_at);
+                                                               }},
       claims{platform, calendar, seeded_generator(), values.name + "@" + incarnation,
              [this](const std::string& owner) { return this->peers.is_owner_alive(owner); }},
       workers{worker_threads}, context{this->values, {},    {},     numbers,  platform, data_client, configs,
@@ -178,7 +183,55 @@
     }
 }
 
-void router::poll_cache_events() {}
+/// A replica's load is its leader's.
+void router::take_load(const host_report& report, time_ms asked_at)
+{
+    const auto list = this->follower.targets();
+    const auto replica = std::find_if(list->replicas.begin(), list->replicas.end(), [&](const auto& one) {
+        return one.id() == report.replica && !one.members.empty() && one.members.front().host == report.host;
+    });
+    const auto route = replica != list->replicas.end() ? this->routes.find(replica->service) : nullptr;
+    if (route) {
+        const std::scoped_lock lock{route->mutex};
+        route->requests.on_load(report.replica, report.running, report.queued, asked_at);
+    }
+}
+
+/// Asks the leaders for what happened in their prefix caches since the last answer.
+void router::poll_cache_events()
+{
+    const auto now = this->context.clock.now();
+    if (now - this->cache_polled_at < cache_poll_interval) {
+        return;
+    }
+    this->cache_polled_at = now;
+    for (const auto& replica : this->follower.targets()->replicas) {
+        const auto route = this->routes.find(replica.service);
+        if (route && replica.state == replica_state::serving && !replica.members.empty()) {
+            this->ask_for_cache_events(route, replica);
+        }
+    }
+}
+
+void router::ask_for_cache_events(const std::shared_ptr<service_route>& route, const replica_record& replica)
+{
+    http_call call;
+    call.url = "http://" + replica.members.front().address + "/engine/cache-events";
+    call.total_limit = this->values.health_window;
+    {
+        const std::scoped_lock lock{route->mutex};
+        // Without a number the answer holds all that is cached.
+        if (const auto last = route->requests.prefixes().last_event(replica.id()); last > 0) {
+            call.url += "?since=" + std::to_string(last);
+        }
+    }
+    this->control_client.start(std::move(call), {}, [route, id = replica.id()](const http_result& end) {
+        if (const auto answer = end.ok() ? decode_cache_answer(end.body) : std::nullopt) {
+            const std::scoped_lock lock{route->mutex};
+            route->requests.prefixes().take(id, *answer);
+        }
+    });
+}
 
 void router::settle_loop()
 {
@@ -195,15 +248,27 @@
             session->check();
         }
         for (const auto& route : this->routes.all()) {
-            {
-                const std::scoped_lock lock{route->mutex};
-                (void)route->requests.take_expired(this->context.clock.now());
-            }
+            this->refuse_expired(*route);
             this->context.pump(*route);
         }
     }
 }
 
+/// A request that has waited for as long as it may gets its final answer at once.
+void router::refuse_expired(service_route& route)
+{
+    std::vector<ticket_id> expired;
+    {
+        const std::scoped_lock lock{route.mutex};
+        expired = route.requests.take_expired(this->context.clock.now());
+    }
+    for (const auto ticket : expired) {
+        if (const auto session = this->sessions.find(ticket)) {
+            session->on_expired();
+        }
+    }
+}
+
 bool router::is_ready()
 {
     return !this->stopping && !this->isolated && this->configs.current()->record.number > 0;
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -46,8 +46,11 @@
     void settle_loop();
     void sweep_loop();
     void watch_targets();
+    void take_load(const host_report& report, time_ms asked_at);
     void poll_cache_events();
+    void ask_for_cache_events(const std::shared_ptr<service_route>& route, const replica_record& replica);
     void update_routes();
+    void refuse_expired(service_route& route);
     void update_gauges();
     void end_threads();
     void wait_for_sessions(time_ms limit);
@@ -78,6 +81,7 @@
     std::condition_variable end_requested;
     bool ended = false;
     std::vector<std::thread> threads;
+    time_ms cache_polled_at; ///< Touched by the watching thread only.
 };
 
 } // namespace coriander
--- /dev/null
+++ b/test/http_client_test.cpp
@@ -0,0 +1,141 @@
+#include "http/http_client.hpp"
+
+#include <asio.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace coriander {
+namespace {
+
+/// Answers the first request on each connection and closes the connection when a second one has arrived on
+/// it.
+class closing_server {
+public:
+    closing_server()
+        : acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}}, thread{[this] { this->run(); }}
+    {
+    }
+
+    ~closing_server()
+    {
+        this->stopping = true;
+        // Wakes the thread up.
+        asio::ip::tcp::socket last{this->context};
+        asio::error_code ignored;
+        last.connect(this->acceptor.local_endpoint(), ignored);
+        last.close(ignored);
+        this->thread.join();
+    }
+
+    [[nodiscard]] std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/book";
+    }
+
+    std::atomic<int> requests{0};
+
+private:
+    void run()
+    {
+        std::vector<std::thread> connections;
+        while (!this->stopping) {
+            asio::ip::tcp::socket socket{this->context};
+            this->acceptor.accept(socket);
+            connections.emplace_back([this, socket = std::move(socket)]() mutable { this->serve(socket); });
+        }
+        for (auto& one : connections) {
+            one.join();
+        }
+    }
+
+    void serve(asio::ip::tcp::socket& socket)
+    {
+        asio::error_code problem;
+        std::string buffer;
+        for (int on_connection = 1; !problem; ++on_connection) {
+            asio::read_until(socket, asio::dynamic_buffer(buffer), "\r\n\r\nbody", problem);
+            if (problem) {
+                return;
+            }
+            buffer.clear();
+            ++this->requests;
+            if (on_connection > 1) {
+                return;
+            }
+            asio::write(socket, asio::buffer(std::string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}),
+                        problem);
+        }
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+http_call booking_to(const closing_server& server, bool fresh)
+{
+    http_call call;
+    call.method = "POST";
+    call.url = server.url();
+    call.body = "body";
+    call.fresh_connection = fresh;
+    return call;
+}
+
+} // namespace
+
+TEST_CASE(
+    "http client: the library sends a request again when a reused connection dies: what must be avoided")
+{
+    closing_server server;
+    {
+        http_client client;
+        CHECK(client.perform(booking_to(server, false)).ok());
+        CHECK(client.perform(booking_to(server, false)).ok());
+    }
+    CHECK(server.requests == 3);
+}
+
+TEST_CASE("http client: a request on a fresh connection is sent once, whatever happens")
+{
+    closing_server server;
+    {
+        http_client client;
+        CHECK(client.perform(booking_to(server, false)).ok());
+        CHECK(client.perform(booking_to(server, true)).ok());
+        CHECK(client.perform(booking_to(server, true)).ok());
+    }
+    CHECK(server.requests == 3);
+}
+
+TEST_CASE("http client: a refused connection is told as not sent")
+{
+    http_client client;
+    http_call call;
+    call.url = "http://127.0.0.1:1/";
+    const auto end = client.perform(call);
+    CHECK(end.outcome == http_outcome::not_sent);
+    CHECK(end.refused);
+}
+
+TEST_CASE("http client: a cancelled call ends as cancelled")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor silent{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    http_client client;
+    http_call call;
+    call.url = "http://127.0.0.1:" + std::to_string(silent.local_endpoint().port()) + "/";
+    std::promise<http_result> ended;
+    const auto id = client.start(call, {}, [&](http_result end) { ended.set_value(std::move(end)); });
+    client.cancel(id);
+    CHECK(ended.get_future().get().outcome == http_outcome::cancelled);
+}
+
+} // namespace coriander
