Say 'starting' until the routes stand; split large files

Cause: new end-to-end cases that kill or freeze a router while its claim is being written got 404 no_such_service from the router that had just restarted: it was ready as soon as it had a configuration, up to half a second before its routes stood; before the first configuration it answered 401 to customers that it could not know yet. Both are 503 'starting' now, as not run, and readiness waits for the routes. The first run of the cases also failed because the stand-in's four threads slept in delayed answers, so that the claim was not yet written when it was meant to be: it has 32 now.

--- a/include/coriander/dispatcher.hpp
+++ b/include/coriander/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "coriander/adaptive_limit.hpp"
 #include "coriander/digest.hpp"
+#include "coriander/dispatch_settings.hpp"
 #include "coriander/fair_queue.hpp"
 #include "coriander/load_estimate.hpp"
 #include "coriander/outlier_tracker.hpp"
@@ -9,6 +10,7 @@
 #include "coriander/replica_picker.hpp"
 #include "coriander/retry_budget.hpp"
 #include "coriander/route_request.hpp"
+#include "coriander/route_target.hpp"
 #include "coriander/strike_table.hpp"
 
 #include <algorithm>
@@ -23,21 +25,6 @@
 
 namespace coriander {
 
-/// A target that may get new work now.
-struct route_target {
-    std::string id;
-    std::string address;
-    std::uint64_t generation = 0;
-};
-
-/// How one service's requests are dispatched.
-struct dispatch_settings {
-    std::uint32_t target_capacity = 16; ///< Requests that a target runs at once.
-    time_ms first_token_limit{2000};
-    time_ms queue_limit{1000}; ///< The longest wait, predicted or not, before a request is given up.
-    std::size_t queue_per_customer = 256;
-};
-
 /// Routes one service's requests: which target, when, or not at all. Holds the counts of what runs where.
 /// Time is a parameter. Not thread-safe.
 template <random_source Random>
--- /dev/null
+++ b/include/coriander/route_target.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace coriander {
+
+/// A target that may get new work now.
+struct route_target {
+    std::string id;
+    std::string address;
+    std::uint64_t generation = 0;
+};
+
+} // namespace coriander
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -193,6 +193,23 @@
     --seconds="$seconds" --rate="$rate" "$@"
 }
 
+# figure NAME: a count of the last load: "requests", or an outcome.
+figure() { python3 -c 'import json, sys
+f = json.load(open(sys.argv[1])); print(f["outcomes"].get(sys.argv[2], 0) if sys.argv[2] != "requests" else f["requests"])' "$RUN_DIR/load.json" "$1"; }
+# all_whole: whether every answer of the last load was whole.
+all_whole() { [ "$(figure whole)" -eq "$(figure requests)" ] && echo yes || echo "$(figure whole) of $(figure requests)"; }
+
+# load_while SECONDS RATE TOKENS COMMAND...: runs load while the command disturbs.
+load_while() {
+  load "$1" "$2" --service=assistant --max_tokens="$3" --json="$RUN_DIR/load.json" >"$RUN_DIR/load.txt" &
+  local load=$!
+  shift 3
+  sleep 2
+  "$@"
+  wait "$load" || true
+  cat "$RUN_DIR/load.txt"
+}
+
 FAILURES=0
 # expect DESCRIPTION ACTUAL EXPECTED: EXPECTED is a pattern of the shell.
 expect() {
--- a/src/controller/shard_keeper.cpp
+++ b/src/controller/shard_keeper.cpp
@@ -4,15 +4,6 @@
 
 namespace coriander {
 
-std::string joined(const std::vector<std::string>& names)
-{
-    std::string text;
-    for (const auto& name : names) {
-        text += (text.empty() ? "" : ",") + name;
-    }
-    return text;
-}
-
 engine_order load_order(const fleet_host& host, const replica_record& replica, std::uint64_t fence)
 {
     json_object others = json_object::array();
--- a/src/controller/shard_keeper.hpp
+++ b/src/controller/shard_keeper.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/text.hpp"
 #include "coriander/clock.hpp"
 #include "coriander/configuration.hpp"
 #include "coriander/dark_watch.hpp"
@@ -35,9 +36,6 @@
                                       std::uint64_t fence);
 [[nodiscard]] engine_order unload_order(const fleet_host& host, std::uint64_t fence);
 
-/// Names with commas between them.
-[[nodiscard]] std::string joined(const std::vector<std::string>& names);
-
 /// One controller's work on one shard: holds its lease, changes its replicas, and orders its hosts.
 /// Not thread-safe.
 template <table_store Table, clock_source Clock>
@@ -195,7 +193,7 @@
                                          {"reason", name_of(step.reason)},
                                          {"shard", this->shard},
                                          {"blamed", step.blamed_host},
-                                         {"hosts", joined(step.hosts)},
+                                         {"hosts", joined(step.hosts, ",")},
                                          {"fence", this->lease.fence()}});
     return true;
 }
--- a/src/ctl/operator_session.hpp
+++ b/src/ctl/operator_session.hpp
@@ -71,6 +71,9 @@
     operator_options options;
 };
 
+/// Tells an operator that the platform can't be reached.
+[[nodiscard]] exit_code unreachable(const error& problem);
+
 /// Lines of `after` that are not in `before` with "+", and the other way round with "-", in their order.
 [[nodiscard]] std::string line_diff(const std::string& before, const std::string& after);
 
--- a/src/router/request_session.cpp
+++ b/src/router/request_session.cpp
@@ -56,6 +56,13 @@
     return "unknown";
 }
 
+/// The configuration is not known yet, or only just: what it names may exist all the same.
+caller_error starting_error()
+{
+    return {503, "starting", run_state::not_run, "this entry host has only just started; use another one",
+            1_s};
+}
+
 /// The answer to a request whose claim was not granted. None of them but `store_down` says "not run" of the
 /// key: an earlier request with it did run or may have.
 caller_error error_for(claim_verdict verdict)
@@ -116,6 +123,10 @@
     constexpr std::string_view scheme = "Bearer ";
     const auto value = this->request->header("Authorization");
     const auto config = this->context.configs.current();
+    if (config->record.number == 0) {
+        this->end_with_error(starting_error());
+        return false;
+    }
     const customer_rule* known = nullptr;
     if (value.starts_with(scheme)) {
         known = config->config.find_customer_by_key(sha256_hex(value.substr(scheme.size())));
@@ -138,8 +149,7 @@
 {
     const auto config = this->context.configs.current();
     const auto* found = config->config.profile_of(name);
-    this->route = found != nullptr && found->kind == kind ? this->context.routes.find(name) : nullptr;
-    if (!this->route) {
+    if (found == nullptr || found->kind != kind) {
         this->end_with_error({404,
                               "no_such_service",
                               run_state::not_run,
@@ -147,6 +157,11 @@
                               {}});
         return false;
     }
+    this->route = this->context.routes.find(name);
+    if (!this->route) {
+        this->end_with_error(starting_error());
+        return false;
+    }
     this->service = name;
     this->rules = *found;
     return true;
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -74,6 +74,7 @@
     asio::thread_pool workers;
     std::atomic<bool> isolated{false};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> routes_ready{false};
     router_context context;
     admin_pages pages;
     std::unique_ptr<http_server> server;
--- /dev/null
+++ b/src/router/router_pages.cpp
@@ -0,0 +1,92 @@
+#include "router/router.hpp"
+
+#include "core/json_text.hpp"
+#include "router/error_reply.hpp"
+
+#include <algorithm>
+
+namespace coriander {
+
+/// Every host that may be used, in an order that spreads callers who take the first.
+void router::send_entry_hosts(http_reply& reply)
+{
+    std::vector<json_object> hosts;
+    const auto add = [&](const member_identity& one) {
+        hosts.push_back({{"name", one.name},
+                         {"address", one.http_address},
+                         {"region", one.region},
+                         {"failure_domain", one.failure_domain}});
+    };
+    if (this->is_ready()) {
+        add(this->peers.self());
+    }
+    for (const auto& member : this->peers.alive()) {
+        if (!member.beat.stopping && member.beat.config_number > 0) {
+            add(member.identity);
+        }
+    }
+    if (hosts.empty()) {
+        reply.send(
+            error_response({503, "no_entry_host", run_state::not_run, "no entry host takes work now", 1_s}));
+        return;
+    }
+    auto random = seeded_generator();
+    std::shuffle(hosts.begin(), hosts.end(), random);
+    reply.send({200,
+                "application/json",
+                to_text({{"entry_hosts", hosts}, {"ttl_ms", this->values.address_ttl.count()}}),
+                {}});
+}
+
+void router::send_status(http_reply& reply)
+{
+    const auto now = this->context.clock.now();
+    const auto config = this->configs.current();
+    json_object members = json_object::array();
+    for (const auto& member : this->peers.alive()) {
+        members.push_back({{"name", member.identity.name},
+                           {"config_number", member.beat.config_number},
+                           {"stopping", member.beat.stopping},
+                           {"table_reachable", member.beat.table_reachable},
+                           {"heard_ms_ago", (now - member.heard_at).count()}});
+    }
+    json_object replicas = json_object::array();
+    const auto list = this->follower.targets();
+    this->poller.with_health([&](const replica_health& health) {
+        for (const auto& replica : list->replicas) {
+            const auto judged = health.judge(replica, now);
+            replicas.push_back({{"replica", replica.id()},
+                                {"generation", replica.generation},
+                                {"state", name_of(replica.state)},
+                                {"serves", judged.serves()},
+                                {"fault", name_of(judged.fault)},
+                                {"host", judged.host}});
+        }
+    });
+    reply.send({200,
+                "application/json",
+                to_text({{"name", this->values.name},
+                         {"config_number", config->record.number},
+                         {"table_reachable", this->follower.table_reachable()},
+                         {"isolated", this->isolated.load()},
+                         {"stopping", this->stopping.load()},
+                         {"requests", this->sessions.size()},
+                         {"members", members},
+                         {"replicas", replicas}}),
+                {}});
+}
+
+void router::update_gauges()
+{
+    this->numbers.set("coriander_requests_open", "", static_cast<double>(this->sessions.size()));
+    this->numbers.set("coriander_config_number", "",
+                      static_cast<double>(this->configs.current()->record.number));
+    this->numbers.set("coriander_table_reads", "", static_cast<double>(this->platform.table_reads()));
+    this->numbers.set("coriander_table_writes", "", static_cast<double>(this->platform.table_writes()));
+    this->numbers.set("coriander_peer_bytes_sent", "", static_cast<double>(this->peers.link().bytes_sent()));
+    this->numbers.set("coriander_peer_bytes_received", "",
+                      static_cast<double>(this->peers.link().bytes_received()));
+    this->numbers.set("coriander_members_alive", "", static_cast<double>(this->peers.alive().size() + 1));
+}
+
+} // namespace coriander
--- a/test/e2e/at_most_once_test.sh
+++ b/test/e2e/at_most_once_test.sh
@@ -10,6 +10,7 @@
 PARTS=$(announced parts-1)
 start_entry_host entry-1 gent
 start_entry_host entry-2 leuven
+expect "without a configuration a router says that it starts, and runs nothing" "$(book entry-1 early)" '503 *not_run*starting*'
 ctl apply samples/two-services.toml
 wait_until 20 grep -q config_in_force "$RUN_DIR/router-entry-2.log"
 sleep 1.5
--- a/test/e2e/planned_stops_test.sh
+++ b/test/e2e/planned_stops_test.sh
@@ -13,20 +13,8 @@
 wait_until 40 serving_at_least entry-1 3
 wait_until 40 serving_at_least entry-2 3
 
-figure() { python3 -c 'import json, sys
-f = json.load(open(sys.argv[1])); print(f["outcomes"].get(sys.argv[2], 0) if sys.argv[2] != "requests" else f["requests"])' "$RUN_DIR/load.json" "$1"; }
-all_whole() { [ "$(figure whole)" -eq "$(figure requests)" ] && echo yes || echo "$(figure whole) of $(figure requests)"; }
-load_while() {
-  load 7 15 --service=assistant --max_tokens=100 --json="$RUN_DIR/load.json" >"$RUN_DIR/load.txt" &
-  local load=$!
-  sleep 2
-  "$@"
-  wait "$load" || true
-  cat "$RUN_DIR/load.txt"
-}
-
 stop_entry_1() { send_signal router-entry-1 TERM; send_signal controller-entry-1 TERM; }
-load_while stop_entry_1
+load_while 7 15 100 stop_entry_1
 expect "a planned stop of an entry host cuts no stream" "$(all_whole)" yes
 has_ended() { ! kill -0 "${PID_OF[router-entry-1]}" 2>/dev/null; }
 wait_until 20 has_ended
@@ -39,7 +27,7 @@
 
 DRAINED=$(hosts_of assistant/0 | head -1)
 drain_host() { ctl drain "$DRAINED"; }
-load_while drain_host
+load_while 7 15 100 drain_host
 expect "draining a host cuts no stream" "$(all_whole)" yes
 not_used() { ! ctl list replicas | grep -qw "$1"; }
 wait_until 30 not_used "$DRAINED"
@@ -59,7 +47,7 @@
   sleep 3
   SERVED=$(served)
 }
-load_while leave
+load_while 7 15 100 leave
 expect "a leaving host cuts no stream" "$(all_whole)" yes
 expect "it got no new work after three seconds" "$(served)" "$SERVED"
 finish
--- a/test/e2e/whole_answers_test.sh
+++ b/test/e2e/whole_answers_test.sh
@@ -15,20 +15,7 @@
 wait_until 40 serving_at_least entry-1 3
 wait_until 40 serving_at_least entry-2 3
 
-# load_while COMMAND...: runs load while the command disturbs; all answers must be whole.
-load_while() {
-  load 6 15 --service=assistant --max_tokens=80 --json="$RUN_DIR/load.json" >"$RUN_DIR/load.txt" &
-  local load=$!
-  sleep 2
-  "$@"
-  wait "$load" || true
-  cat "$RUN_DIR/load.txt"
-}
-figure() { python3 -c 'import json, sys
-f = json.load(open(sys.argv[1])); print(f["outcomes"].get(sys.argv[2], 0) if sys.argv[2] != "requests" else f["requests"])' "$RUN_DIR/load.json" "$1"; }
-all_whole() { [ "$(figure whole)" -eq "$(figure requests)" ] && echo yes || echo "$(figure whole) of $(figure requests)"; }
-
-load_while true
+load_while 6 15 80 true
 expect "without faults all answers are whole" "$(all_whole)" yes
 
 mute_all() {
@@ -37,20 +24,20 @@
     fault "$(host_address "$(hosts_of "assistant/$replica" | head -1)")" '{"mute_streams":true}'
   done
 }
-load_while mute_all
+load_while 6 15 80 mute_all
 expect "streams whose connections fell silent go on over new ones" "$(all_whole)" yes
 expect "the routers saw silent connections to living targets" \
   "$([ "$(cat "$RUN_DIR"/router-*.log | grep -c 'E2010 connection_silent.*target_alive=yes')" -gt 0 ] && echo yes)" yes
 
 kill_member() { send_signal "$(hosts_of assistant/0 | tail -1)" KILL; }
-load_while kill_member
+load_while 6 15 80 kill_member
 expect "streams of a replica that lost a member go on elsewhere" "$(all_whole)" yes
 wait_until 40 serving_at_least entry-1 3
 wait_until 40 serving_at_least entry-2 3
 
 FROZEN=$(hosts_of assistant/1 | head -1)
 freeze_leader() { send_signal "$FROZEN" STOP; }
-load_while freeze_leader
+load_while 6 15 80 freeze_leader
 expect "streams of a frozen leader go on elsewhere" "$(all_whole)" yes
 send_signal "$FROZEN" CONT
 
--- a/testing/engine_host.hpp
+++ b/testing/engine_host.hpp
@@ -41,6 +41,9 @@
     bool fail_fast = false;         ///< Every generation ends at once with an error.
 };
 
+/// A name that no other start of an engine has.
+[[nodiscard]] std::string new_incarnation();
+
 /// One engine's host. Its leader generates; a member that is not heard of stops the whole replica.
 class engine_host {
 public:
--- a/testing/platform_main.cpp
+++ b/testing/platform_main.cpp
@@ -252,7 +252,7 @@
 
 int run()
 {
-    constexpr unsigned threads = 4;
+    constexpr unsigned threads = 32; // Delayed answers must not hold up others.
     static platform instance;
     const http_server server{
         FLAGS_address, static_cast<std::uint16_t>(FLAGS_port), threads,
