--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -2,6 +2,7 @@
 
 #include "coriander/digest.hpp"
 #include "ctl/operator_session.hpp"
+#include "runtime/command_line.hpp"
 
 #include <gflags/gflags.h>
 
@@ -147,14 +148,12 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage(coriander::usage_text);
-    gflags::SetVersionString(CORIANDER_VERSION);
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    constexpr int most_words = 3;
-    if (argc < 2 || argc > most_words) {
+    const auto words = coriander::parse_command_line(argc, argv, coriander::usage_text);
+    constexpr std::size_t most_words = 2;
+    if (words.empty() || words.size() > most_words) {
         return static_cast<int>(coriander::bad_usage("give one command and at most one argument"));
     }
-    const coriander::command_line line{argv[1], argc == most_words ? argv[2] : ""};
+    const coriander::command_line line{words.front(), words.size() == most_words ? words.back() : ""};
     try {
         return static_cast<int>(coriander::run_offline_or(line));
     }
--- a/src/load/load_main.cpp
+++ b/src/load/load_main.cpp
@@ -1,6 +1,7 @@
 // coriander_load: makes load, checks every answer, and compares runs.
 
 #include "load/load_run.hpp"
+#include "runtime/command_line.hpp"
 #include "runtime/program.hpp"
 
 #include <gflags/gflags.h>
@@ -26,20 +27,26 @@
 namespace coriander {
 namespace {
 
+constexpr auto usage_text =
+    "Makes load on entry hosts, checks every answer, and compares runs.\n"
+    "Usage: coriander_load --entry_hosts IP:PORT --customers NAME:KEY --service NAME\n"
+    "       coriander_load --compare BEFORE.json AFTER.json\n"
+    "Exits with 1 when an answer was lost, mixed up or cut.";
+
 int bad_usage(const std::string& why)
 {
     std::cerr << "coriander_load: " << why << "; see 'coriander_load --help'\n";
     return static_cast<int>(exit_code::bad_input);
 }
 
-int compare(int argc, char** argv)
+int compare(const std::vector<std::string>& files)
 {
-    constexpr int words = 3;
-    if (argc != words) {
+    constexpr std::size_t compared = 2;
+    if (files.size() != compared) {
         return bad_usage("--compare takes two files");
     }
-    const auto before = read_file(argv[1]);
-    const auto after = read_file(argv[2]);
+    const auto before = read_file(files.front());
+    const auto after = read_file(files.back());
     if (!before || !after) {
         return bad_usage("a file of figures can't be read");
     }
@@ -99,15 +106,9 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage(
-        "Makes load on entry hosts, checks every answer, and compares runs.\n"
-        "Usage: coriander_load --entry_hosts IP:PORT --customers NAME:KEY --service NAME\n"
-        "       coriander_load --compare BEFORE.json AFTER.json\n"
-        "Exits with 1 when an answer was lost, mixed up or cut.");
-    gflags::SetVersionString(CORIANDER_VERSION);
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto words = coriander::parse_command_line(argc, argv, coriander::usage_text);
     try {
-        return FLAGS_compare ? coriander::compare(argc, argv) : coriander::run();
+        return FLAGS_compare ? coriander::compare(words) : coriander::run();
     }
     catch (const std::exception& problem) {
         std::cerr << "coriander_load: " << problem.what() << "\n";
--- a/src/router/request_session.cpp
+++ b/src/router/request_session.cpp
@@ -307,15 +307,21 @@
     }
     this->attempt_running = false;
     strike_verdict after = strike_verdict::clear;
+    bool was_ejected_now = false;
     {
         const std::scoped_lock lock{this->route->mutex};
+        const bool was_ejected = this->route->requests.is_ejected(this->current.target, this->now());
         this->route->requests.finish(this->ticket, outcome, this->now());
+        was_ejected_now = !was_ejected && this->route->requests.is_ejected(this->current.target, this->now());
         after = this->route->requests.judge(this->routing.digest, this->now());
     }
     if (outcome != attempt_outcome::succeeded && outcome != attempt_outcome::abandoned) {
         log_event(event::attempt_failed,
                   {{"request", this->id}, {"target", this->current.target}, {"outcome", name_of(outcome)}});
     }
+    if (was_ejected_now) {
+        log_event(event::target_ejected, {{"service", this->service}, {"target", this->current.target}});
+    }
     if (outcome == attempt_outcome::target_died && after != strike_verdict::clear) {
         log_event(
             event::request_suspected,
--- /dev/null
+++ b/src/runtime/command_line.cpp
@@ -0,0 +1,121 @@
+#include "runtime/command_line.hpp"
+
+#include "runtime/program.hpp"
+
+#include <gflags/gflags.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <optional>
+
+namespace coriander {
+namespace {
+
+/// A flag as it stands on the command line.
+struct flag_word {
+    std::string name;
+    std::optional<std::string> value;
+};
+
+[[noreturn]] void reject(const std::string& program, const std::string& why)
+{
+    std::cerr << program << ": " << why << "; see '" << program << " --help'\n";
+    std::exit(static_cast<int>(exit_code::bad_input)); // NOLINT(concurrency-mt-unsafe): no other thread yet.
+}
+
+[[noreturn]] void print_help(const std::string& summary)
+{
+    std::cout << summary << "\n\nFlags:\n";
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    for (const auto& flag : flags) {
+        // The library's own flags are for its own tools.
+        if (flag.filename.find("gflags") == std::string::npos) {
+            std::cout << "  --" << flag.name << " (" << flag.type << ", default \"" << flag.default_value
+                      << "\")\n      " << flag.description << "\n";
+        }
+    }
+    std::exit(static_cast<int>(exit_code::ok)); // NOLINT(concurrency-mt-unsafe): no other thread yet.
+}
+
+[[noreturn]] void print_version(const std::string& program)
+{
+    std::cout << program << " " << CORIANDER_VERSION << "\n";
+    std::exit(static_cast<int>(exit_code::ok)); // NOLINT(concurrency-mt-unsafe): no other thread yet.
+}
+
+flag_word read_flag(const std::string& word)
+{
+    const auto begin = word.find_first_not_of('-');
+    const auto equals = word.find('=');
+    if (equals == std::string::npos) {
+        return {word.substr(begin), std::nullopt};
+    }
+    return {word.substr(begin, equals - begin), word.substr(equals + 1)};
+}
+
+std::optional<gflags::CommandLineFlagInfo> find_flag(const std::string& name)
+{
+    gflags::CommandLineFlagInfo info;
+    return gflags::GetCommandLineFlagInfo(name.c_str(), &info) ? std::optional{info} : std::nullopt;
+}
+
+/// Completes a flag that stands without "=": a Boolean one means true, or false with "no" before it.
+void complete_boolean(flag_word& flag)
+{
+    constexpr std::size_t negation_length = 2;
+    const auto info = find_flag(flag.name);
+    if (info && info->type == "bool") {
+        flag.value = "true";
+    }
+    else if (!info && flag.name.starts_with("no")) {
+        const auto positive = find_flag(flag.name.substr(negation_length));
+        if (positive && positive->type == "bool") {
+            flag = {positive->name, "false"};
+        }
+    }
+}
+
+} // namespace
+
+std::vector<std::string> parse_command_line(int argc, char** argv, const std::string& summary)
+{
+    const auto program = std::filesystem::path{argv[0]}.filename().string();
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    std::vector<std::string> words;
+    for (std::size_t i = 0; i < arguments.size(); ++i) {
+        if (arguments[i] == "--") {
+            words.insert(words.end(), arguments.begin() + static_cast<std::ptrdiff_t>(i) + 1,
+                         arguments.end());
+            break;
+        }
+        if (arguments[i].size() < 2 || arguments[i].front() != '-') {
+            words.push_back(arguments[i]);
+            continue;
+        }
+        auto flag = read_flag(arguments[i]);
+        if (flag.name == "help") {
+            print_help(summary);
+        }
+        if (flag.name == "version") {
+            print_version(program);
+        }
+        if (!flag.value) {
+            complete_boolean(flag);
+        }
+        if (!find_flag(flag.name)) {
+            reject(program, "there is no flag '" + arguments[i] + "'");
+        }
+        if (!flag.value && i + 1 == arguments.size()) {
+            reject(program, "the flag '" + arguments[i] + "' needs a value");
+        }
+        const auto value = flag.value ? *flag.value : arguments[++i];
+        if (gflags::SetCommandLineOption(flag.name.c_str(), value.c_str()).empty()) {
+            reject(program, "the flag '--" + flag.name + "' can't have the value '" + value + "'");
+        }
+    }
+    return words;
+}
+
+} // namespace coriander
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -1,5 +1,6 @@
 #include "runtime/daemon.hpp"
 
+#include "runtime/command_line.hpp"
 #include "runtime/log.hpp"
 #include "runtime/program.hpp"
 
@@ -15,9 +16,11 @@
                 const std::function<void(const settings&)>& run)
 {
     block_stop_signals();
-    gflags::SetUsageMessage(summary + "\nUsage: " + name + " --settings FILE");
-    gflags::SetVersionString(CORIANDER_VERSION);
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto words = parse_command_line(argc, argv, summary + "\nUsage: " + name + " --settings FILE");
+    if (!words.empty()) {
+        std::cerr << name << ": '" << words.front() << "' is not a flag; see '" << name << " --help'\n";
+        return static_cast<int>(exit_code::bad_input);
+    }
     const auto values = load_settings(FLAGS_settings);
     if (!values) {
         return static_cast<int>(exit_code::bad_input);
--- a/test/event_test.cpp
+++ b/test/event_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <filesystem>
 #include <set>
 #include <string>
 
@@ -35,6 +36,20 @@
     }
 }
 
+TEST_CASE("events: each one is logged somewhere")
+{
+    std::string sources;
+    for (const auto& file : std::filesystem::recursive_directory_iterator{CORIANDER_SOURCE_DIR "/src"}) {
+        if (file.is_regular_file()) {
+            sources += read_file(file.path().string()).value_or("");
+        }
+    }
+    for (const auto& entry : event_catalogue) {
+        CAPTURE(std::string{entry.name});
+        CHECK(sources.find("event::" + std::string{entry.name}) != std::string::npos);
+    }
+}
+
 TEST_CASE("events: no number and no name stands twice")
 {
     std::set<int> numbers;
