--- a/include/coriander/dark_watch.hpp
+++ b/include/coriander/dark_watch.hpp
@@ -15,14 +15,16 @@
 public:
     explicit dark_watch(time_ms grace) : grace{grace} {}
 
-    /// Takes in how many of the shard's hosts are silent.
-    void observe(std::size_t silent, std::size_t total, time_ms now)
+    /// Takes in how many of the shard's hosts are silent and how many were heard. Those that are neither,
+    /// because this controller has only begun to look, change nothing: darkness that was seen before lasts
+    /// on.
+    void observe(std::size_t silent, std::size_t heard, std::size_t total, time_ms now)
     {
         const bool is_dark = total > 1 && silent * 2 > total;
-        if (!is_dark) {
+        if (heard * 2 >= total) {
             this->since.reset();
         }
-        else if (!this->since) {
+        else if (is_dark && !this->since) {
             this->since = now;
         }
     }
--- a/src/controller/shard_keeper.hpp
+++ b/src/controller/shard_keeper.hpp
@@ -149,14 +149,16 @@
 void shard_keeper<Table, Clock>::look_for_darkness(const fleet_snapshot& snapshot, time_ms now)
 {
     std::size_t silent = 0;
+    std::size_t heard = 0;
     std::size_t total = 0;
     for (const auto& host : snapshot.view.hosts) {
         if (this->is_ours(host)) {
             ++total;
             silent += host.lost ? 1 : 0;
+            heard += host.report ? 1 : 0;
         }
     }
-    this->darkness.observe(silent, total, now);
+    this->darkness.observe(silent, heard, total, now);
     if (this->darkness.is_first_look(now)) {
         log_event(event::shard_dark, {{"shard", this->shard}, {"silent", silent}, {"hosts", total}});
         // The fault may be on this side: let another controller look.
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -286,6 +286,25 @@
     CHECK(one.take_ready(start + 1_s).size() == 1);
 }
 
+TEST_CASE("dispatcher: a suspect waits for a target where nothing runs, of this router or of others")
+{
+    auto one = dispatcher_with(2, 16);
+    auto suspect = request_of(1);
+    suspect.digest = "suspect";
+    REQUIRE(one.submit(suspect, start).verdict == admission_verdict::dispatched);
+    one.finish(1, attempt_outcome::target_died, start);
+    REQUIRE(one.submit(request_of(2), start).verdict == admission_verdict::dispatched);
+    const auto* other = one.in_flight("assistant/0") == 1 ? "assistant/1" : "assistant/0";
+    one.on_load(other, 1, 0, start); // Another router's request.
+    suspect.ticket = 3;
+    CHECK(one.submit(suspect, start).verdict == admission_verdict::queued);
+    one.on_load(other, 0, 0, start + 500_ms);
+    const auto ready = one.take_ready(start + 500_ms);
+    REQUIRE(ready.size() == 1);
+    CHECK(ready.front().target == other);
+    CHECK(ready.front().on_probation);
+}
+
 TEST_CASE("dispatcher: over random events the counts agree with what was assigned and nothing is lost")
 {
     rc::prop("bookkeeping", [](std::uint64_t seed) {
--- a/test/shard_keeper_test.cpp
+++ b/test/shard_keeper_test.cpp
@@ -103,12 +103,12 @@
     for (auto& [id, engine] : fleet.engines) {
         engine->freeze();
     }
-    fleet.run_for(5_s);
+    fleet.run_for(14_s);
     CHECK(fleet.serving() == 0);
     for (auto& [id, engine] : fleet.engines) {
         engine->thaw();
     }
-    fleet.run_for(1_s);
+    fleet.run_for(5_s);
     CHECK(fleet.serving() == 2);
     REQUIRE(fleet.replicas().size() == before.size());
     for (std::size_t i = 0; i < before.size(); ++i) {
@@ -116,6 +116,24 @@
     }
 }
 
+// Found when the proof above passed without its mechanism: controllers handed the shard to and fro, and each
+// took the darkness for new.
+TEST_CASE("shard keeper: the places of a domain that stays dark are given up after the grace")
+{
+    for (const std::size_t controllers : {1U, 2U, 3U}) {
+        model_fleet fleet{controllers, 5, true};
+        fleet.run_for(3_s);
+        for (auto& [id, engine] : fleet.engines) {
+            engine->freeze();
+        }
+        fleet.run_for(40_s);
+        CAPTURE(controllers);
+        for (const auto& replica : fleet.replicas()) {
+            CHECK(replica.members.empty());
+        }
+    }
+}
+
 namespace {
 
 /// One random event of a schedule.
--- a/test/support/model_fleet.hpp
+++ b/test/support/model_fleet.hpp
@@ -31,7 +31,7 @@
 {
     settings values;
     values.lease_duration = 3_s;
-    values.dark_grace = 4_s;
+    values.dark_grace = 12_s;
     values.reform_interval = 100_ms;
     values.targets_check_fence = checks_fence;
     return values;
