Tell callers when a stop can't wait any longer; be ready only when targets are known

Cause, found by reading: a router that stopped at its limit tore down its HTTP client with sessions open, whose last callbacks used the worker pool and the server after their end, and their callers saw a broken connection at best. Now each open request gets its final answer (failed, unknown, or not run if it never left), and the clients are destroyed before what their callbacks use. The test for it first got 503 no_target: a router called itself ready before it had asked any host, so that callers sent to a new entry host were refused. It is ready after three rounds of asking now.

--- a/src/router/request_session.cpp
+++ b/src/router/request_session.cpp
@@ -239,6 +239,7 @@
 {
     const std::scoped_lock lock{this->mutex};
     this->waiting = false;
+    this->was_assigned = true;
     this->current = assignment;
     this->attempt_running = true;
     if (this->ended) {
@@ -272,6 +273,16 @@
     this->end_with_error({text.status, text.type, run_state::not_run, text.message, expired_retry_after});
 }
 
+void request_session::on_stop_limit()
+{
+    const std::scoped_lock lock{this->mutex};
+    run_state run = run_state::not_run;
+    if (this->was_assigned) {
+        run = this->may_repeat() ? run_state::failed : run_state::unknown;
+    }
+    this->end_with_error({503, "stopping", run, "this entry host stops and could not wait any longer", 1_s});
+}
+
 void request_session::check()
 {
     const std::scoped_lock lock{this->mutex};
--- a/src/router/request_session.hpp
+++ b/src/router/request_session.hpp
@@ -35,6 +35,9 @@
     /// The request has waited for as long as it may and was taken out of the queue. Thread-safe.
     void on_expired();
 
+    /// The router ends and can't wait any longer: the caller gets its final answer. Thread-safe.
+    void on_stop_limit();
+
     /// Looks at limits of time. Called every few dozen milliseconds. Thread-safe.
     void check();
 
@@ -108,6 +111,7 @@
     [[nodiscard]] std::string body_digest() const;
 
     bool waiting = false;
+    bool was_assigned = false; ///< A target may have run it.
 };
 
 } // namespace coriander
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -116,11 +116,13 @@
 
 void router::watch_loop()
 {
-    while (this->pause(this->values.health_interval)) {
+    // Targets are known after hosts were asked once and had time to answer.
+    constexpr int rounds_until_ready = 3;
+    for (int round = 1; this->pause(this->values.health_interval); ++round) {
         this->routes.configure(this->configs.current()->config);
         this->watch_targets();
         this->update_routes();
-        this->routes_ready = this->configs.current()->record.number > 0;
+        this->routes_ready = round >= rounds_until_ready && this->configs.current()->record.number > 0;
         this->poll_cache_events();
     }
 }
@@ -318,7 +320,10 @@
     while (this->sessions.size() > 0) {
         if (this->context.clock.now() >= until) {
             log_event(event::stop_limit_reached, {{"open", this->sessions.size()}});
-            return;
+            for (const auto& session : this->sessions.all()) {
+                session->on_stop_limit();
+            }
+            break;
         }
         this->pause(sweep_interval);
     }
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -61,8 +61,6 @@
     std::string incarnation;
     metrics numbers;
     platform_client platform;
-    http_client control_client;
-    http_client data_client;
     config_store configs;
     service_routes routes;
     peer_exchange peers;
@@ -77,6 +75,9 @@
     std::atomic<bool> routes_ready{false};
     router_context context;
     admin_pages pages;
+    // The clients' last callbacks, when they are destroyed, still use what stands above.
+    http_client control_client;
+    http_client data_client;
     std::unique_ptr<http_server> server;
     std::mutex mutex; ///< Guards `ended`.
     std::condition_variable end_requested;
--- a/test/e2e/planned_stops_test.sh
+++ b/test/e2e/planned_stops_test.sh
@@ -50,4 +50,23 @@
 load_while 7 15 100 leave
 expect "a leaving host cuts no stream" "$(all_whole)" yes
 expect "it got no new work after three seconds" "$(served)" "$SERVED"
+
+# A stop that can't wait for a long stream tells the caller, and never ends it as if it were whole.
+write_settings entry-3 gent
+sed -i 's/^dark_grace.*/&\ndrain_limit = "200ms"/' "$RUN_DIR/entry-3.toml"
+list_entry_host entry-3
+start_router entry-3
+wait_until 20 serving_at_least entry-3 2
+wait_until 20 curl -sf "127.0.0.1:${PORT_OF[entry-3]}/readyz"
+curl -sN "127.0.0.1:${PORT_OF[entry-3]}/v1/completions" -H 'Authorization: Bearer gent-demo-key' \
+  -d '{"model":"assistant","prompt":"A long order","max_tokens":2000,"stream":true}' >"$RUN_DIR/long" &
+LONG=$!
+sleep 1
+send_signal router-entry-3 TERM
+STATUS=0
+wait "${PID_OF[router-entry-3]}" || STATUS=$?
+wait "$LONG" || true
+expect "a stop that reached its limit ends well" "$STATUS $(grep -c 'E1005 stop_limit_reached' "$RUN_DIR/router-entry-3.log")" '0 1'
+expect "the caller of the stream that was cut is told" "$(tail -n 2 "$RUN_DIR/long" | tr -d '\n')" '*"run":"failed"*"type":"stopping"*'
+expect "it is not told that the stream is whole" "$(grep -c DONE "$RUN_DIR/long" || true)" 0
 finish
