Give refusals a file of their own; look members and labels up once

Found by reading the whole change again; behaviour as before. - request_session.cpp (403 lines, now 325) held the tables of callers' errors, and turned a dispatcher's refusal into an error in two places alike: error_for(refusal_reason, ...) in refusal.cpp serves both. - The label of metrics was put together anew for each token that is passed on; it is made once for a request. - Sending to peers asked for all living members and locked them once for each target; once for a round now. - read_targets returned a value that nobody used; two includes were dead. Run: scripts/run-tests: 116 passed, 0 failed, 0 skipped; format clean; lint of the changed files clean.

--- a/src/router/completion_session.cpp
+++ b/src/router/completion_session.cpp
@@ -135,11 +135,11 @@
     if (this->progress.next_index() == 1) {
         const std::scoped_lock lock{this->route->mutex};
         this->route->requests.on_first_token(this->ticket, moment);
-        this->context.numbers.observe("coriander_first_token_seconds", "service=\"" + this->service + "\"",
+        this->context.numbers.observe("coriander_first_token_seconds", this->metric_label,
                                       (moment - this->arrived).seconds());
     }
     else {
-        this->context.numbers.observe("coriander_between_tokens_seconds", "service=\"" + this->service + "\"",
+        this->context.numbers.observe("coriander_between_tokens_seconds", this->metric_label,
                                       (moment - this->last_activity).seconds());
     }
     this->last_activity = moment;
--- a/src/router/peer_exchange.cpp
+++ b/src/router/peer_exchange.cpp
@@ -2,7 +2,7 @@
 
 #include "runtime/log.hpp"
 
-#include <algorithm>
+#include <set>
 
 namespace coriander {
 namespace {
@@ -104,26 +104,22 @@
 {
     const auto now = this->clock.now();
     const auto current = this->configs.current();
+    std::set<std::string> behind;
+    for (const auto& member : this->alive()) {
+        const bool is_recent = now - member.heard_at < demand_window;
+        if (is_recent && member.beat.config_number < current->record.number) {
+            behind.insert(member.identity.name);
+        }
+    }
     for (const auto& target : targets) {
         message.config.reset();
-        if (this->is_behind(target, now)) {
+        if (behind.contains(target.name)) {
             message.config = current->record;
         }
         this->wire.send(target.peer_address, message);
     }
 }
 
-bool peer_exchange::is_behind(const member_identity& target, time_ms now)
-{
-    const auto number = this->configs.current()->record.number;
-    for (const auto& member : this->alive()) {
-        if (member.identity.name == target.name) {
-            return member.beat.config_number < number && now - member.heard_at < demand_window;
-        }
-    }
-    return false;
-}
-
 void peer_exchange::receive(const peer_message& message)
 {
     const auto now = this->clock.now();
--- a/src/router/peer_exchange.hpp
+++ b/src/router/peer_exchange.hpp
@@ -81,7 +81,6 @@
     peer_message make_message(time_ms now);
     std::vector<strike_report> recent_strikes(time_ms now);
     void send_to(const std::vector<member_identity>& targets, peer_message message);
-    [[nodiscard]] bool is_behind(const member_identity& target, time_ms now);
 
     monotonic_clock clock;
     config_store& configs;
--- a/src/router/request_session.cpp
+++ b/src/router/request_session.cpp
@@ -1,6 +1,7 @@
 #include "router/request_session.hpp"
 
 #include "coriander/digest.hpp"
+#include "router/refusal.hpp"
 #include "runtime/log.hpp"
 
 #include <asio/post.hpp>
@@ -8,85 +9,8 @@
 namespace coriander {
 namespace {
 
-constexpr time_ms store_retry_after = 2_s;
-constexpr time_ms running_retry_after = 1_s;
 constexpr time_ms expired_retry_after = 1_s;
 
-struct refusal_text {
-    int status;
-    const char* type;
-    const char* message;
-};
-
-refusal_text text_of(refusal_reason reason)
-{
-    switch (reason) {
-    case refusal_reason::no_target:
-        return {503, "no_target", "no target of the service can take the request now"};
-    case refusal_reason::queue_full:
-        return {429, "queue_full", "too many requests of this customer wait already"};
-    case refusal_reason::wait_too_long:
-        return {503, "overloaded", "the request's turn would come too late"};
-    case refusal_reason::poisonous:
-        return {422, "poisonous", "targets died whenever they ran this request alone"};
-    case refusal_reason::expired:
-        return {503, "overloaded", "the request's turn did not come in time"};
-    }
-    return {503, "overloaded", "the request can't be run now"};
-}
-
-const char* name_of_verdict(claim_verdict verdict)
-{
-    switch (verdict) {
-    case claim_verdict::granted:
-        return "granted";
-    case claim_verdict::replay:
-        return "replay";
-    case claim_verdict::running:
-        return "running";
-    case claim_verdict::outcome_unknown:
-        return "outcome_unknown";
-    case claim_verdict::body_conflict:
-        return "body_conflict";
-    case claim_verdict::key_expired:
-        return "key_expired";
-    case claim_verdict::store_down:
-        return "store_down";
-    }
-    return "unknown";
-}
-
-/// The configuration is not known yet, or only just: what it names may exist all the same.
-caller_error starting_error()
-{
-    return {503, "starting", run_state::not_run, "this entry host has only just started; use another one",
-            1_s};
-}
-
-/// The answer to a request whose claim was not granted. None of them but `store_down` says "not run" of the
-/// key: an earlier request with it did run or may have.
-caller_error error_for(claim_verdict verdict)
-{
-    switch (verdict) {
-    case claim_verdict::running:
-        return {409, "running", run_state::unknown, "a request with this key is running",
-                running_retry_after};
-    case claim_verdict::body_conflict:
-        return {422, "key_reused", run_state::not_run, "this key was used with another body", {}};
-    case claim_verdict::key_expired:
-        return {409, "key_expired", run_state::unknown, "this key is older than answers are kept", {}};
-    case claim_verdict::store_down:
-        return {503, "store_down", run_state::not_run, "the request could not be made safe to run once",
-                store_retry_after};
-    default:
-        return {409,
-                "outcome_unknown",
-                run_state::unknown,
-                "a request with this key was sent; its end is not known",
-                {}};
-    }
-}
-
 } // namespace
 
 request_session::request_session(router_context& context, std::shared_ptr<const http_request> request,
@@ -163,6 +87,7 @@
         return false;
     }
     this->service = name;
+    this->metric_label = "service=\"" + name + "\"";
     this->rules = *found;
     return true;
 }
@@ -199,7 +124,7 @@
     log_event(event::claim_decided, {{"request", this->id},
                                      {"customer", this->customer.name},
                                      {"key", this->idempotency_key},
-                                     {"verdict", name_of_verdict(decision.verdict)}});
+                                     {"verdict", name_of(decision.verdict)}});
     if (decision.verdict == claim_verdict::granted) {
         this->grant = std::move(decision.grant);
         this->submit();
@@ -229,9 +154,7 @@
                   {{"request", this->id}, {"customer", this->customer.name}, {"service", this->service}});
     }
     else {
-        const auto text = text_of(decision.reason);
-        this->end_with_error(
-            {text.status, text.type, run_state::not_run, text.message, decision.retry_after});
+        this->end_with_error(error_for(decision.reason, decision.retry_after));
     }
 }
 
@@ -269,8 +192,7 @@
     if (!this->waiting) {
         return;
     }
-    const auto text = text_of(refusal_reason::expired);
-    this->end_with_error({text.status, text.type, run_state::not_run, text.message, expired_retry_after});
+    this->end_with_error(error_for(refusal_reason::expired, expired_retry_after));
 }
 
 void request_session::on_stop_limit()
@@ -386,7 +308,7 @@
                                            answer = std::move(answer)] { claims.complete(grant, answer); });
         this->grant.reset();
     }
-    this->context.numbers.add("coriander_requests_total", "service=\"" + this->service + "\"");
+    this->context.numbers.add("coriander_requests_total", this->metric_label);
     this->end();
 }
 
--- a/src/router/request_session.hpp
+++ b/src/router/request_session.hpp
@@ -87,6 +87,7 @@
     ticket_id ticket = 0;
     std::string id;
     std::string service;
+    std::string metric_label; ///< Made once: it is used for each token.
     std::string idempotency_key;
     std::string prefix;
     profile rules;
--- a/src/router/router_context.hpp
+++ b/src/router/router_context.hpp
@@ -2,7 +2,6 @@
 
 #include "coriander/claim_ledger.hpp"
 #include "coriander/clock.hpp"
-#include "coriander/isolation_watch.hpp"
 #include "coriander/settings.hpp"
 #include "http/http_client.hpp"
 #include "router/config_store.hpp"
--- a/src/router/table_follower.cpp
+++ b/src/router/table_follower.cpp
@@ -80,7 +80,7 @@
     }
 }
 
-bool table_follower::read_targets()
+void table_follower::read_targets()
 {
     auto next = std::make_shared<target_list>(*this->targets());
     if (auto hosts = this->platform.list_hosts()) {
@@ -106,7 +106,6 @@
     }
     const std::scoped_lock lock{this->mutex};
     this->list = std::move(next);
-    return rows && drains;
 }
 
 void table_follower::write_row(bool stopping)
--- a/src/router/table_follower.hpp
+++ b/src/router/table_follower.hpp
@@ -4,7 +4,6 @@
 #include "coriander/isolation_watch.hpp"
 #include "coriander/member_row.hpp"
 #include "coriander/replica.hpp"
-#include "coriander/row_freshness.hpp"
 #include "coriander/settings.hpp"
 #include "router/config_store.hpp"
 #include "router/peer_exchange.hpp"
@@ -51,7 +50,7 @@
 private:
     bool read_config();
     void read_members();
-    bool read_targets();
+    void read_targets();
     void note_table(bool is_reachable);
 
     const settings& values;
