--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -37,13 +37,16 @@
     shard_dark = 3009,
     host_freed = 3010,
     placement_unknown = 3011,
+    replica_suspected = 3012,
     config_in_force = 4001,
     config_rejected = 4002,
+    settings_read = 4003,
     member_isolated = 5003,
     member_rejoined = 5004,
     table_unreachable = 6001,
     table_back = 6002,
     host_list_unreachable = 6003,
+    log_lines_dropped = 6004,
 };
 
 /// One line of the catalogue.
@@ -81,13 +84,16 @@
     event_entry{event::shard_dark, "shard_dark", log_level::warn},
     event_entry{event::host_freed, "host_freed", log_level::info},
     event_entry{event::placement_unknown, "placement_unknown", log_level::warn},
+    event_entry{event::replica_suspected, "replica_suspected", log_level::warn},
     event_entry{event::config_in_force, "config_in_force", log_level::info},
     event_entry{event::config_rejected, "config_rejected", log_level::error},
+    event_entry{event::settings_read, "settings_read", log_level::info},
     event_entry{event::member_isolated, "member_isolated", log_level::warn},
     event_entry{event::member_rejoined, "member_rejoined", log_level::info},
     event_entry{event::table_unreachable, "table_unreachable", log_level::warn},
     event_entry{event::table_back, "table_back", log_level::info},
     event_entry{event::host_list_unreachable, "host_list_unreachable", log_level::warn},
+    event_entry{event::log_lines_dropped, "log_lines_dropped", log_level::warn},
 };
 
 /// The entry of an event. Every event has one.
--- a/include/coriander/load_estimate.hpp
+++ b/include/coriander/load_estimate.hpp
@@ -15,6 +15,9 @@
 /// lag, and their difference is what the others do. Not thread-safe.
 class load_estimate {
 public:
+    /// `averaging_time` must be longer than reports lag.
+    explicit load_estimate(time_ms averaging_time = 3_s) : averaging_time{averaging_time} {}
+
     /// Takes a report in. `own` is this router's count on the target when the report arrived.
     void on_report(std::uint32_t running, std::uint32_t queued, std::uint32_t own, time_ms now)
     {
@@ -24,7 +27,7 @@
             this->own_mean = own;
         }
         const double age = std::max(0.0, (now - this->updated).seconds());
-        const double gain = this->is_known ? 1.0 - std::exp(-age / averaging_time.seconds()) : 1.0;
+        const double gain = this->is_known ? 1.0 - std::exp(-age / this->averaging_time.seconds()) : 1.0;
         this->reported_mean += gain * (reported - this->reported_mean);
         this->own_mean += gain * (own - this->own_mean);
         this->last_reported = reported;
@@ -42,8 +45,7 @@
     [[nodiscard]] bool was_busy() const noexcept { return this->is_known && this->last_reported > 0.0; }
 
 private:
-    static constexpr time_ms averaging_time = 3_s;
-
+    time_ms averaging_time;
     double reported_mean = 0.0;
     double own_mean = 0.0;
     double last_reported = 0.0;
--- /dev/null
+++ b/include/coriander/relay/admission_forecast.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "coriander/relay/relay_manifest.hpp"
+#include "coriander/relay/target_board.hpp"
+#include "coriander/time_ms.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace coriander {
+
+/// What a request is worth waiting for, and what it meets.
+struct admission_input {
+    std::optional<target_choice> best; ///< The least loaded target; absent: none may take the request.
+    time_ms usual_duration{};          ///< From dispatch to the end of an answer of this kind.
+    time_ms objective{};               ///< For the first event, or the whole answer.
+    time_ms time_left{};               ///< Until the caller or the route gives up.
+};
+
+/// Whether a request is sent now, and if not, when its caller should come back.
+struct admission_advice {
+    bool is_admitted = false;
+    time_ms predicted_wait{}; ///< In the target's queue.
+    time_ms retry_after{};    ///< Meaningful for a refusal.
+};
+
+/// Bounds of the forecast.
+struct admission_settings {
+    /// The wait may take this part of the objective: beyond it the answer would be late, and would make
+    /// those behind it late as well.
+    double wait_share = 0.75;
+    /// When no target can take a request: the usual time until a lost replica is formed anew.
+    time_ms outage_retry{800};
+    time_ms least_retry{100};
+};
+
+/// Forecasts the wait in the least loaded target's queue and refuses what would come too late. Pure.
+[[nodiscard]] inline admission_advice forecast_admission(const admission_input& input,
+                                                         const admission_settings& settings = {})
+{
+    if (!input.best) {
+        return {false, {}, settings.outage_retry};
+    }
+    const double slots = std::max(1U, input.best->target.slots);
+    const double ahead = std::max(0.0, input.best->total() + 1.0 - slots);
+    const double turn_ms = static_cast<double>(input.usual_duration.count()) / slots;
+    const time_ms wait{static_cast<std::int64_t>(ahead * turn_ms)};
+    const time_ms bound{
+        static_cast<std::int64_t>(settings.wait_share * static_cast<double>(input.objective.count()))};
+    if (wait <= bound && wait < input.time_left) {
+        return {true, wait, {}};
+    }
+    return {false, wait, std::max(settings.least_retry, wait - bound)};
+}
+
+} // namespace coriander
--- /dev/null
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "coriander/relay/relay_manifest.hpp"
+#include "coriander/replicas/domain_record.hpp"
+#include "coriander/replicas/fleet_host.hpp"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coriander {
+
+/// What an engine's host is told to do.
+enum class order_kind {
+    join,  ///< Become a host of the replica.
+    open,  ///< To a leader: take requests.
+    leave, ///< Belong to the replica no more.
+    stage, ///< Load a model into the host's own memory.
+};
+
+/// An order to one host. Which fields count depends on the kind.
+struct host_order {
+    order_kind kind = order_kind::join;
+    std::string host;
+    std::string replica;
+    std::uint64_t generation = 0;
+    std::string model;
+    std::vector<std::string> members; ///< Ids of all hosts, the leader's first.
+};
+
+/// What is known of one fabric domain.
+struct domain_view {
+    const domain_record* record = nullptr;
+    std::span<const fleet_host> hosts; ///< Of the domain.
+    /// Hosts that don't answer, by id, with the incarnation that fell silent.
+    const std::map<std::string, std::uint64_t>* silent = nullptr;
+    /// Retiring replicas whose work has ended or has had its time, and forming ones that took too long.
+    const std::set<std::string>* finished = nullptr;
+};
+
+/// What should be done in a domain. A changed record is committed first; the orders follow from it then.
+struct domain_decision {
+    domain_record next;
+    bool is_changed = false;
+    std::vector<host_order> orders;
+    std::vector<std::string> reasons; ///< A text for each change, for log lines.
+
+    /// Whether there is anything to do.
+    [[nodiscard]] bool is_due() const noexcept { return this->is_changed || !this->orders.empty(); }
+};
+
+/// Follows the replicas of a domain: notices lost hosts, opens what is ready, frees hosts. Pure.
+[[nodiscard]] domain_decision follow_domain(const domain_view& view);
+
+/// The hosts that belong to no replica and could join one.
+[[nodiscard]] std::vector<const fleet_host*> free_hosts(const domain_view& view);
+
+/// Adds a replica of the model to the record if enough free hosts are there. With `only_staged` only hosts
+/// that hold the model count. Returns whether it was added.
+bool form_replica(domain_record& record, const domain_view& view, const model_profile& model,
+                  std::string_view name_stem, bool only_staged);
+
+/// The name of the order's kind in log lines.
+[[nodiscard]] const char* name_of(order_kind kind) noexcept;
+
+} // namespace coriander
--- /dev/null
+++ b/include/coriander/replicas/formation_plan.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "coriander/relay/relay_manifest.hpp"
+
+#include <cstddef>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/// The free hosts of a fabric domain.
+struct domain_supply {
+    std::string domain;
+    std::size_t free = 0;
+    std::map<std::string, std::size_t> staged; ///< Free hosts that hold each model.
+};
+
+/// What the fleet needs and has.
+struct formation_input {
+    std::span<const model_profile> models;
+    const std::map<std::string, double>* needed = nullptr;      ///< Replicas of each model, by the load.
+    const std::map<std::string, std::size_t>* existing = nullptr; ///< Replicas open or being formed.
+    std::vector<domain_supply> domains;
+    bool only_staged = true; ///< Form only of hosts that hold the model.
+};
+
+/// The models to form a replica of, for each domain, in order.
+using formation = std::map<std::string, std::vector<std::string>>;
+
+/// Divides the free hosts of all domains among the models: the model that is shortest of replicas for its
+/// load comes first, in the domain where the fewest hosts are left over. Pure and deterministic, so that
+/// daemons that know the same plan the same.
+[[nodiscard]] formation plan_formation(formation_input input);
+
+/// The most hosts out of `free` that replicas of these models can use.
+[[nodiscard]] std::size_t usable_hosts(std::size_t free, std::span<const model_profile> models);
+
+/// The model that a domain's free hosts should hold in memory; empty when there is no model.
+///
+/// `counts` are the domain's replicas by model. Hosts that suffice for a replica hold the model that is
+/// shortest for its load; fewer hosts hold the model that most of the domain's replicas run, as
+/// replacements.
+[[nodiscard]] std::string model_to_stage(const formation_input& input, std::size_t free,
+                                         const std::map<std::string, std::size_t>& counts);
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/fleet_view.cpp
@@ -0,0 +1,195 @@
+#include "gateway/fleet_view.hpp"
+
+#include <algorithm>
+
+namespace coriander {
+
+std::optional<domain_key> parse_domain_key(std::string_view row_key)
+{
+    const auto slash = row_key.find('/');
+    if (slash == std::string_view::npos || slash == 0 || slash + 1 == row_key.size()) {
+        return std::nullopt;
+    }
+    return domain_key{std::string{row_key.substr(0, slash)}, std::string{row_key.substr(slash + 1)}};
+}
+
+void fleet_view::set_host(const fleet_host& host, time_ms now)
+{
+    ++this->changes;
+    auto [entry, is_new] = this->known.try_emplace(host.id, host);
+    if (is_new || entry->second.incarnation != host.incarnation) {
+        this->arrivals[{host.service, host.fabric_domain}] = now;
+        this->silent_hosts.erase(host.id);
+        entry->second = host;
+        return;
+    }
+    auto& current = entry->second;
+    // The list lags behind what the host itself said; more orders begun tell which is newer.
+    const bool is_older = host.orders_begun < current.orders_begun;
+    const auto status =
+        host_status{current.incarnation, current.is_ordered, current.orders_begun, current.staged, current.part};
+    current = host;
+    if (is_older) {
+        this->update_host(host.id, status);
+    }
+}
+
+void fleet_view::remove_host(const std::string& id)
+{
+    this->changes += this->known.erase(id);
+    this->silent_hosts.erase(id);
+}
+
+void fleet_view::update_host(const std::string& id, const host_status& status)
+{
+    const auto found = this->known.find(id);
+    if (found == this->known.end() || found->second.incarnation != status.incarnation) {
+        return; // The list will tell of a new start with all that belongs to it.
+    }
+    auto& host = found->second;
+    if (status.orders_begun < host.orders_begun) {
+        return;
+    }
+    ++this->changes;
+    host.is_ordered = status.is_ordered;
+    host.orders_begun = status.orders_begun;
+    host.staged = status.staged;
+    host.part = status.part;
+}
+
+bool fleet_view::set_domain(const domain_key& key, domain_record record, std::uint64_t version)
+{
+    auto& current = this->records[key];
+    if (version <= current.version) {
+        return false;
+    }
+    ++this->changes;
+    current = {std::move(record), version};
+    return true;
+}
+
+void fleet_view::mark_silent(const std::string& id, time_ms /*now*/)
+{
+    const auto* host = this->find_host(id);
+    if (host != nullptr) {
+        this->silent_hosts[id] = host->incarnation;
+        ++this->changes;
+    }
+}
+
+void fleet_view::clear_silent(const std::string& id)
+{
+    this->changes += this->silent_hosts.erase(id);
+}
+
+bool fleet_view::is_silent(const std::string& id) const
+{
+    const auto found = this->silent_hosts.find(id);
+    const auto* host = this->find_host(id);
+    return found != this->silent_hosts.end() && host != nullptr && host->incarnation == found->second;
+}
+
+const fleet_host* fleet_view::find_host(const std::string& id) const
+{
+    const auto found = this->known.find(id);
+    return found == this->known.end() ? nullptr : &found->second;
+}
+
+const versioned_domain& fleet_view::domain(const domain_key& key) const
+{
+    static const versioned_domain empty;
+    const auto found = this->records.find(key);
+    return found == this->records.end() ? empty : found->second;
+}
+
+std::vector<domain_key> fleet_view::domains_of(const std::string& service) const
+{
+    std::set<domain_key> keys;
+    for (const auto& [id, host] : this->known) {
+        if (host.service == service && !host.fabric_domain.empty()) {
+            keys.insert({service, host.fabric_domain});
+        }
+    }
+    for (const auto& [key, record] : this->records) {
+        if (key.service == service) {
+            keys.insert(key);
+        }
+    }
+    return {keys.begin(), keys.end()};
+}
+
+std::vector<fleet_host> fleet_view::hosts_of(const domain_key& key) const
+{
+    std::vector<fleet_host> found;
+    for (const auto& [id, host] : this->known) {
+        if (host.service == key.service && host.fabric_domain == key.domain) {
+            found.push_back(host);
+        }
+    }
+    return found;
+}
+
+time_ms fleet_view::last_arrival(const domain_key& key) const
+{
+    const auto found = this->arrivals.find(key);
+    return found == this->arrivals.end() ? time_ms{} : found->second;
+}
+
+bool fleet_view::may_serve(const replica_entry& replica) const
+{
+    return replica.phase == replica_phase::open &&
+           std::all_of(replica.hosts.begin(), replica.hosts.end(), [&](const replica_host& member) {
+               const auto* host = this->find_host(member.id);
+               return host != nullptr && host->incarnation == member.incarnation && !host->is_leaving &&
+                      !member.is_lost && !this->is_silent(member.id) &&
+                      !(host->part && host->part->phase == host_phase::broken);
+           });
+}
+
+std::vector<relay_target> fleet_view::targets_of(const relay_service& service) const
+{
+    std::vector<relay_target> targets;
+    if (!service.engine) {
+        for (const auto& [id, host] : this->known) {
+            if (host.service == service.name && !host.is_leaving && !this->is_silent(id)) {
+                targets.push_back(
+                    {id, id, host.address, host.failure_domain, {}, host.incarnation, host.slots, 1.0});
+            }
+        }
+        return targets;
+    }
+    for (const auto& [key, domain] : this->records) {
+        for (const auto& replica : domain.record.replicas) {
+            if (key.service != service.name || !this->may_serve(replica)) {
+                continue;
+            }
+            const auto* leader = this->find_host(replica.hosts.front().id);
+            const auto& models = service.engine->models;
+            const auto model = std::find_if(models.begin(), models.end(), [&](const model_profile& one) {
+                return one.name == replica.model;
+            });
+            const double factor = model == models.end() ? 1.0 : model->time_factor;
+            targets.push_back({replica.name, leader->id, leader->address, leader->failure_domain,
+                               replica.model, replica.generation, service.engine->slots, factor});
+        }
+    }
+    return targets;
+}
+
+const replica_entry* fleet_view::find_replica(const std::string& service, const std::string& name,
+                                              domain_key* key) const
+{
+    for (const auto& [domain, versioned] : this->records) {
+        for (const auto& replica : versioned.record.replicas) {
+            if (domain.service == service && replica.name == name) {
+                if (key != nullptr) {
+                    *key = domain;
+                }
+                return &replica;
+            }
+        }
+    }
+    return nullptr;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/fleet_view.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "coriander/relay/relay_manifest.hpp"
+#include "coriander/relay/target_board.hpp"
+#include "coriander/replicas/domain_planner.hpp"
+#include "coriander/replicas/domain_record.hpp"
+#include "coriander/replicas/fleet_host.hpp"
+#include "coriander/time_ms.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coriander {
+
+/// What a host tells of itself when asked.
+struct host_status {
+    std::uint64_t incarnation = 0;
+    bool is_ordered = false;
+    std::uint64_t orders_begun = 0;
+    std::vector<std::string> staged;
+    std::optional<replica_part> part;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    double pace = 1.0; ///< Above 1: slower than it should be.
+};
+
+/// Names one fabric domain of one service.
+struct domain_key {
+    std::string service;
+    std::string domain;
+    auto operator<=>(const domain_key&) const = default;
+
+    /// The key of the domain's row.
+    [[nodiscard]] std::string row_key() const { return this->service + "/" + this->domain; }
+};
+
+/// Parses a row's key; nothing when it is not one.
+[[nodiscard]] std::optional<domain_key> parse_domain_key(std::string_view row_key);
+
+/// A domain's record with the version of its row; version 0: there is no row yet.
+struct versioned_domain {
+    domain_record record;
+    std::uint64_t version = 0;
+};
+
+/// What this daemon knows of hosts and replicas: from the platform's list, the table's rows, and the hosts
+/// themselves. Not thread-safe.
+class fleet_view {
+public:
+    /// Takes a host of the platform's list in.
+    void set_host(const fleet_host& host, time_ms now);
+    /// The list doesn't hold the host any more.
+    void remove_host(const std::string& id);
+    /// Takes a host's own word in; it is fresher than the list.
+    void update_host(const std::string& id, const host_status& status);
+
+    /// Takes a domain's row in; an older version than known is ignored. Returns whether it was news.
+    bool set_domain(const domain_key& key, domain_record record, std::uint64_t version);
+
+    /// Notes that a host doesn't answer, until it does or starts anew.
+    void mark_silent(const std::string& id, time_ms now);
+    void clear_silent(const std::string& id);
+    [[nodiscard]] bool is_silent(const std::string& id) const;
+
+    [[nodiscard]] const fleet_host* find_host(const std::string& id) const;
+    [[nodiscard]] const std::map<std::string, fleet_host>& hosts() const noexcept { return this->known; }
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& silent() const noexcept
+    {
+        return this->silent_hosts;
+    }
+
+    /// The record of a domain; an empty one without a row.
+    [[nodiscard]] const versioned_domain& domain(const domain_key& key) const;
+    /// All domains of a service: of its hosts and of its rows.
+    [[nodiscard]] std::vector<domain_key> domains_of(const std::string& service) const;
+    /// Copies of the hosts of a domain.
+    [[nodiscard]] std::vector<fleet_host> hosts_of(const domain_key& key) const;
+    /// When a host of the domain was last seen for the first time.
+    [[nodiscard]] time_ms last_arrival(const domain_key& key) const;
+
+    /// The targets of a service that may get new work.
+    [[nodiscard]] std::vector<relay_target> targets_of(const relay_service& service) const;
+    /// The replica with this name and its domain; null without one.
+    [[nodiscard]] const replica_entry* find_replica(const std::string& service, const std::string& name,
+                                                    domain_key* key = nullptr) const;
+
+    /// Counts changes: differs when targets may have changed.
+    [[nodiscard]] std::uint64_t change_count() const noexcept { return this->changes; }
+
+private:
+    [[nodiscard]] bool may_serve(const replica_entry& replica) const;
+
+    std::map<std::string, fleet_host> known;
+    std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that fell silent.
+    std::map<domain_key, versioned_domain> records;
+    std::map<domain_key, time_ms> arrivals;
+    std::uint64_t changes = 0;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,379 @@
+#pragma once
+
+#include "gateway/fleet_controller.hpp"
+#include "gateway/fleet_view.hpp"
+#include "gateway/gateway_peers.hpp"
+#include "gateway/gateway_settings.hpp"
+#include "gateway/relay_context.hpp"
+#include "gateway/relay_session.hpp"
+#include "gateway/stall_response.hpp"
+#include "net/http_listener.hpp"
+#include "runtime/log.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace coriander {
+
+/// Words of the pages that a deployment's callers and platform ask for.
+struct gateway_pages {
+    std::string readiness_path = "/readyz";
+    std::string directory_path = "/v1/entry-hosts";
+    std::string metrics_path = "/metrics";
+    /// Text of the directory's answer, out of the addresses of entry hosts and the time to keep them.
+    std::function<std::string(const std::vector<std::string>&, time_ms)> directory_text;
+};
+
+/// One entry host's program: takes callers' requests, relays them, forms and mends replicas. `Io` is the
+/// platform. Everything runs on one event loop.
+template <controller_io Io>
+class gateway {
+public:
+    gateway(asio::io_context& loop, Io& io, gateway_settings values, relay_dialect dialect,
+            gateway_pages pages)
+        : loop{loop}, io{io}, values{std::move(values)}, pages{std::move(pages)},
+          relay{loop, std::move(dialect), this->values.failure_domain},
+          control{io, this->fleet, this->values.name},
+          stalls{io, this->relay, this->fleet, [this] { this->refresh(); }}, watch_timer{loop},
+          control_timer{loop}, peer_timer{loop}, chores_timer{loop}, stop_timer{loop}
+    {
+        this->relay.retry_bounds = this->values.retries;
+    }
+
+    /// Opens the listeners and begins. `peers` must outlive the gateway.
+    void start(gateway_peers& others)
+    {
+        this->peers = &others;
+        this->listen(this->values.readiness_address, this->page_handlers());
+        if (!this->values.directory_address.empty()) {
+            this->listen(this->values.directory_address, this->page_handlers());
+        }
+        if (!this->values.metrics_address.empty()) {
+            this->listen(this->values.metrics_address, this->page_handlers());
+        }
+        this->callers = this->listen(this->values.callers_address, this->caller_handlers());
+        this->run_control();
+        this->run_peers();
+        this->run_chores();
+    }
+
+    /// Puts a manifest in force unless it is older than the one that is.
+    void set_manifest(relay_manifest manifest, const std::string& text, const char* source)
+    {
+        const auto current = this->relay.routes ? this->relay.routes->manifest().version : 0;
+        if (manifest.version <= current) {
+            return;
+        }
+        log_event(event::config_in_force, {{"version", manifest.version},
+                                           {"before", current},
+                                           {"routes", manifest.routes.size()},
+                                           {"services", manifest.services.size()},
+                                           {"customers", manifest.customers.size()},
+                                           {"source", source}});
+        this->manifest_text = text;
+        this->relay.routes = std::make_shared<const route_table>(std::move(manifest));
+        this->refresh();
+    }
+
+    /// What is known of hosts and replicas. Call `refresh` after changes.
+    [[nodiscard]] fleet_view& view() noexcept { return this->fleet; }
+
+    /// Sets the targets anew after a change of hosts or replicas, and does what is due.
+    void refresh()
+    {
+        this->update_targets();
+        this->run_control();
+    }
+
+    /// The manifest that peers are told of.
+    [[nodiscard]] std::uint64_t manifest_version() const
+    {
+        return this->relay.routes ? this->relay.routes->manifest().version : 0;
+    }
+
+    /// Begins a planned stop: no new callers are led here, what runs is finished, then the loop ends.
+    void stop()
+    {
+        if (std::exchange(this->is_stopping, true)) {
+            return;
+        }
+        log_event(event::process_stopping, {{"open", this->relay.open_requests}});
+        this->stopped_at = this->relay.clock.now();
+        this->run_peers();
+        this->watch_stop();
+    }
+
+private:
+    /// How often open requests are looked at for replicas that stand still.
+    static constexpr time_ms watch_interval{25};
+    /// A round of the watch that is later than this says nothing of others: this process stood still.
+    static constexpr time_ms watch_slack{60};
+    static constexpr time_ms chores_interval{1000};
+    static constexpr time_ms stop_interval{100};
+    /// After a stop signal new requests are refused from then on: they could be cut by the end.
+    static constexpr time_ms stop_accepting{2500};
+    /// Before the process is ended from outside.
+    static constexpr time_ms stop_margin{400};
+    /// Some callers keep the directory's answer for so many times its length.
+    static constexpr std::int64_t longest_keeping = 3;
+
+    std::shared_ptr<http_listener> listen(const std::string& address, connection_handlers handlers)
+    {
+        auto listener =
+            std::make_shared<http_listener>(this->loop, parse_endpoint(address), std::move(handlers));
+        listener->start();
+        this->listeners.push_back(listener);
+        return listener;
+    }
+
+    connection_limits limits() const
+    {
+        connection_limits bounds;
+        if (this->relay.routes) {
+            const auto& declared = this->relay.routes->manifest().limits;
+            bounds = {declared.max_header_bytes, declared.max_body_bytes, declared.header_timeout,
+                      declared.idle_timeout};
+        }
+        return bounds;
+    }
+
+    connection_handlers caller_handlers()
+    {
+        return {[this](const std::shared_ptr<caller_connection>& caller, incoming_request request) {
+                    std::make_shared<relay_session>(this->relay, caller, std::move(request))->start();
+                    this->run_watch();
+                },
+                [this] { return this->limits(); }, [this] { return this->is_stopping; }};
+    }
+
+    connection_handlers page_handlers()
+    {
+        return {[this](const std::shared_ptr<caller_connection>& caller, const incoming_request& request) {
+                    this->serve_page(*caller, request);
+                },
+                [] { return connection_limits{}; }, [this] { return this->is_stopping; }};
+    }
+
+    [[nodiscard]] bool is_ready() const { return this->relay.routes != nullptr && !this->is_stopping; }
+
+    void serve_page(caller_connection& caller, const incoming_request& request)
+    {
+        constexpr int ok = 200;
+        constexpr int not_found = 404;
+        constexpr int unavailable = 503;
+        const auto path = request.head.target.substr(0, request.head.target.find('?'));
+        if (path == this->pages.readiness_path) {
+            caller.send(this->is_ready() ? ok : unavailable, {}, {});
+        }
+        else if (path == this->pages.directory_path) {
+            const auto addresses = this->serving_addresses();
+            caller.send(addresses.empty() ? unavailable : ok, {{"Content-Type", "application/json"}},
+                        this->pages.directory_text(addresses, this->values.directory_ttl));
+        }
+        else if (path == this->pages.metrics_path) {
+            caller.send(ok, {{"Content-Type", "text/plain"}}, this->relay.counters.text());
+        }
+        else {
+            caller.send(not_found, {}, {});
+        }
+    }
+
+    /// Addresses of the entry hosts that callers are led to, in random order.
+    std::vector<std::string> serving_addresses()
+    {
+        constexpr std::size_t most_addresses = 64;
+        std::vector<std::string> addresses;
+        if (this->is_ready()) {
+            addresses.push_back(this->values.callers_address);
+        }
+        for (const auto& other : this->peers->serving()) {
+            addresses.push_back(other.http_address);
+        }
+        std::shuffle(addresses.begin(), addresses.end(), this->relay.random);
+        addresses.resize(std::min(addresses.size(), most_addresses));
+        return addresses;
+    }
+
+    void update_targets()
+    {
+        if (!this->relay.routes) {
+            return;
+        }
+        this->targets_as_of = this->fleet.change_count();
+        for (const auto& [name, service] : this->relay.routes->manifest().services) {
+            auto& state = this->relay.service(name);
+            state.board.set_targets(this->fleet.targets_of(service));
+            if (service.engine) {
+                this->leave_lost_replicas(name, state);
+            }
+        }
+    }
+
+    /// Requests on replicas that were lost go on elsewhere; those of retiring ones are finished.
+    void leave_lost_replicas(const std::string& service, service_state& state)
+    {
+        std::vector<std::string> lost;
+        for (const auto& [target, sessions] : state.sessions) {
+            const auto* replica = this->fleet.find_replica(service, target);
+            const bool is_lost = replica == nullptr || replica->phase == replica_phase::dissolving;
+            if (!state.board.is_listed(target) && is_lost) {
+                lost.push_back(target);
+            }
+        }
+        for (const auto& target : lost) {
+            stall_response<Io>::leave(state, target);
+        }
+    }
+
+    template <typename Next>
+    void call_after(asio::steady_timer& timer, time_ms delay, Next next)
+    {
+        timer.expires_after(std::chrono::milliseconds{delay.count()});
+        timer.async_wait([next](const asio::error_code& cancelled) {
+            if (!cancelled) {
+                next();
+            }
+        });
+    }
+
+    void run_watch()
+    {
+        if (std::exchange(this->is_watching, true)) {
+            return;
+        }
+        this->schedule_watch();
+    }
+
+    void schedule_watch()
+    {
+        const auto due = this->relay.clock.now() + watch_interval;
+        this->call_after(this->watch_timer, watch_interval, [this, due] {
+            const auto now = this->relay.clock.now();
+            this->is_watching = this->relay.open_requests > 0;
+            if (now - due <= watch_slack) {
+                this->check_stalls(now);
+            }
+            else {
+                this->forgive_silence(now);
+            }
+            if (this->is_watching) {
+                this->schedule_watch();
+            }
+        });
+    }
+
+    void check_stalls(time_ms now)
+    {
+        if (!this->relay.routes) {
+            return;
+        }
+        const auto routes = this->relay.routes;
+        for (const auto& [name, service] : routes->manifest().services) {
+            if (service.engine) {
+                this->stalls.check(name, now);
+            }
+        }
+    }
+
+    /// This process stood still: what it didn't hear meanwhile tells nothing of others.
+    void forgive_silence(time_ms now)
+    {
+        for (auto& [name, state] : this->relay.services) {
+            state.board.forgive_silence(now);
+        }
+    }
+
+    void run_control()
+    {
+        auto delay = control_idle;
+        if (this->fleet.change_count() != this->targets_as_of) {
+            this->update_targets();
+        }
+        if (this->relay.routes && !this->is_stopping) {
+            const auto now = this->relay.clock.now();
+            this->control.set_cheap_loads(this->values.is_first_start && !this->relay.has_traffic);
+            for (const auto& [name, service] : this->relay.routes->manifest().services) {
+                if (service.engine) {
+                    this->control.set_needed(name, this->measured_need(name, *service.engine, now));
+                    delay = std::min(delay, this->control.tick(service, now));
+                }
+            }
+        }
+        this->call_after(this->control_timer, delay, [this] { this->run_control(); });
+    }
+
+    std::map<std::string, double> measured_need(const std::string& service, const engine_profile& engine,
+                                                time_ms now)
+    {
+        std::map<std::string, model_load> load;
+        for (const auto& [model, meter] : this->relay.service(service).meters) {
+            load[model] = meter.load(now);
+        }
+        return needed_replicas(engine, load);
+    }
+
+    void run_peers()
+    {
+        this->peers->round(this->manifest_version(), this->manifest_text, this->is_stopping);
+        this->relay.daemons = this->peers->names().size();
+        this->call_after(this->peer_timer, gateway_peers::round_length, [this] { this->run_peers(); });
+    }
+
+    void run_chores()
+    {
+        this->relay.channels.close_old();
+        this->relay.counters.set("coriander_open_requests", {},
+                                 static_cast<double>(this->relay.open_requests));
+        this->call_after(this->chores_timer, chores_interval, [this] { this->run_chores(); });
+    }
+
+    void watch_stop()
+    {
+        const auto since = this->relay.clock.now() - this->stopped_at;
+        this->relay.refuses_new = since >= stop_accepting;
+        const auto keep_listening = std::min(this->values.directory_ttl * longest_keeping,
+                                             this->values.stop_limit - stop_margin);
+        const bool is_done = since >= keep_listening && this->relay.open_requests == 0;
+        if (is_done || since >= this->values.stop_limit - stop_margin) {
+            if (!is_done) {
+                log_event(event::stop_limit_reached, {{"open", this->relay.open_requests}});
+            }
+            this->loop.stop();
+            return;
+        }
+        this->call_after(this->stop_timer, stop_interval, [this] { this->watch_stop(); });
+    }
+
+    static constexpr time_ms control_idle{500};
+
+    asio::io_context& loop;
+    Io& io;
+    gateway_settings values;
+    gateway_pages pages;
+    relay_context relay;
+    fleet_view fleet;
+    fleet_controller<Io> control;
+    stall_response<Io> stalls;
+    gateway_peers* peers = nullptr;
+    std::vector<std::shared_ptr<http_listener>> listeners;
+    std::shared_ptr<http_listener> callers;
+    std::string manifest_text;
+    std::uint64_t targets_as_of = 0; ///< The view's change count when targets were set.
+    asio::steady_timer watch_timer;
+    asio::steady_timer control_timer;
+    asio::steady_timer peer_timer;
+    asio::steady_timer chores_timer;
+    asio::steady_timer stop_timer;
+    bool is_watching = false;
+    bool is_stopping = false;
+    time_ms stopped_at;
+};
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/gateway_peers.cpp
@@ -0,0 +1,104 @@
+#include "gateway/gateway_peers.hpp"
+
+#include "peer/peer_message.hpp"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+
+namespace coriander {
+namespace {
+
+/// Three rounds without news and some delay: a killed gateway leaves callers' lists after this time.
+constexpr time_ms alive_window = 1600_ms;
+
+membership_settings settings_of_members()
+{
+    membership_settings settings;
+    settings.alive_window = alive_window;
+    return settings;
+}
+
+} // namespace
+
+gateway_peers::gateway_peers(asio::io_context& loop, member_identity self, std::uint16_t port,
+                             std::vector<std::string> seeds, on_manifest manifest)
+    : loop{loop}, seeds{std::move(seeds)}, manifest{std::move(manifest)},
+      members{self, settings_of_members()}, random{std::random_device{}()},
+      link{self.peer_address.substr(0, self.peer_address.rfind(':')), port,
+           [this](const peer_message& message) {
+               asio::post(this->loop, [this, message] { this->receive(message); });
+           }}
+{
+}
+
+void gateway_peers::introduce(const member_identity& identity)
+{
+    if (identity.name != this->members.self().name) {
+        this->members.introduce(identity, this->clock.now());
+    }
+}
+
+void gateway_peers::receive(const peer_message& message)
+{
+    const auto now = this->clock.now();
+    for (const auto& identity : message.identities) {
+        this->introduce(identity);
+    }
+    for (const auto& beat : message.beats) {
+        this->members.merge(beat, now);
+    }
+    if (message.config) {
+        this->manifest(message.config->number, message.config->toml);
+    }
+}
+
+void gateway_peers::round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping)
+{
+    const auto now = this->clock.now();
+    this->members.beat(manifest_version, is_stopping, true);
+    peer_message message;
+    message.identities = this->members.identities_to_send();
+    message.beats = this->members.beats_to_send(now);
+    const auto targets = this->members.choose_targets(targets_per_round, now, this->random);
+    for (const auto& view : this->members.alive(now)) {
+        if (view.beat.config_number < manifest_version && !manifest_text.empty()) {
+            auto with_manifest = message;
+            with_manifest.config = config_record{};
+            with_manifest.config->number = manifest_version;
+            with_manifest.config->toml = manifest_text;
+            this->link.send(view.identity.peer_address, with_manifest);
+        }
+    }
+    for (const auto& target : targets) {
+        this->link.send(target.peer_address, message);
+    }
+    if (targets.empty()) {
+        for (const auto& seed : this->seeds) {
+            this->link.send(seed, message);
+        }
+    }
+}
+
+std::vector<member_identity> gateway_peers::serving() const
+{
+    std::vector<member_identity> found;
+    for (const auto& view : this->members.alive(this->clock.now())) {
+        if (!view.beat.stopping && !view.identity.http_address.empty()) {
+            found.push_back(view.identity);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> gateway_peers::names() const
+{
+    std::vector<std::string> found{this->members.self().name};
+    for (const auto& view : this->members.alive(this->clock.now())) {
+        found.push_back(view.identity.name);
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/gateway_settings.cpp
@@ -0,0 +1,108 @@
+#include "gateway/gateway_settings.hpp"
+
+#include "core/toml_checker.hpp"
+
+#include <asio/ip/address.hpp>
+
+namespace coriander {
+namespace {
+
+constexpr number_range port_range{0, 65535};
+constexpr number_range stop_range_ms{1000, 3'600'000};
+constexpr number_range ttl_range_ms{200, 60'000};
+constexpr number_range window_range_ms{1000, 600'000};
+constexpr number_range ratio_range{0.0, 10.0};
+constexpr number_range allowance_range{0.0, 1e6};
+
+const toml::table& section(toml_checker& check, const toml::table& document, std::string_view name)
+{
+    static const toml::table empty;
+    const auto* table = document.get_as<toml::table>(name);
+    if (table == nullptr) {
+        check.report(document, "the section [" + std::string{name} + "] is missing");
+        return empty;
+    }
+    return *table;
+}
+
+bool is_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    asio::error_code problem;
+    asio::ip::make_address(text.substr(0, colon), problem);
+    return colon != std::string::npos && !problem;
+}
+
+std::string read_address(toml_checker& check, const toml::table& table, const char* key, bool is_required)
+{
+    auto text = is_required ? check.required_text(table, key) : check.optional_text(table, key, "");
+    if (!text.empty() && !is_address(text)) {
+        check.report(table, key, "'" + std::string{key} + "' must be written as \"IP:port\"");
+    }
+    return text;
+}
+
+void read_entry_host(toml_checker& check, const toml::table& document, gateway_settings& values)
+{
+    const auto& table = section(check, document, "entry_host");
+    check.reject_unknown(table, {"name", "failure_domain", "region", "ip", "callers", "readiness",
+                                 "directory", "metrics", "peer_port", "seeds", "first_start"});
+    values.name = check.required_text(table, "name");
+    values.failure_domain = check.required_text(table, "failure_domain");
+    values.region = check.optional_text(table, "region", "default");
+    values.ip = check.required_text(table, "ip");
+    values.callers_address = read_address(check, table, "callers", true);
+    values.readiness_address = read_address(check, table, "readiness", true);
+    values.directory_address = read_address(check, table, "directory", false);
+    values.metrics_address = read_address(check, table, "metrics", false);
+    values.peer_port = static_cast<std::uint16_t>(check.integer(table, "peer_port", 0, port_range));
+    values.is_first_start = check.boolean(table, "first_start", false);
+    if (const auto* seeds = table.get_as<toml::array>("seeds")) {
+        for (const auto& item : *seeds) {
+            const auto seed = item.value<std::string>().value_or("");
+            if (!is_address(seed)) {
+                check.report(item, "a seed must be written as \"IP:port\"");
+            }
+            values.seeds.push_back(seed);
+        }
+    }
+}
+
+void read_bounds(toml_checker& check, const toml::table& document, gateway_settings& values)
+{
+    const auto& stop = section(check, document, "stop");
+    check.reject_unknown(stop, {"limit"});
+    values.stop_limit = check.duration(stop, "limit", values.stop_limit, stop_range_ms);
+    const auto& directory = section(check, document, "directory");
+    check.reject_unknown(directory, {"ttl"});
+    values.directory_ttl = check.duration(directory, "ttl", values.directory_ttl, ttl_range_ms);
+    const auto& retries = section(check, document, "retries");
+    check.reject_unknown(retries, {"ratio", "allowance", "window"});
+    values.retries.ratio = check.number(retries, "ratio", values.retries.ratio, ratio_range);
+    values.retries.allowance =
+        check.number(retries, "allowance", values.retries.allowance, allowance_range);
+    values.retries.window = check.duration(retries, "window", values.retries.window, window_range_ms);
+}
+
+} // namespace
+
+checked_gateway_settings parse_gateway_settings(std::string_view toml, std::string_view file)
+{
+    toml_checker check{file};
+    checked_gateway_settings result;
+    const auto document = check.parse(toml);
+    check.reject_unknown(document, {"entry_host", "platform", "stop", "directory", "retries", "log"});
+    read_entry_host(check, document, result.values);
+    const auto& platform = section(check, document, "platform");
+    check.reject_unknown(platform, {"store"});
+    result.values.store_address = read_address(check, platform, "store", true);
+    read_bounds(check, document, result.values);
+    if (const auto* log = document.get_as<toml::table>("log")) {
+        check.reject_unknown(*log, {"level"});
+        result.values.log_level = check.optional_text(*log, "level", result.values.log_level);
+    }
+    result.faults = check.take();
+    return result;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/relay_context.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "coriander/clock.hpp"
+#include "coriander/relay/admission_forecast.hpp"
+#include "coriander/relay/route_table.hpp"
+#include "gateway/relay_dialect.hpp"
+#include "gateway/service_state.hpp"
+#include "net/channel_pool.hpp"
+#include "runtime/metrics.hpp"
+
+#include <asio/io_context.hpp>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace coriander {
+
+/// What all requests of a gateway share. Used on the loop's thread only.
+struct relay_context {
+    relay_context(asio::io_context& loop, relay_dialect dialect, std::string failure_domain)
+        : loop{loop}, dialect{std::move(dialect)}, failure_domain{std::move(failure_domain)}, channels{loop},
+          random{std::random_device{}()}
+    {
+    }
+
+    asio::io_context& loop;
+    relay_dialect dialect;
+    std::string failure_domain; ///< This daemon's own.
+    monotonic_clock clock;
+    metrics counters;
+    channel_pool channels;
+    std::mt19937 random;
+    std::shared_ptr<const route_table> routes; ///< Null until the first manifest is known.
+    std::map<std::string, service_state> services;
+    retry_window_settings retry_bounds;
+    std::size_t daemons = 1; ///< That share the retry budget.
+    std::size_t open_requests = 0;
+    bool has_traffic = false; ///< A request has come since the start.
+    bool refuses_new = false; ///< A planned stop: what comes now would be cut.
+
+    /// Uniform in [0, 1).
+    [[nodiscard]] double draw() { return std::uniform_real_distribution<double>{0.0, 1.0}(this->random); }
+
+    /// The state of a service; made when it is first asked for.
+    [[nodiscard]] service_state& service(const std::string& name)
+    {
+        const auto [entry, is_new] = this->services.try_emplace(name);
+        if (is_new) {
+            entry->second.retries = retry_window{this->retry_bounds};
+        }
+        return entry->second;
+    }
+};
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/relay_request.cpp
@@ -0,0 +1,127 @@
+#include "gateway/relay_request.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace coriander {
+namespace {
+
+/// Parses a whole number; nothing for other text.
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool is_whole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    return is_whole ? std::optional{number} : std::nullopt;
+}
+
+/// The key of an authorization header, without the word before it.
+std::string_view key_of(const wire_head& head, const relay_dialect& dialect)
+{
+    auto text = head.header(dialect.authorization);
+    const auto scheme = text.substr(0, dialect.key_scheme.size());
+    if (!same_name(scheme, dialect.key_scheme) || text.size() <= scheme.size()) {
+        return {};
+    }
+    text.remove_prefix(scheme.size());
+    text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+    return text;
+}
+
+void decode_tokens(relay_request& request, std::string_view text)
+{
+    const auto comma = text.find(',');
+    request.prompt_tokens = static_cast<double>(parse_number(text.substr(0, comma)).value_or(0));
+    if (comma != std::string_view::npos) {
+        request.most_answer_tokens =
+            static_cast<double>(parse_number(text.substr(comma + 1)).value_or(0));
+    }
+}
+
+} // namespace
+
+own_answer decode_request(relay_request& request, const relay_dialect& dialect, double draw)
+{
+    const auto& head = request.raw.head;
+    request.attempt_id = head.header(dialect.attempt_id);
+    if (!request.routes) {
+        return own_answer::no_manifest;
+    }
+    request.route = request.routes->find_route(head.header("Host"), head.target);
+    if (request.route == nullptr || request.route->services.empty()) {
+        return own_answer::no_route;
+    }
+    if (request.route->needs_customer && !request.routes->manifest().customers.empty()) {
+        request.customer = request.routes->find_customer(key_of(head, dialect));
+        if (request.customer == nullptr) {
+            return own_answer::unknown_key;
+        }
+    }
+    request.service = choose_service(*request.route, draw);
+    request.model = head.header(dialect.model);
+    decode_tokens(request, head.header(dialect.token_counts));
+    request.last_event = parse_number(head.header(dialect.last_event_id));
+    auto wait = request.route->time_limit;
+    if (const auto deadline = parse_number(head.header(dialect.deadline_ms))) {
+        wait = std::min(wait, time_ms{static_cast<std::int64_t>(*deadline)});
+    }
+    request.give_up_at = request.raw.arrived + wait;
+    return request.routes->find_service(request.service) == nullptr ? own_answer::no_service
+                                                                    : own_answer::none;
+}
+
+std::vector<http_header> forwarded_headers(const relay_request& request, const relay_dialect& dialect)
+{
+    const std::array<std::string_view, 7> replaced{dialect.authorization, dialect.customer,
+                                                   dialect.deadline_ms,   dialect.expected_host,
+                                                   dialect.last_event_id, "Content-Length",
+                                                   "Expect"};
+    std::vector<http_header> headers;
+    const auto& own = request.raw.head.headers;
+    const auto connection = request.raw.head.header("Connection");
+    for (const auto& header : own) {
+        const bool is_replaced = std::any_of(replaced.begin(), replaced.end(), [&](std::string_view name) {
+            return same_name(header.name, name);
+        });
+        // A header that the Connection header names concerns this connection only.
+        const bool is_named = connection.size() == header.name.size() && same_name(connection, header.name);
+        if (!is_replaced && !is_named && !is_hop_header(header.name)) {
+            headers.push_back(header);
+        }
+    }
+    if (request.customer != nullptr) {
+        headers.push_back({dialect.customer, request.customer->name});
+    }
+    const bool has_body = !request.raw.body.empty() || !request.raw.head.header("Content-Length").empty() ||
+                          !request.raw.head.header("Transfer-Encoding").empty();
+    if (has_body) {
+        headers.push_back({"Content-Length", std::to_string(request.raw.body.size())});
+    }
+    return headers;
+}
+
+int status_of(own_answer answer) noexcept
+{
+    switch (answer) {
+    case own_answer::no_route:
+        return 404;
+    case own_answer::unknown_key:
+        return 401;
+    case own_answer::unknown_end:
+        return 502;
+    case own_answer::timed_out:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+const char* name_of(own_answer answer) noexcept
+{
+    constexpr std::array names{"none",       "no_manifest", "no_route", "unknown_key", "no_service",  "no_target",
+                               "overloaded", "stopping",    "not_sent", "unknown_end", "timed_out"};
+    return names[static_cast<std::size_t>(answer)];
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/service_state.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "coriander/relay/relay_manifest.hpp"
+#include "coriander/relay/retry_window.hpp"
+#include "coriander/relay/target_board.hpp"
+#include "coriander/replicas/replica_demand.hpp"
+#include "coriander/time_ms.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace coriander {
+
+class relay_session;
+
+/// Averages over one model's requests, or all requests of a plain service.
+class model_meter {
+public:
+    /// A request arrived.
+    void on_request(double prompt_tokens, time_ms now);
+    /// An answer ended well.
+    void on_answer(double answer_tokens, time_ms duration);
+
+    /// Requests a second, and their mean sizes.
+    [[nodiscard]] model_load load(time_ms now) const;
+    /// The usual time from dispatch to the end; zero before any was measured.
+    [[nodiscard]] time_ms usual_duration() const noexcept
+    {
+        return time_ms{static_cast<std::int64_t>(this->duration_ms)};
+    }
+
+private:
+    double rate = 0.0;
+    time_ms rate_at;
+    double prompt = 0.0;
+    double answer = 0.0;
+    double duration_ms = 0.0;
+};
+
+/// What a daemon keeps of one service for routing.
+struct service_state {
+    target_board board;
+    retry_window retries;
+    std::map<std::string, model_meter> meters;                ///< By model.
+    std::map<std::string, std::set<relay_session*>> sessions; ///< Open attempts by target.
+};
+
+} // namespace coriander
--- /dev/null
+++ b/src/net/caller_connection.cpp
@@ -0,0 +1,207 @@
+#include "net/caller_connection.hpp"
+
+#include "coriander/clock.hpp"
+
+#include <asio/post.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+
+namespace coriander {
+namespace {
+
+constexpr int request_timeout_status = 408;
+constexpr int bad_request_status = 400;
+constexpr int body_too_large_status = 413;
+constexpr int header_too_large_status = 431;
+
+/// A caller that sends further requests before it has its answer may have this many bytes of them kept.
+constexpr std::size_t max_unparsed = 262144;
+
+} // namespace
+
+caller_connection::caller_connection(asio::ip::tcp::socket socket,
+                                     std::shared_ptr<const connection_handlers> handlers)
+    : link{std::make_shared<tcp_link>(std::move(socket))}, handlers{std::move(handlers)},
+      parser{message_parser::side::requests, *this}, timer{this->link->executor()}
+{
+}
+
+void caller_connection::start()
+{
+    // The link holds the connection, and the connection the link, until the link has ended.
+    auto self = this->shared_from_this();
+    this->link->listen([self](std::string_view bytes) { self->on_bytes(bytes); },
+                       [self](link_end how) { self->on_link_end(how); });
+    this->limits = this->handlers->limits();
+    this->arm_timer(this->limits.idle_timeout);
+    this->link->start();
+}
+
+void caller_connection::arm_timer(time_ms limit)
+{
+    this->timer.expires_after(std::chrono::milliseconds{limit.count()});
+    this->timer.async_wait([self = this->weak_from_this()](const asio::error_code& cancelled) {
+        const auto connection = self.lock();
+        if (cancelled || !connection || connection->is_pending) {
+            return;
+        }
+        if (connection->parser.has_begun()) {
+            connection->reject(request_timeout_status);
+        }
+        else {
+            connection->link->close();
+        }
+    });
+}
+
+void caller_connection::on_bytes(std::string_view bytes)
+{
+    const auto self = this->shared_from_this();
+    this->unparsed.append(bytes);
+    if (!this->is_pending) {
+        this->parse();
+    }
+    else if (this->unparsed.size() > max_unparsed) {
+        this->link->pause_reading();
+    }
+}
+
+void caller_connection::parse()
+{
+    if (!this->parser.has_begun() && !this->unparsed.empty()) {
+        this->limits = this->handlers->limits();
+        this->arm_timer(this->limits.header_timeout);
+    }
+    const auto used = this->parser.feed(this->unparsed);
+    this->unparsed.erase(0, used);
+    if (this->parser.head_bytes() > this->limits.max_header_bytes) {
+        this->reject(header_too_large_status);
+    }
+    else if (this->is_too_large) {
+        this->reject(body_too_large_status);
+    }
+    else if (this->parser.is_broken()) {
+        this->reject(bad_request_status);
+    }
+    else if (this->parser.is_complete()) {
+        this->timer.cancel();
+        this->is_pending = true;
+        this->request.arrived = monotonic_clock{}.now();
+        this->handlers->on_request(this->shared_from_this(), std::exchange(this->request, {}));
+    }
+}
+
+void caller_connection::on_message_head(wire_head head)
+{
+    this->caller_keeps = head.keeps_connection;
+    this->request.head = std::move(head);
+}
+
+void caller_connection::on_message_body(std::string_view bytes)
+{
+    this->is_too_large = this->request.body.size() + bytes.size() > this->limits.max_body_bytes;
+    if (!this->is_too_large) {
+        this->request.body.append(bytes);
+    }
+}
+
+void caller_connection::on_link_end(link_end /*how*/)
+{
+    const auto self = this->shared_from_this();
+    this->timer.cancel();
+    if (const auto listener = std::exchange(this->caller_gone, nullptr); listener && this->is_pending) {
+        listener();
+    }
+    this->is_pending = false;
+}
+
+bool caller_connection::should_close() const
+{
+    return !this->caller_keeps || this->closes_after || this->handlers->is_closing();
+}
+
+void caller_connection::add_connection_header(std::vector<http_header>& headers)
+{
+    this->closes_after = this->should_close();
+    if (this->closes_after) {
+        headers.push_back({"Connection", "close"});
+    }
+}
+
+void caller_connection::send(int status, std::vector<http_header> headers, std::string_view body)
+{
+    headers.push_back({"Content-Length", std::to_string(body.size())});
+    this->add_connection_header(headers);
+    auto text = response_head_text(status, headers);
+    text.append(body);
+    this->link->write(text);
+    this->finish_answer();
+}
+
+void caller_connection::begin_stream(int status, std::vector<http_header> headers)
+{
+    headers.push_back({"Transfer-Encoding", "chunked"});
+    this->add_connection_header(headers);
+    this->link->write(response_head_text(status, headers));
+}
+
+void caller_connection::append(std::string_view chunk)
+{
+    if (chunk.empty()) {
+        return; // An empty chunk would end the answer.
+    }
+    std::array<char, 24> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", chunk.size());
+    std::string text{size.data(), static_cast<std::size_t>(length)};
+    text.append(chunk).append("\r\n");
+    this->link->write(text);
+}
+
+void caller_connection::finish_stream()
+{
+    this->link->write("0\r\n\r\n");
+    this->finish_answer();
+}
+
+void caller_connection::finish_answer()
+{
+    this->caller_gone = nullptr;
+    this->is_pending = false;
+    this->link->on_drained(nullptr);
+    if (this->closes_after) {
+        this->timer.cancel();
+        this->link->close_when_sent();
+        return;
+    }
+    this->parser.begin();
+    this->request = {};
+    this->link->resume_reading();
+    if (this->unparsed.empty()) {
+        this->arm_timer(this->limits.idle_timeout);
+        return;
+    }
+    asio::post(this->link->executor(), [self = this->shared_from_this()] {
+        if (!self->is_pending && self->link->is_open()) {
+            self->parse();
+        }
+    });
+}
+
+void caller_connection::abort()
+{
+    this->caller_gone = nullptr;
+    this->is_pending = false;
+    this->timer.cancel();
+    this->link->close();
+}
+
+void caller_connection::reject(int status)
+{
+    this->closes_after = true;
+    this->is_pending = true;
+    this->send(status, {}, {});
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/net/channel_pool.cpp
@@ -0,0 +1,101 @@
+#include "net/channel_pool.hpp"
+
+#include <asio/ip/address.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace coriander {
+
+std::shared_ptr<http_channel> channel_pool::acquire(const std::string& address, bool is_fresh,
+                                                    bool* was_reused)
+{
+    const auto now = this->clock.now();
+    auto& waiting = this->idle[address];
+    while (!is_fresh && !waiting.empty()) {
+        auto last = std::move(waiting.back());
+        waiting.pop_back();
+        if (last.channel->is_reusable() && now < last.until) {
+            if (was_reused != nullptr) {
+                *was_reused = true;
+            }
+            return last.channel;
+        }
+        last.channel->close();
+    }
+    const auto endpoint = parse_endpoint(address);
+    if (endpoint.port() == 0) {
+        return nullptr;
+    }
+    auto channel = std::make_shared<http_channel>(this->loop);
+    channel->connect(endpoint, this->settings.connect_limit);
+    return channel;
+}
+
+void channel_pool::release(const std::string& address, const std::shared_ptr<http_channel>& channel)
+{
+    auto& waiting = this->idle[address];
+    if (!channel->is_reusable() || waiting.size() >= this->settings.idle_per_server) {
+        channel->close();
+        return;
+    }
+    auto kept = this->settings.longest_idle;
+    if (channel->keep_alive() > time_ms{}) {
+        kept = std::min(kept, channel->keep_alive() - this->settings.keep_alive_margin);
+    }
+    waiting.push_back({channel, this->clock.now() + kept});
+}
+
+void channel_pool::close_old()
+{
+    const auto now = this->clock.now();
+    for (auto& [address, waiting] : this->idle) {
+        std::erase_if(waiting, [&](idle_channel& one) {
+            const bool is_old = now >= one.until || !one.channel->is_reusable();
+            if (is_old) {
+                one.channel->close();
+            }
+            return is_old;
+        });
+    }
+    std::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
+}
+
+void channel_pool::forget(const std::string& address)
+{
+    const auto found = this->idle.find(address);
+    if (found != this->idle.end()) {
+        for (auto& one : found->second) {
+            one.channel->close();
+        }
+        this->idle.erase(found);
+    }
+}
+
+std::size_t channel_pool::idle_count() const
+{
+    std::size_t count = 0;
+    for (const auto& [address, waiting] : this->idle) {
+        count += waiting.size();
+    }
+    return count;
+}
+
+asio::ip::tcp::endpoint parse_endpoint(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return {};
+    }
+    asio::error_code problem;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), problem);
+    std::uint16_t port = 0;
+    const auto* begin = address.data() + colon + 1;
+    const auto parsed = std::from_chars(begin, address.data() + address.size(), port);
+    if (problem || parsed.ec != std::errc{} || parsed.ptr != address.data() + address.size()) {
+        return {};
+    }
+    return {ip, port};
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/net/http_channel.cpp
@@ -0,0 +1,127 @@
+#include "net/http_channel.hpp"
+
+#include <charconv>
+
+namespace coriander {
+namespace {
+
+/// The `timeout` of a Keep-Alive header; zero without one.
+time_ms keep_alive_of(const wire_head& head)
+{
+    constexpr std::string_view field = "timeout=";
+    const auto text = head.header("Keep-Alive");
+    const auto at = text.find(field);
+    std::int64_t seconds = 0;
+    if (at != std::string_view::npos) {
+        const auto value = text.substr(at + field.size());
+        std::from_chars(value.data(), value.data() + value.size(), seconds);
+    }
+    return time_ms{seconds * 1000};
+}
+
+} // namespace
+
+http_channel::http_channel(asio::io_context& loop)
+    : link{std::make_shared<tcp_link>(loop)}, parser{message_parser::side::responses, *this}
+{
+}
+
+void http_channel::connect(const asio::ip::tcp::endpoint& to, time_ms limit)
+{
+    auto self = this->weak_from_this();
+    this->link->listen(
+        [self](std::string_view bytes) {
+            if (const auto channel = self.lock()) {
+                channel->on_bytes(bytes);
+            }
+        },
+        [self](link_end how) {
+            if (const auto channel = self.lock()) {
+                channel->on_link_end(how);
+            }
+        });
+    this->link->connect(to, limit, nullptr);
+}
+
+void http_channel::send(std::string_view request, response_receiver& receiver, bool is_head_request)
+{
+    this->receiver = &receiver;
+    this->reusable = false;
+    this->parser.begin(is_head_request);
+    this->link->write(request);
+}
+
+void http_channel::close()
+{
+    this->receiver = nullptr;
+    this->reusable = false;
+    this->link->close();
+}
+
+void http_channel::on_bytes(std::string_view bytes)
+{
+    const auto self = this->shared_from_this(); // The receiver may drop the channel.
+    if (this->receiver == nullptr) {
+        this->close(); // Bytes that no request asked for.
+        return;
+    }
+    const auto used = this->parser.feed(bytes);
+    if (this->receiver == nullptr) {
+        return;
+    }
+    if (this->parser.is_broken()) {
+        this->finish(exchange_end::spoiled);
+    }
+    else if (this->parser.is_complete()) {
+        // An early answer leaves part of the request in the queue: the connection can't be used again.
+        this->reusable = this->server_keeps && used == bytes.size() && this->link->unsent() == 0;
+        this->finish(exchange_end::complete);
+    }
+}
+
+void http_channel::on_link_end(link_end how)
+{
+    const auto self = this->shared_from_this();
+    this->reusable = false;
+    if (this->receiver == nullptr) {
+        return;
+    }
+    if (how == link_end::not_connected) {
+        this->finish(exchange_end::not_sent);
+        return;
+    }
+    if (how == link_end::finished) {
+        this->parser.feed_end();
+    }
+    this->finish(this->parser.is_complete() ? exchange_end::complete : exchange_end::lost);
+}
+
+void http_channel::on_message_head(wire_head head)
+{
+    this->server_keeps = head.keeps_connection && head.has_framing;
+    this->kept = keep_alive_of(head);
+    if (this->receiver != nullptr) {
+        this->receiver->on_response_head(std::move(head));
+    }
+}
+
+void http_channel::on_message_body(std::string_view bytes)
+{
+    if (this->receiver != nullptr) {
+        this->receiver->on_response_body(bytes);
+    }
+}
+
+void http_channel::finish(exchange_end end)
+{
+    auto* done = std::exchange(this->receiver, nullptr);
+    if (end != exchange_end::complete || !this->reusable) {
+        this->reusable = false;
+        this->link->close();
+    }
+    if (done != nullptr) {
+        done->on_exchange_end(end);
+    }
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/net/http_listener.cpp
@@ -0,0 +1,52 @@
+#include "net/http_listener.hpp"
+
+#include <chrono>
+
+namespace coriander {
+namespace {
+
+constexpr std::chrono::milliseconds accept_pause{20};
+
+} // namespace
+
+http_listener::http_listener(asio::io_context& loop, const asio::ip::tcp::endpoint& endpoint,
+                             connection_handlers handlers)
+    : acceptor{loop, endpoint, true}, pause{loop},
+      handlers{std::make_shared<connection_handlers>(std::move(handlers))}
+{
+}
+
+void http_listener::start()
+{
+    this->accept_next();
+}
+
+void http_listener::accept_next()
+{
+    this->acceptor.async_accept([self = this->shared_from_this()](const asio::error_code& failed,
+                                                                  asio::ip::tcp::socket socket) {
+        if (!self->acceptor.is_open()) {
+            return;
+        }
+        if (!failed) {
+            std::make_shared<caller_connection>(std::move(socket), self->handlers)->start();
+            self->accept_next();
+            return;
+        }
+        self->pause.expires_after(accept_pause);
+        self->pause.async_wait([self](const asio::error_code& cancelled) {
+            if (!cancelled) {
+                self->accept_next();
+            }
+        });
+    });
+}
+
+void http_listener::stop()
+{
+    asio::error_code ignored; // The acceptor is gone either way.
+    this->acceptor.close(ignored);
+    this->pause.cancel();
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/net/tcp_link.cpp
@@ -0,0 +1,230 @@
+#include "net/tcp_link.hpp"
+
+#include <asio/buffer.hpp>
+#include <asio/socket_base.hpp>
+
+#include <netinet/tcp.h>
+
+#include <array>
+#include <chrono>
+
+namespace coriander {
+namespace {
+
+/// One read takes at most so much; the buffer is shared by all links of the loop's thread.
+constexpr std::size_t read_size = 65536;
+
+/// A peer that vanished without a word is noticed after about this time: idle time before the first probe,
+/// time between probes and number of probes; unanswered data counts against the last.
+constexpr int probe_idle_s = 2;
+constexpr int probe_interval_s = 1;
+constexpr int probe_count = 2;
+constexpr int unanswered_ms = 4000;
+
+std::array<char, read_size>& read_buffer()
+{
+    thread_local std::array<char, read_size> buffer;
+    return buffer;
+}
+
+template <int Level, int Name>
+using int_option = asio::detail::socket_option::integer<Level, Name>;
+
+void set_options(asio::ip::tcp::socket& socket)
+{
+    asio::error_code ignored; // A system without one of these options works with its own defaults.
+    socket.non_blocking(true, ignored);
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    socket.set_option(asio::socket_base::keep_alive{true}, ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPIDLE>{probe_idle_s}, ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPINTVL>{probe_interval_s}, ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPCNT>{probe_count}, ignored);
+    socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>{unanswered_ms}, ignored);
+}
+
+} // namespace
+
+tcp_link::tcp_link(asio::io_context& loop) : socket{loop}, connect_timer{loop} {}
+
+tcp_link::tcp_link(asio::ip::tcp::socket accepted)
+    : socket{std::move(accepted)}, connect_timer{this->socket.get_executor()}, established{true}
+{
+    set_options(this->socket);
+}
+
+void tcp_link::listen(on_bytes bytes, on_end end)
+{
+    this->bytes = std::move(bytes);
+    this->ended = std::move(end);
+}
+
+void tcp_link::connect(const asio::ip::tcp::endpoint& to, time_ms limit, on_connected connected)
+{
+    asio::error_code problem;
+    this->socket.open(to.protocol(), problem);
+    if (!problem) {
+        set_options(this->socket);
+    }
+    auto self = this->shared_from_this();
+    this->connect_timer.expires_after(std::chrono::milliseconds{limit.count()});
+    this->connect_timer.async_wait([self](const asio::error_code& cancelled) {
+        if (!cancelled && !self->established) {
+            self->end(link_end::not_connected);
+        }
+    });
+    this->socket.async_connect(
+        to, [self, connected = std::move(connected)](const asio::error_code& failed) {
+            if (!self->socket.is_open()) {
+                return;
+            }
+            if (failed) {
+                self->end(link_end::not_connected);
+                return;
+            }
+            self->established = true;
+            self->connect_timer.cancel();
+            if (connected) {
+                connected();
+            }
+            self->start();
+            self->write_some();
+        });
+}
+
+void tcp_link::start()
+{
+    if (this->is_open()) {
+        this->wait_readable();
+    }
+}
+
+void tcp_link::wait_readable()
+{
+    if (this->is_waiting_to_read || this->is_paused || !this->is_open()) {
+        return;
+    }
+    this->is_waiting_to_read = true;
+    this->socket.async_wait(asio::socket_base::wait_read,
+                            [self = this->shared_from_this()](const asio::error_code& failed) {
+                                self->is_waiting_to_read = false;
+                                if (!failed && self->is_open()) {
+                                    self->read_some();
+                                }
+                            });
+}
+
+void tcp_link::read_some()
+{
+    asio::error_code problem;
+    auto& buffer = read_buffer();
+    const auto count = this->socket.read_some(asio::buffer(buffer), problem);
+    if (problem == asio::error::would_block || problem == asio::error::try_again) {
+        this->wait_readable();
+        return;
+    }
+    if (problem) {
+        this->end(problem == asio::error::eof ? link_end::finished : link_end::reset);
+        return;
+    }
+    if (this->bytes) {
+        const auto receiver = this->bytes; // The callback may detach the link.
+        receiver({buffer.data(), count});
+    }
+    this->wait_readable();
+}
+
+void tcp_link::resume_reading()
+{
+    this->is_paused = false;
+    if (this->established) {
+        this->wait_readable();
+    }
+}
+
+void tcp_link::write(std::string_view bytes)
+{
+    if (!this->is_open()) {
+        return;
+    }
+    this->queue.append(bytes);
+    if (this->established && !this->is_waiting_to_write) {
+        this->write_some();
+    }
+}
+
+void tcp_link::write_some()
+{
+    while (this->unsent() > 0 && this->is_open()) {
+        asio::error_code problem;
+        const auto count = this->socket.write_some(
+            asio::buffer(this->queue.data() + this->queue_begin, this->unsent()), problem);
+        if (problem == asio::error::would_block || problem == asio::error::try_again) {
+            this->wait_writable();
+            return;
+        }
+        if (problem) {
+            // The reading side learns how the connection ended; bytes already received still count.
+            this->queue.clear();
+            this->queue_begin = 0;
+            return;
+        }
+        this->queue_begin += count;
+    }
+    this->queue.clear();
+    this->queue_begin = 0;
+    if (this->is_closing) {
+        this->close();
+        return;
+    }
+    if (this->drained) {
+        const auto listener = this->drained;
+        listener();
+    }
+}
+
+void tcp_link::wait_writable()
+{
+    if (this->is_waiting_to_write) {
+        return;
+    }
+    this->is_waiting_to_write = true;
+    this->socket.async_wait(asio::socket_base::wait_write,
+                            [self = this->shared_from_this()](const asio::error_code& failed) {
+                                self->is_waiting_to_write = false;
+                                if (!failed) {
+                                    self->write_some();
+                                }
+                            });
+}
+
+void tcp_link::end(link_end how)
+{
+    const auto listener = std::move(this->ended);
+    this->close();
+    if (listener) {
+        listener(how);
+    }
+}
+
+void tcp_link::close()
+{
+    this->bytes = nullptr;
+    this->ended = nullptr;
+    this->drained = nullptr;
+    this->connect_timer.cancel();
+    asio::error_code ignored; // Closing a socket that is gone already changes nothing.
+    this->socket.close(ignored);
+}
+
+void tcp_link::close_when_sent()
+{
+    if (this->unsent() == 0 || !this->established) {
+        this->close();
+        return;
+    }
+    this->is_closing = true;
+    this->bytes = nullptr;
+    this->ended = nullptr;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/replicas/domain_planner.cpp
@@ -0,0 +1,265 @@
+#include "coriander/replicas/domain_planner.hpp"
+
+#include <algorithm>
+
+namespace coriander {
+namespace {
+
+const fleet_host* find_host(const domain_view& view, std::string_view id)
+{
+    const auto found = std::find_if(view.hosts.begin(), view.hosts.end(),
+                                    [&](const fleet_host& host) { return host.id == id; });
+    return found == view.hosts.end() ? nullptr : &*found;
+}
+
+bool is_silent(const domain_view& view, const std::string& id, std::uint64_t incarnation)
+{
+    const auto found = view.silent->find(id);
+    return found != view.silent->end() && found->second == incarnation;
+}
+
+bool has_part(const fleet_host& host, const replica_entry& replica)
+{
+    return host.part && host.part->replica == replica.name && host.part->generation == replica.generation;
+}
+
+/// A host that can still be reached as it was when the replica was formed; null otherwise.
+const fleet_host* present_host(const domain_view& view, const replica_host& member)
+{
+    const auto* host = find_host(view, member.id);
+    const bool is_present = host != nullptr && host->incarnation == member.incarnation && !member.is_lost &&
+                            !is_silent(view, member.id, member.incarnation);
+    return is_present ? host : nullptr;
+}
+
+/// Marks the hosts that are gone. Returns a text on the first one, or an empty text.
+std::string mark_lost(replica_entry& replica, const domain_view& view)
+{
+    std::string reason;
+    for (auto& member : replica.hosts) {
+        if (!member.is_lost && present_host(view, member) == nullptr) {
+            member.is_lost = true;
+            reason = reason.empty() ? "host " + member.id + " is gone" : reason;
+        }
+    }
+    return reason;
+}
+
+/// Why an open replica can't be used any more; empty when it can.
+std::string fault_of_open(const replica_entry& replica, const domain_view& view)
+{
+    for (const auto& member : replica.hosts) {
+        const auto* host = present_host(view, member);
+        if (host == nullptr) {
+            continue; // Marked as lost before.
+        }
+        if (!has_part(*host, replica)) {
+            return "host " + member.id + " left";
+        }
+        if (host->part->phase == host_phase::broken) {
+            return "host " + member.id + " reports a broken replica";
+        }
+    }
+    return {};
+}
+
+bool any_leaving(const replica_entry& replica, const domain_view& view)
+{
+    return std::any_of(replica.hosts.begin(), replica.hosts.end(), [&](const replica_host& member) {
+        const auto* host = present_host(view, member);
+        return host != nullptr && host->is_leaving;
+    });
+}
+
+/// Whether every host has loaded its part. The leader's phase is given back in `leader`.
+bool all_ready(const replica_entry& replica, const domain_view& view, host_phase& leader)
+{
+    for (const auto& member : replica.hosts) {
+        const auto* host = present_host(view, member);
+        const bool is_ready = host != nullptr && has_part(*host, replica) &&
+                              (host->part->phase == host_phase::ready || host->part->phase == host_phase::open);
+        if (!is_ready) {
+            return false;
+        }
+        if (&member == &replica.hosts.front()) {
+            leader = host->part->phase;
+        }
+    }
+    return true;
+}
+
+void follow_forming(replica_entry& replica, const domain_view& view, domain_decision& decision)
+{
+    host_phase leader = host_phase::joining;
+    if (any_leaving(replica, view) || view.finished->contains(replica.name)) {
+        replica.phase = replica_phase::dissolving;
+        decision.reasons.push_back(replica.name + " can't be formed");
+    }
+    else if (!all_ready(replica, view, leader)) {
+        std::vector<std::string> ids;
+        for (const auto& member : replica.hosts) {
+            ids.push_back(member.id);
+        }
+        for (const auto& member : replica.hosts) {
+            const auto* host = present_host(view, member);
+            if (host != nullptr && !has_part(*host, replica)) {
+                decision.orders.push_back(
+                    {order_kind::join, member.id, replica.name, replica.generation, replica.model, ids});
+            }
+        }
+    }
+    else if (leader == host_phase::open) {
+        replica.phase = replica_phase::open;
+        decision.reasons.push_back(replica.name + " is open");
+    }
+    else {
+        decision.orders.push_back({order_kind::open, replica.hosts.front().id, replica.name,
+                                   replica.generation, replica.model, {}});
+    }
+}
+
+void follow_open(replica_entry& replica, const domain_view& view, domain_decision& decision)
+{
+    const auto fault = fault_of_open(replica, view);
+    if (!fault.empty()) {
+        replica.phase = replica_phase::dissolving;
+        decision.reasons.push_back(replica.name + ": " + fault);
+    }
+    else if (replica.phase == replica_phase::open && any_leaving(replica, view)) {
+        replica.phase = replica_phase::retiring;
+        decision.reasons.push_back(replica.name + ": a host will leave");
+    }
+    else if (replica.phase == replica_phase::retiring && view.finished->contains(replica.name)) {
+        replica.phase = replica_phase::dissolving;
+        decision.reasons.push_back(replica.name + " has ended its work");
+    }
+}
+
+/// Whether no host holds a part of the replica any more; orders those that do to leave.
+bool follow_dissolving(const replica_entry& replica, const domain_view& view, domain_decision& decision)
+{
+    bool is_empty = true;
+    for (const auto& member : replica.hosts) {
+        const auto* host = present_host(view, member);
+        if (host != nullptr && has_part(*host, replica)) {
+            is_empty = false;
+            decision.orders.push_back(
+                {order_kind::leave, member.id, replica.name, replica.generation, {}, {}});
+        }
+    }
+    return is_empty;
+}
+
+bool is_member(const domain_record& record, const std::string& host)
+{
+    return std::any_of(record.replicas.begin(), record.replicas.end(), [&](const replica_entry& replica) {
+        return std::any_of(replica.hosts.begin(), replica.hosts.end(),
+                           [&](const replica_host& member) { return member.id == host; });
+    });
+}
+
+/// Orders hosts out of replicas that the record doesn't name.
+void release_strays(const domain_view& view, domain_decision& decision)
+{
+    for (const auto& host : view.hosts) {
+        if (host.part && !host.is_leaving && !is_silent(view, host.id, host.incarnation) &&
+            !is_member(*view.record, host.id)) {
+            decision.orders.push_back(
+                {order_kind::leave, host.id, host.part->replica, host.part->generation, {}, {}});
+        }
+    }
+}
+
+bool is_staged(const fleet_host& host, const std::string& model)
+{
+    return std::find(host.staged.begin(), host.staged.end(), model) != host.staged.end();
+}
+
+} // namespace
+
+domain_decision follow_domain(const domain_view& view)
+{
+    domain_decision decision;
+    decision.next = *view.record;
+    std::vector<replica_entry> kept;
+    for (auto& replica : decision.next.replicas) {
+        const auto before = replica.phase;
+        const auto loss = mark_lost(replica, view);
+        if (!loss.empty()) {
+            decision.is_changed = true;
+            replica.phase = replica_phase::dissolving;
+            decision.reasons.push_back(replica.name + ": " + loss);
+        }
+        else if (replica.phase == replica_phase::forming) {
+            follow_forming(replica, view, decision);
+        }
+        else if (replica.phase == replica_phase::open || replica.phase == replica_phase::retiring) {
+            follow_open(replica, view, decision);
+        }
+        else if (follow_dissolving(replica, view, decision)) {
+            decision.is_changed = true;
+            decision.reasons.push_back(replica.name + " is dissolved");
+            continue;
+        }
+        decision.is_changed = decision.is_changed || replica.phase != before;
+        kept.push_back(std::move(replica));
+    }
+    decision.next.replicas = std::move(kept);
+    release_strays(view, decision);
+    return decision;
+}
+
+std::vector<const fleet_host*> free_hosts(const domain_view& view)
+{
+    std::vector<const fleet_host*> found;
+    for (const auto& host : view.hosts) {
+        if (!host.part && !host.is_leaving && !is_silent(view, host.id, host.incarnation) &&
+            !is_member(*view.record, host.id)) {
+            found.push_back(&host);
+        }
+    }
+    return found;
+}
+
+bool form_replica(domain_record& record, const domain_view& view, const model_profile& model,
+                  std::string_view name_stem, bool only_staged)
+{
+    domain_view current = view;
+    current.record = &record;
+    auto candidates = free_hosts(current);
+    if (only_staged) {
+        std::erase_if(candidates, [&](const fleet_host* host) { return !is_staged(*host, model.name); });
+    }
+    if (candidates.size() < model.hosts_per_replica || model.hosts_per_replica == 0) {
+        return false;
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [&](const fleet_host* a, const fleet_host* b) {
+        return is_staged(*a, model.name) > is_staged(*b, model.name);
+    });
+    replica_entry entry;
+    entry.generation = ++record.last_generation;
+    entry.name = std::string{name_stem} + "-" + std::to_string(entry.generation);
+    entry.model = model.name;
+    for (unsigned i = 0; i < model.hosts_per_replica; ++i) {
+        entry.hosts.push_back({candidates[i]->id, candidates[i]->address, candidates[i]->incarnation, false});
+    }
+    record.replicas.push_back(std::move(entry));
+    return true;
+}
+
+const char* name_of(order_kind kind) noexcept
+{
+    switch (kind) {
+    case order_kind::join:
+        return "join";
+    case order_kind::open:
+        return "open";
+    case order_kind::leave:
+        return "leave";
+    case order_kind::stage:
+        return "stage";
+    }
+    return "unknown";
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/replicas/domain_record.cpp
@@ -0,0 +1,95 @@
+#include "coriander/replicas/domain_record.hpp"
+
+#include "core/json_text.hpp"
+
+#include <array>
+
+namespace coriander {
+namespace {
+
+constexpr std::array phase_names{"forming", "open", "retiring", "dissolving"};
+
+std::optional<replica_phase> phase_of(std::string_view name)
+{
+    for (std::size_t i = 0; i < phase_names.size(); ++i) {
+        if (name == phase_names[i]) {
+            return static_cast<replica_phase>(i);
+        }
+    }
+    return std::nullopt;
+}
+
+json_object encode_host(const replica_host& host)
+{
+    json_object text{{"id", host.id}, {"address", host.address}, {"incarnation", host.incarnation}};
+    if (host.is_lost) {
+        text["lost"] = true;
+    }
+    return text;
+}
+
+std::optional<replica_entry> decode_replica_entry(const json_object& text)
+{
+    const auto phase = phase_of(text_member(text, "phase"));
+    replica_entry entry{text_member(text, "name"),
+                        text_member(text, "model"),
+                        static_cast<std::uint64_t>(integer_member(text, "generation")),
+                        phase.value_or(replica_phase::dissolving),
+                        {}};
+    for (const auto& host : array_member(text, "hosts")) {
+        entry.hosts.push_back({text_member(host, "id"), text_member(host, "address"),
+                               static_cast<std::uint64_t>(integer_member(host, "incarnation")),
+                               bool_member(host, "lost")});
+    }
+    if (!phase || entry.name.empty() || entry.hosts.empty()) {
+        return std::nullopt;
+    }
+    return entry;
+}
+
+} // namespace
+
+const char* name_of(replica_phase phase) noexcept
+{
+    return phase_names[static_cast<std::size_t>(phase)];
+}
+
+std::string encode_domain(const domain_record& record)
+{
+    auto replicas = json_object::array();
+    for (const auto& one : record.replicas) {
+        auto hosts = json_object::array();
+        for (const auto& host : one.hosts) {
+            hosts.push_back(encode_host(host));
+        }
+        replicas.push_back({{"name", one.name},
+                            {"model", one.model},
+                            {"generation", one.generation},
+                            {"phase", name_of(one.phase)},
+                            {"hosts", std::move(hosts)}});
+    }
+    return to_text({{"owner", record.owner},
+                    {"last_generation", record.last_generation},
+                    {"replicas", std::move(replicas)}});
+}
+
+std::optional<domain_record> decode_domain(std::string_view text)
+{
+    const auto parsed = parse_object(text);
+    if (!parsed || !parsed->contains("replicas")) {
+        return std::nullopt;
+    }
+    domain_record record{text_member(*parsed, "owner"),
+                         static_cast<std::uint64_t>(integer_member(*parsed, "last_generation")),
+                         {}};
+    for (const auto& one : array_member(*parsed, "replicas")) {
+        auto entry = decode_replica_entry(one);
+        if (!entry) {
+            return std::nullopt;
+        }
+        record.replicas.push_back(std::move(*entry));
+    }
+    return record;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/replicas/replica_demand.cpp
@@ -0,0 +1,70 @@
+#include "coriander/replicas/replica_demand.hpp"
+
+#include <algorithm>
+
+namespace coriander {
+namespace {
+
+/// Replicas can't be kept at full batches without making requests wait.
+constexpr double usable_slots = 0.8;
+constexpr double ms_per_s = 1000.0;
+
+double step_ms(const engine_profile& engine, double running, double context_tokens)
+{
+    return engine.step_ms + running * (engine.step_ms_per_request +
+                                       engine.step_ms_per_1k_context * context_tokens / 1000.0);
+}
+
+double prompt_ms(const engine_profile& engine, double prompt_tokens)
+{
+    const double reading =
+        engine.prompt_tokens_per_s > 0.0 ? prompt_tokens / engine.prompt_tokens_per_s * ms_per_s : 0.0;
+    const double pairs = prompt_tokens * prompt_tokens / 2.0;
+    return reading + engine.attention_ms_per_1m_pairs * pairs / 1e6;
+}
+
+} // namespace
+
+double request_cost_ms(const engine_profile& engine, const model_profile& model, double prompt_tokens,
+                       double answer_tokens)
+{
+    const double running = std::max(1.0, usable_slots * engine.slots);
+    const double step = step_ms(engine, running, prompt_tokens + answer_tokens / 2.0);
+    return model.time_factor * (prompt_ms(engine, prompt_tokens) + answer_tokens * step / running);
+}
+
+double answer_time_ms(const engine_profile& engine, const model_profile& model, double prompt_tokens,
+                      double answer_tokens, double running)
+{
+    const double step = step_ms(engine, running, prompt_tokens + answer_tokens / 2.0);
+    // While one answer is written, the replica also reads the prompts of those that take freed slots.
+    const double reading = prompt_ms(engine, prompt_tokens);
+    return model.time_factor * (reading * std::max(1.0, running) + answer_tokens * step);
+}
+
+std::map<std::string, double> needed_replicas(const engine_profile& engine,
+                                              const std::map<std::string, model_load>& load)
+{
+    std::map<std::string, double> needed;
+    double measured = 0.0;
+    for (const auto& model : engine.models) {
+        const auto found = load.find(model.name);
+        if (found != load.end()) {
+            const auto& one = found->second;
+            const double cost = request_cost_ms(engine, model, one.prompt_tokens, one.answer_tokens);
+            needed[model.name] = one.requests_per_s * cost / ms_per_s;
+            measured += needed[model.name];
+        }
+    }
+    for (const auto& model : engine.models) {
+        if (measured <= 0.0) {
+            needed[model.name] = model.initial_share;
+        }
+        else {
+            needed.try_emplace(model.name, 0.0);
+        }
+    }
+    return needed;
+}
+
+} // namespace coriander
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -1,5 +1,7 @@
 #include "runtime/log.hpp"
 
+#include "runtime/bounded_stdout.hpp"
+
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -110,7 +112,10 @@
 {
     static const log4cplus::Initializer initializer;
     log4cplus::SharedAppenderPtr appender;
-    if (file.empty()) {
+    if (file == standard_output) {
+        appender = new bounded_stdout;
+    }
+    else if (file.empty()) {
         appender = new log4cplus::ConsoleAppender(true, true);
     }
     else {
--- a/src/runtime/log.hpp
+++ b/src/runtime/log.hpp
@@ -30,8 +30,11 @@
     std::string value;
 };
 
-/// Directs log lines to a file, or to standard error when `file` is empty. Call once, before other threads
-/// start.
+/// The name of standard output as a log file: lines are bounded there and never waited for.
+constexpr std::string_view standard_output = "-";
+
+/// Directs log lines to a file, to standard error when `file` is empty, or to `standard_output`. Call once,
+/// before other threads start.
 void open_log(const std::string& program, const std::string& level, const std::string& file);
 
 /// Writes one line: `E2001 route_chosen name=value ...`. Thread-safe.
