--- a/include/coriander/relay/target_board.hpp
+++ b/include/coriander/relay/target_board.hpp
@@ -85,8 +85,8 @@
 
     /// Whether the target is suspected of standing still.
     [[nodiscard]] bool is_suspect(const std::string& id, time_ms now) const;
-    /// When the next target will be suspected if nothing comes from it; nothing without open requests.
-    [[nodiscard]] std::optional<time_ms> next_suspicion(time_ms now) const;
+    /// How long nothing has come from the target; zero for an unknown one.
+    [[nodiscard]] time_ms silence(const std::string& id, time_ms now) const;
     /// Targets suspected of standing still that are in rotation.
     [[nodiscard]] std::vector<relay_target> suspects(time_ms now) const;
 
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -113,6 +113,7 @@
         std::uint64_t generation = 0;
         time_ms at;
         unsigned unanswered = 0;
+        bool was_unfitting = false;
         bool is_in_flight = false;
     };
     struct domain_work {
@@ -121,6 +122,7 @@
         time_ms due_since;
         std::map<std::string, sent_order> orders; ///< The last one to each host.
         std::map<std::string, time_ms> asked;
+        std::map<std::string, time_ms> told; ///< When the question that a host answered last was sent.
         std::map<std::string, time_ms> phase_since; ///< Of forming and retiring replicas, with the phase.
         std::set<std::string> finished;
         double load_tokens = 0.0;
@@ -315,27 +317,35 @@
             const auto* host = this->view.find_host(order.host);
             auto& last = work.orders[order.host];
             const bool is_same = last.kind == order.kind && last.generation == order.generation;
-            // An open that came too early is tried again at once: the leader waits for nothing else.
-            const auto pause = this->pause_before_repeat(order.kind);
+            const auto pause = this->pause_before_repeat(last);
             if (host == nullptr || last.is_in_flight || (is_same && now - last.at < pause)) {
                 continue;
             }
+            if (order.kind == order_kind::join && !this->has_told(work, order)) {
+                continue; // The list may be older than an order of another daemon.
+            }
             const auto unanswered = is_same ? last.unanswered : 0;
-            last = {order.kind, order.generation, now, unanswered, true};
+            last = {order.kind, order.generation, now, unanswered, false, true};
             this->send_order(*host, order);
         }
     }
 
-    [[nodiscard]] time_ms pause_before_repeat(order_kind kind) const
+    /// Whether the host itself has told its state since its replica was planned.
+    static bool has_told(const domain_work& work, const host_order& order)
+    {
+        const auto planned = work.phase_since.find(order.replica + "/" + name_of(replica_phase::forming));
+        const auto told = work.told.find(order.host);
+        return planned != work.phase_since.end() && told != work.told.end() &&
+               told->second >= planned->second;
+    }
+
+    [[nodiscard]] time_ms pause_before_repeat(const sent_order& last) const
     {
-        switch (kind) {
-        case order_kind::open:
-            return this->settings.ask_interval;
-        case order_kind::stage:
+        if (last.kind == order_kind::stage) {
             return this->settings.stage_repeat;
-        default:
-            return this->settings.order_repeat;
         }
+        // An order that came too early is tried again at once.
+        return last.was_unfitting ? this->settings.ask_interval : this->settings.order_repeat;
     }
 
     void send_order(const fleet_host& host, const host_order& order)
@@ -359,6 +369,7 @@
                    {"generation", order.generation},
                    {"model", order.model},
                    {"answer", answers[static_cast<std::size_t>(answer)]}});
+        last.was_unfitting = answer == order_answer::unfitting;
         last.unanswered = answer == order_answer::unanswered ? last.unanswered + 1 : 0;
         if (last.unanswered >= this->settings.silent_after) {
             this->view.mark_silent(order.host, last.at);
@@ -422,21 +433,22 @@
                 const bool is_wanted = replica.phase != replica_phase::retiring || is_leader;
                 if (host != nullptr && is_wanted && now - asked >= this->settings.ask_interval) {
                     asked = now;
-                    this->ask(*host, replica);
+                    this->ask(*host, replica, now);
                 }
             }
         }
     }
 
-    void ask(const fleet_host& host, const replica_entry& replica)
+    void ask(const fleet_host& host, const replica_entry& replica, time_ms now)
     {
         const domain_key key{host.service, host.fabric_domain};
         const bool is_retiring = replica.phase == replica_phase::retiring;
-        this->io.ask(host, [this, key, id = host.id, name = replica.name,
+        this->io.ask(host, [this, key, now, id = host.id, name = replica.name,
                             is_retiring](std::optional<host_status> status) {
             if (!status) {
                 return; // Orders find out whether the host is gone.
             }
+            this->work[key].told[id] = now;
             this->view.update_host(id, *status);
             if (is_retiring && status->running == 0 && status->waiting == 0) {
                 this->work[key].finished.insert(name);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -85,6 +85,10 @@
     /// What is known of hosts and replicas. Call `refresh` after changes.
     [[nodiscard]] fleet_view& view() noexcept { return this->fleet; }
 
+    /// Lets control begin: the host list and the records have been read whole. Before, every host would seem
+    /// to be gone.
+    void begin_control() { this->knows_fleet = true; }
+
     /// Sets the targets anew after a change of hosts or replicas, and does what is due.
     void refresh()
     {
@@ -296,7 +300,7 @@
         if (this->fleet.change_count() != this->targets_as_of) {
             this->update_targets();
         }
-        if (this->relay.routes && !this->is_stopping) {
+        if (this->relay.routes && this->knows_fleet && !this->is_stopping) {
             const auto now = this->relay.clock.now();
             this->control.set_cheap_loads(this->values.is_first_start && !this->relay.has_traffic);
             for (const auto& [name, service] : this->relay.routes->manifest().services) {
@@ -371,6 +375,7 @@
     asio::steady_timer peer_timer;
     asio::steady_timer chores_timer;
     asio::steady_timer stop_timer;
+    bool knows_fleet = false;
     bool is_watching = false;
     bool is_stopping = false;
     time_ms stopped_at;
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -30,6 +30,9 @@
     /// The target stands still or is gone: goes on elsewhere if that is possible, else waits on.
     void leave_target();
 
+    /// Whether the caller has received a part of the answer.
+    [[nodiscard]] bool has_begun() const noexcept { return this->answer_has_begun; }
+
     void on_response_head(wire_head head) override;
     void on_response_body(std::string_view bytes) override;
     void on_exchange_end(exchange_end end) override;
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -22,12 +22,13 @@
 struct stall_response_settings {
     /// A sound host answers within a round trip; a longer silence is taken as its loss.
     time_ms ask_limit{120};
-    /// How long a suspected replica gets no new work while its hosts are asked.
-    time_ms suspicion{400};
-    /// A replica whose hosts all answer and that stays silent is left after so many suspicions.
-    unsigned patience = 2;
-    /// It gets no new work for so long then.
+    /// Least time between two inquiries about one replica.
+    time_ms inquiry_pause{150};
+    /// A replica that lost a host gets no new work for so long: its record tells of the loss by then.
     time_ms avoidance{1500};
+    /// A begun stream that is silent for so long is taken up elsewhere although all hosts answer: its
+    /// connection is lost, or the hosts have lost each other.
+    time_ms unexplained_limit{1500};
 };
 
 /// Finds out why a replica stands still, and has its requests go on elsewhere. A replica stops when one of its
@@ -52,8 +53,8 @@
         }
     }
 
-    /// Has the requests on a target go on elsewhere.
-    static void leave(service_state& state, const std::string& target)
+    /// Has the requests on a target go on elsewhere; with `only_begun` only those whose answer has begun.
+    static void leave(service_state& state, const std::string& target, bool only_begun = false)
     {
         const auto open = state.sessions.find(target);
         if (open == state.sessions.end()) {
@@ -64,7 +65,9 @@
             sessions.push_back(session->shared_from_this());
         }
         for (const auto& session : sessions) {
-            session->leave_target();
+            if (!only_begun || session->has_begun()) {
+                session->leave_target();
+            }
         }
     }
 
@@ -77,7 +80,12 @@
     void on_suspect(const std::string& service, service_state& state, const relay_target& target,
                     time_ms now)
     {
-        state.board.suspend(target.id, suspension::silent, now + this->settings.suspicion);
+        auto& asked_at = this->inquiries[target.id];
+        if (now - asked_at < this->settings.inquiry_pause) {
+            return;
+        }
+        asked_at = now;
+        state.board.suspend(target.id, suspension::silent, now + this->settings.ask_limit);
         const auto* replica = this->view.find_replica(service, target.id);
         if (replica == nullptr) {
             leave(state, target.id);
@@ -123,19 +131,13 @@
             }
             state.board.suspend(target.id, suspension::silent, now + this->settings.avoidance);
             leave(state, target.id);
-            this->suspicions.erase(target.id);
             this->changed();
             return;
         }
-        if (!state.board.is_suspect(target.id, now)) {
-            this->suspicions.erase(target.id);
-            state.board.restore(target.id);
-            return;
-        }
-        if (++this->suspicions[target.id] >= this->settings.patience) {
-            this->suspicions.erase(target.id);
+        state.board.restore(target.id);
+        if (state.board.silence(target.id, now) > this->settings.unexplained_limit) {
             state.board.suspend(target.id, suspension::silent, now + this->settings.avoidance);
-            leave(state, target.id);
+            leave(state, target.id, true);
         }
     }
 
@@ -144,7 +146,7 @@
     fleet_view& view;
     std::function<void()> changed;
     stall_response_settings settings;
-    std::map<std::string, unsigned> suspicions; ///< In a row, of replicas whose hosts all answered.
+    std::map<std::string, time_ms> inquiries; ///< When each replica's hosts were last asked.
 };
 
 } // namespace coriander
--- a/src/relay/target_board.cpp
+++ b/src/relay/target_board.cpp
@@ -139,17 +139,10 @@
     return found != this->targets.end() && found->second.progress.is_suspect(now);
 }
 
-std::optional<time_ms> target_board::next_suspicion(time_ms now) const
+time_ms target_board::silence(const std::string& id, time_ms now) const
 {
-    std::optional<time_ms> next;
-    for (const auto& [id, one] : this->targets) {
-        const auto tolerance = one.progress.tolerance();
-        if (tolerance && now >= one.suspended_until) {
-            const auto left = std::max(1_ms, *tolerance - one.progress.silence(now) + 1_ms);
-            next = next ? std::min(*next, left) : left;
-        }
-    }
-    return next;
+    const auto found = this->targets.find(id);
+    return found == this->targets.end() ? time_ms{} : found->second.progress.silence(now);
 }
 
 std::vector<relay_target> target_board::suspects(time_ms now) const
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -102,7 +102,11 @@
         }
         for (const auto& member : replica.hosts) {
             const auto* host = present_host(view, member);
-            if (host != nullptr && !has_part(*host, replica)) {
+            if (host != nullptr && host->part && !has_part(*host, replica)) {
+                decision.orders.push_back(
+                    {order_kind::leave, member.id, host->part->replica, host->part->generation, {}, {}});
+            }
+            else if (host != nullptr && !host->part) {
                 decision.orders.push_back(
                     {order_kind::join, member.id, replica.name, replica.generation, replica.model, ids});
             }
