--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -45,6 +45,7 @@
 struct domain_decision {
     domain_record next;
     bool is_changed = false;
+    bool has_loss = false; ///< A replica lost a host: its record should say so at once.
     std::vector<host_order> orders;
     std::vector<std::string> reasons; ///< A text for each change, for log lines.
 
--- a/include/coriander/replicas/fleet_host.hpp
+++ b/include/coriander/replicas/fleet_host.hpp
@@ -34,7 +34,6 @@
     unsigned slots = 1;             ///< Requests that it runs at once.
     bool is_leaving = false;        ///< Gets no new work.
     bool is_ordered = false;        ///< An order is in progress.
-    std::uint64_t orders_begun = 0; ///< Orders that began something since its start.
     std::vector<std::string> staged; ///< Models that it can load from its own memory.
     std::optional<replica_part> part;
 };
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -50,8 +50,9 @@
 
 /// Times and limits of control.
 struct controller_settings {
-    /// Another daemon steps in when the owner of a domain leaves work undone for so long.
-    time_ms takeover_delay{1500};
+    /// Another daemon steps in when the owner of a domain leaves work undone for so long. Longer
+    /// than the host list may lag: what it tells may be done already.
+    time_ms takeover_delay{2500};
     /// The same for noting that a replica has lost a host, which needs no order.
     time_ms loss_delay{120};
     /// Between two daemons that may step in.
@@ -67,7 +68,7 @@
     /// A retiring replica's requests have at most this time; its leaving host waits about as long.
     time_ms retiring_limit{9000};
     /// After a host appeared, others may follow: no replica is planned before.
-    time_ms arrival_pause{400};
+    time_ms arrival_pause{1500};
     /// Hosts that an order didn't reach so many times are taken as gone.
     unsigned silent_after = 2;
     /// Part of the weight store's rate that daemons use together: they don't count each other's loads.
@@ -194,7 +195,6 @@
         this->note_finished(service, current.record, work, now);
         const auto view = this->view_of(current.record, hosts, work);
         auto decision = follow_domain(view);
-        const bool is_loss = decision.is_changed;
         if (!decision.is_changed) {
             this->add_formation(service, key, planned, view, decision);
         }
@@ -205,7 +205,7 @@
                 this->stage_free_hosts(service, view, work, now);
             }
         }
-        else if (this->is_my_turn(key, current, decision, is_loss, work, now)) {
+        else if (this->is_my_turn(key, current, decision, work, now)) {
             this->act(key, current, std::move(decision), work, now);
         }
         const bool goes_on = this->has_unsettled(current.record);
@@ -237,7 +237,7 @@
 
     /// The daemon's place among those that may act: the owner first, then an order that all agree on.
     bool is_my_turn(const domain_key& key, const versioned_domain& current, const domain_decision& decision,
-                    bool is_loss, domain_work& work, time_ms now)
+                    domain_work& work, time_ms now)
     {
         auto due = std::to_string(current.version);
         for (const auto& reason : decision.reasons) {
@@ -258,7 +258,7 @@
             std::find(daemons.begin(), daemons.end(), current.record.owner) != daemons.end();
         auto delay = this->settings.rank_delay * this->rank_of(key);
         if (owner_lives) {
-            delay = delay + (is_loss ? this->settings.loss_delay : this->settings.takeover_delay);
+            delay = delay + (decision.has_loss ? this->settings.loss_delay : this->settings.takeover_delay);
         }
         return now - work.due_since >= delay;
     }
@@ -449,7 +449,7 @@
                 return; // Orders find out whether the host is gone.
             }
             this->work[key].told[id] = now;
-            this->view.update_host(id, *status);
+            this->view.update_host(id, *status, now);
             if (is_retiring && status->running == 0 && status->waiting == 0) {
                 this->work[key].finished.insert(name);
             }
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace coriander {
+namespace {
+
+/// The list may lag behind a host's own word by this: its writing, the store and the pause between readings.
+constexpr time_ms list_lag = 2000_ms;
+
+} // namespace
 
 std::optional<domain_key> parse_domain_key(std::string_view row_key)
 {
@@ -24,13 +30,14 @@
         return;
     }
     auto& current = entry->second;
-    // The list lags behind what the host itself said; more orders begun tell which is newer.
-    const bool is_older = host.orders_begun < current.orders_begun;
-    const auto status =
-        host_status{current.incarnation, current.is_ordered, current.orders_begun, current.staged, current.part};
+    const auto told = this->told_at.find(host.id);
+    const bool is_older = told != this->told_at.end() && now - told->second < list_lag;
+    const auto status = current;
     current = host;
     if (is_older) {
-        this->update_host(host.id, status);
+        current.is_ordered = status.is_ordered;
+        current.staged = status.staged;
+        current.part = status.part;
     }
 }
 
@@ -38,21 +45,19 @@
 {
     this->changes += this->known.erase(id);
     this->silent_hosts.erase(id);
+    this->told_at.erase(id);
 }
 
-void fleet_view::update_host(const std::string& id, const host_status& status)
+void fleet_view::update_host(const std::string& id, const host_status& status, time_ms now)
 {
     const auto found = this->known.find(id);
     if (found == this->known.end() || found->second.incarnation != status.incarnation) {
         return; // The list will tell of a new start with all that belongs to it.
     }
     auto& host = found->second;
-    if (status.orders_begun < host.orders_begun) {
-        return;
-    }
     ++this->changes;
+    this->told_at[id] = now;
     host.is_ordered = status.is_ordered;
-    host.orders_begun = status.orders_begun;
     host.staged = status.staged;
     host.part = status.part;
 }
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -21,7 +21,7 @@
 struct host_status {
     std::uint64_t incarnation = 0;
     bool is_ordered = false;
-    std::uint64_t orders_begun = 0;
+    std::uint64_t orders_begun = 0; ///< Orders that began something since its start.
     std::vector<std::string> staged;
     std::optional<replica_part> part;
     std::uint32_t running = 0;
@@ -56,8 +56,8 @@
     void set_host(const fleet_host& host, time_ms now);
     /// The list doesn't hold the host any more.
     void remove_host(const std::string& id);
-    /// Takes a host's own word in; it is fresher than the list.
-    void update_host(const std::string& id, const host_status& status);
+    /// Takes a host's own word in; for a while it goes before the list, which lags.
+    void update_host(const std::string& id, const host_status& status, time_ms now);
 
     /// Takes a domain's row in; an older version than known is ignored. Returns whether it was news.
     bool set_domain(const domain_key& key, domain_record record, std::uint64_t version);
@@ -99,6 +99,7 @@
     std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that fell silent.
     std::map<domain_key, versioned_domain> records;
     std::map<domain_key, time_ms> arrivals;
+    std::map<std::string, time_ms> told_at; ///< When each host last spoke for itself.
     std::uint64_t changes = 0;
 };
 
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -191,6 +191,7 @@
         const auto loss = mark_lost(replica, view);
         if (!loss.empty()) {
             decision.is_changed = true;
+            decision.has_loss = true;
             replica.phase = replica_phase::dissolving;
             decision.reasons.push_back(replica.name + ": " + loss);
         }
