Let reported loads wear off; have owners that the store turns away step aside; log idle hosts

An owner turned away by the store retried each tick for 7 s while nobody stepped in, as it lived. Ruled out: slow targets; their own reports showed free slots.

--- a/include/coriander/load_estimate.hpp
+++ b/include/coriander/load_estimate.hpp
@@ -41,6 +41,14 @@
         return std::max(0.0, this->reported_mean - this->own_mean);
     }
 
+    /// The same at `now`, when part of those requests has ended since the last report. Who sends nothing
+    /// because a target seemed full gets no reports either: without this it would seem full for good.
+    [[nodiscard]] double others_at(time_ms now, time_ms half_life) const
+    {
+        const double age = std::max(0.0, (now - this->updated).seconds());
+        return this->others() * std::exp2(-age / half_life.seconds());
+    }
+
     /// Whether the last report told of any request.
     [[nodiscard]] bool was_busy() const noexcept { return this->is_known && this->last_reported > 0.0; }
 
--- a/include/coriander/relay/target_board.hpp
+++ b/include/coriander/relay/target_board.hpp
@@ -100,8 +100,10 @@
     [[nodiscard]] bool is_listed(const std::string& id) const;
 
 private:
-    /// Answers arrive about twice a second from each target; a shorter average would follow single ones.
-    static constexpr time_ms load_averaging{800};
+    /// Answers tell the load several times a second from each busy target.
+    static constexpr time_ms load_averaging{300};
+    /// Of others' requests that a report told of: an answer takes about a second.
+    static constexpr time_ms load_half_life{500};
     /// Failures in a row that take a target out of rotation, and for how long the first time.
     static constexpr std::uint32_t failure_limit = 3;
     static constexpr time_ms failure_pause{1000};
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -61,6 +61,8 @@
     time_ms ask_interval{100};
     /// An order whose effect doesn't show is sent again.
     time_ms order_repeat{600};
+    /// After a change that was not committed.
+    time_ms commit_pause{1000};
     /// Staging takes as long as a load.
     time_ms stage_repeat{20000};
     /// A replica that is not formed after its load time and this is given up.
@@ -119,6 +121,7 @@
     };
     struct domain_work {
         bool is_committing = false;
+        time_ms commit_again_at;
         std::string due;          ///< What was due when it was last looked at.
         time_ms due_since;
         std::map<std::string, sent_order> orders; ///< The last one to each host.
@@ -126,6 +129,7 @@
         std::map<std::string, time_ms> told; ///< When the question that a host answered last was sent.
         std::map<std::string, time_ms> phase_since; ///< Of forming and retiring replicas, with the phase.
         std::set<std::string> finished;
+        std::string free_state; ///< As it was logged last.
         double load_tokens = 0.0;
         time_ms tokens_at;
     };
@@ -274,7 +278,7 @@
     void act(const domain_key& key, const versioned_domain& current, domain_decision decision,
              domain_work& work, time_ms now)
     {
-        if (work.is_committing) {
+        if (work.is_committing || now < work.commit_again_at) {
             return;
         }
         if (!decision.is_changed && current.record.owner == this->self) {
@@ -285,10 +289,11 @@
             decision.reasons.push_back("take over from " + current.record.owner);
         }
         decision.next.owner = this->self;
-        this->commit(key, current.version, std::move(decision), work);
+        this->commit(key, current.version, std::move(decision), work, now);
     }
 
-    void commit(const domain_key& key, std::uint64_t version, domain_decision decision, domain_work& work)
+    void commit(const domain_key& key, std::uint64_t version, domain_decision decision, domain_work& work,
+                time_ms now)
     {
         work.is_committing = true;
         for (const auto& reason : decision.reasons) {
@@ -298,7 +303,7 @@
                                                  {"hosts", this->view.hosts_of(key).size()},
                                                  {"silent", this->view.silent().size()}});
         }
-        this->io.commit(key, decision.next, version, [this, key](commit_state state) {
+        this->io.commit(key, decision.next, version, [this, key, now](commit_state state) {
             auto& done = this->work[key];
             done.is_committing = false;
             done.due.clear();
@@ -307,6 +312,8 @@
             }
             else if (state != commit_state::applied) {
                 log_event(event::placement_unknown, {{"domain", key.row_key()}});
+                // The table is away from here; another daemon that reaches it steps in.
+                done.commit_again_at = now + this->settings.commit_pause;
             }
         });
     }
@@ -470,6 +477,7 @@
         }
         const auto input = this->formation_of(service, now);
         const auto model = model_to_stage(input, free.size(), counts);
+        this->log_free_hosts(service.name, view, free, model, work);
         this->refill_load_tokens(service, work, now);
         for (const auto* host : free) {
             const bool holds = std::find(host->staged.begin(), host->staged.end(), model) != host->staged.end();
@@ -483,6 +491,32 @@
         }
     }
 
+    /// Logs how many hosts serve nothing and what they hold, whenever that changes.
+    void log_free_hosts(const std::string& service, const domain_view& view,
+                        const std::vector<const fleet_host*>& free, const std::string& wanted,
+                        domain_work& work)
+    {
+        std::map<std::string, std::size_t> staged;
+        std::size_t loading = 0;
+        for (const auto* host : free) {
+            ++staged[host->staged.empty() ? "nothing" : host->staged.front()];
+            loading += host->is_ordered ? 1 : 0;
+        }
+        std::string held;
+        for (const auto& [model, count] : staged) {
+            held += (held.empty() ? "" : ",") + model + ":" + std::to_string(count);
+        }
+        if (std::exchange(work.free_state, held) != held) {
+            log_event(event::hosts_idle, {{"service", service},
+                                          {"domain", free.front()->fabric_domain},
+                                          {"free", free.size()},
+                                          {"holding", held},
+                                          {"loading", loading},
+                                          {"wanted", wanted},
+                                          {"replicas", view.record->replicas.size()}});
+        }
+    }
+
     /// Each domain has an even part of the weight store's rate, so that owners need not agree.
     void refill_load_tokens(const relay_service& service, domain_work& work, time_ms now)
     {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -325,8 +325,9 @@
 
     void run_peers()
     {
-        this->peers->round(this->manifest_version(), this->manifest_text, this->is_stopping);
-        this->relay.daemons = this->peers->names().size();
+        this->peers->round(this->manifest_version(), this->manifest_text, this->is_stopping,
+                           this->io.reaches_table());
+        this->relay.daemons = this->peers->count();
         this->call_after(this->peer_timer, gateway_peers::round_length, [this] { this->run_peers(); });
     }
 
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -53,10 +53,11 @@
     }
 }
 
-void gateway_peers::round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping)
+void gateway_peers::round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping,
+                          bool reaches_table)
 {
     const auto now = this->clock.now();
-    this->members.beat(manifest_version, is_stopping, true);
+    this->members.beat(manifest_version, is_stopping, reaches_table);
     peer_message message;
     message.identities = this->members.identities_to_send();
     message.beats = this->members.beats_to_send(now);
@@ -91,11 +92,18 @@
     return found;
 }
 
-std::vector<std::string> gateway_peers::names() const
+std::size_t gateway_peers::count() const
+{
+    return this->members.alive(this->clock.now()).size() + 1;
+}
+
+std::vector<std::string> gateway_peers::controllers() const
 {
     std::vector<std::string> found{this->members.self().name};
     for (const auto& view : this->members.alive(this->clock.now())) {
-        found.push_back(view.identity.name);
+        if (view.beat.table_reachable && !view.beat.stopping) {
+            found.push_back(view.identity.name);
+        }
     }
     std::sort(found.begin(), found.end());
     return found;
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -31,13 +31,16 @@
     void introduce(const member_identity& identity);
 
     /// Tells some of the others how things are: call every `round_length`.
-    void round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping);
+    void round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping,
+               bool reaches_table);
     static constexpr time_ms round_length{400};
 
     /// All others that live and don't stop.
     [[nodiscard]] std::vector<member_identity> serving() const;
-    /// Names of all that live, this one included.
-    [[nodiscard]] std::vector<std::string> names() const;
+    /// How many live, this one included.
+    [[nodiscard]] std::size_t count() const;
+    /// Names of those that can give orders, this one included: they live, don't stop and reach the table.
+    [[nodiscard]] std::vector<std::string> controllers() const;
 
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -215,6 +215,7 @@
 void relay_session::on_response_head(wire_head head)
 {
     this->current.has_begun = true;
+    this->current.begun_at = this->context.clock.now();
     this->state->board.on_begun(this->current.choice.target.id, this->context.clock.now());
     this->read_load(head);
     this->judge_head(head);
@@ -328,7 +329,9 @@
     const auto* service = this->request.routes->find_service(this->request.service);
     const double tokens =
         service->engine ? static_cast<double>(this->events) * service->engine->steps_per_event : 0.0;
-    this->state->meters[this->request.model].on_answer(tokens, now - this->current.sent_at);
+    // The wait in the target's queue is left out: the forecast adds it.
+    const auto work_began = this->current.begun_at > time_ms{} ? this->current.begun_at : this->current.sent_at;
+    this->state->meters[this->request.model].on_answer(tokens, now - work_began);
     const bool is_stream = this->request.route->is_stream && this->current.head.status / 100 == 2;
     if (!is_stream) {
         this->pass_answer();
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -48,6 +48,7 @@
         std::string body; ///< Of answers that are not streams.
         std::optional<attempt_end> verdict; ///< Known from the head.
         time_ms sent_at;
+        time_ms begun_at;
     };
 
     void admit();
--- a/src/relay/target_board.cpp
+++ b/src/relay/target_board.cpp
@@ -40,7 +40,8 @@
         }
         constexpr std::uint64_t noise_steps = 1024;
         const double drawn = static_cast<double>(stable_hash(id, salt) % noise_steps) / noise_steps;
-        const double share = (one.own + one.load.others()) / std::max(1U, one.info.slots);
+        const double others = one.load.others_at(now, load_half_life);
+        const double share = (one.own + others) / std::max(1U, one.info.slots);
         const double far = one.info.failure_domain == wish.near ? 0.0 : distance_cost;
         const double score = share + far + noise_cost * drawn;
         if (best == nullptr || score < best_score) {
@@ -51,7 +52,7 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    return target_choice{best->info, best->own, best->load.others()};
+    return target_choice{best->info, best->own, best->load.others_at(now, load_half_life)};
 }
 
 std::size_t target_board::count(std::string_view model, time_ms now) const
