Estimate others' requests by symmetry when reports are old; wait less; plan staging by missing loads

(2) A wait of three quarters of the objective left no time for the prompt itself. (3) Free hosts were staged for a model that changed with each look (five idle hosts a domain for 20 s). (4) Open replicas were dissolved by the list, which lags; now only by the host's own word.

--- a/include/coriander/load_estimate.hpp
+++ b/include/coriander/load_estimate.hpp
@@ -41,12 +41,13 @@
         return std::max(0.0, this->reported_mean - this->own_mean);
     }
 
-    /// The same at `now`, when part of those requests has ended since the last report. Who sends nothing
-    /// because a target seemed full gets no reports either: without this it would seem full for good.
-    [[nodiscard]] double others_at(time_ms now, time_ms half_life) const
+    /// The same at `now`. As the last report ages, `expected` takes its place: who sends nothing because a
+    /// target seemed full gets no reports either, and must not take it for full for good.
+    [[nodiscard]] double others_at(time_ms now, time_ms half_life, double expected) const
     {
         const double age = std::max(0.0, (now - this->updated).seconds());
-        return this->others() * std::exp2(-age / half_life.seconds());
+        const double weight = this->is_known ? std::exp2(-age / half_life.seconds()) : 0.0;
+        return weight * this->others() + (1.0 - weight) * expected;
     }
 
     /// Whether the last report told of any request.
--- a/include/coriander/relay/admission_forecast.hpp
+++ b/include/coriander/relay/admission_forecast.hpp
@@ -28,7 +28,7 @@
 struct admission_settings {
     /// The wait may take this part of the objective: beyond it the answer would be late, and would make
     /// those behind it late as well.
-    double wait_share = 0.75;
+    double wait_share = 0.3;
     /// When no target can take a request: the usual time until a lost replica is formed anew.
     time_ms outage_retry{800};
     time_ms least_retry{100};
--- a/include/coriander/relay/target_board.hpp
+++ b/include/coriander/relay/target_board.hpp
@@ -50,6 +50,7 @@
     std::string_view model;
     std::string_view near;            ///< Failure domain that is preferred between equals.
     std::span<const std::string> tried; ///< Targets not to be used again.
+    std::size_t daemons = 1;            ///< That send to the same targets, this one included.
 };
 
 /// The targets of one service with what this daemon knows of their load and health. Not thread-safe.
@@ -123,6 +124,8 @@
         std::uint32_t failures = 0;
     };
 
+    /// Others' requests there: as reported, or, the older the report, as if all daemons sent alike.
+    [[nodiscard]] static double others_on(const target_state& one, std::size_t daemons, time_ms now);
     [[nodiscard]] static bool is_usable(const target_state& one, std::string_view model, time_ms now);
     [[nodiscard]] target_state* find(const std::string& id);
 
--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -47,6 +47,7 @@
     bool is_changed = false;
     bool has_loss = false; ///< A replica lost a host: its record should say so at once.
     std::vector<host_order> orders;
+    std::vector<std::string> doubts; ///< Hosts of open replicas of which the list tells otherwise: to be asked.
     std::vector<std::string> reasons; ///< A text for each change, for log lines.
 
     /// Whether there is anything to do.
--- a/include/coriander/replicas/fleet_host.hpp
+++ b/include/coriander/replicas/fleet_host.hpp
@@ -36,6 +36,7 @@
     bool is_ordered = false;        ///< An order is in progress.
     std::vector<std::string> staged; ///< Models that it can load from its own memory.
     std::optional<replica_part> part;
+    bool has_told = false; ///< The host itself told this lately; otherwise it is from the list, which lags.
 };
 
 } // namespace coriander
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -114,17 +114,23 @@
     struct sent_order {
         order_kind kind = order_kind::join;
         std::uint64_t generation = 0;
+        std::string model;
         time_ms at;
         unsigned unanswered = 0;
         bool was_unfitting = false;
         bool is_in_flight = false;
     };
+    struct staging_order {
+        std::string model;
+        time_ms since;
+    };
     struct domain_work {
         bool is_committing = false;
         time_ms commit_again_at;
         std::string due;          ///< What was due when it was last looked at.
         time_ms due_since;
         std::map<std::string, sent_order> orders; ///< The last one to each host.
+        std::map<std::string, staging_order> staging; ///< Models that hosts are loading.
         std::map<std::string, time_ms> asked;
         std::map<std::string, time_ms> told; ///< When the question that a host answered last was sent.
         std::map<std::string, time_ms> phase_since; ///< Of forming and retiring replicas, with the phase.
@@ -210,11 +216,11 @@
             }
         }
         else if (this->is_my_turn(key, current, decision, work, now)) {
-            this->act(key, current, std::move(decision), work, now);
+            this->act(key, current, decision, work, now);
         }
         const bool goes_on = this->has_unsettled(current.record);
-        if (is_owner && goes_on) {
-            this->ask_hosts(current.record, work, now);
+        if (is_owner && (goes_on || !decision.doubts.empty())) {
+            this->ask_hosts(current.record, decision.doubts, work, now);
         }
         return goes_on || !work.due.empty() || work.is_committing;
     }
@@ -323,7 +329,8 @@
         for (const auto& order : orders) {
             const auto* host = this->view.find_host(order.host);
             auto& last = work.orders[order.host];
-            const bool is_same = last.kind == order.kind && last.generation == order.generation;
+            const bool is_same = last.kind == order.kind && last.generation == order.generation &&
+                                 last.model == order.model;
             const auto pause = this->pause_before_repeat(last);
             if (host == nullptr || last.is_in_flight || (is_same && now - last.at < pause)) {
                 continue;
@@ -331,8 +338,8 @@
             if (order.kind == order_kind::join && !this->has_told(work, order)) {
                 continue; // The list may be older than an order of another daemon.
             }
-            const auto unanswered = is_same ? last.unanswered : 0;
-            last = {order.kind, order.generation, now, unanswered, false, true};
+            const auto unanswered = is_same ? last.unanswered : 0U;
+            last = {order.kind, order.generation, order.model, now, unanswered, false, true};
             this->send_order(*host, order);
         }
     }
@@ -427,17 +434,28 @@
         });
     }
 
-    void ask_hosts(const domain_record& record, domain_work& work, time_ms now)
+    /// Whether the host's own word is needed on its replica now.
+    static bool is_asked(const replica_entry& replica, const std::string& host,
+                         const std::vector<std::string>& doubts)
+    {
+        switch (replica.phase) {
+        case replica_phase::open:
+            return std::find(doubts.begin(), doubts.end(), host) != doubts.end();
+        case replica_phase::retiring:
+            return host == replica.hosts.front().id; // The leader tells whether work is left.
+        default:
+            return true;
+        }
+    }
+
+    void ask_hosts(const domain_record& record, const std::vector<std::string>& doubts, domain_work& work,
+                   time_ms now)
     {
         for (const auto& replica : record.replicas) {
-            if (replica.phase == replica_phase::open) {
-                continue;
-            }
             for (const auto& member : replica.hosts) {
                 const auto* host = this->view.find_host(member.id);
                 auto& asked = work.asked[member.id];
-                const bool is_leader = member.id == replica.hosts.front().id;
-                const bool is_wanted = replica.phase != replica_phase::retiring || is_leader;
+                const bool is_wanted = is_asked(replica, member.id, doubts);
                 if (host != nullptr && is_wanted && now - asked >= this->settings.ask_interval) {
                     asked = now;
                     this->ask(*host, replica, now);
@@ -476,31 +494,48 @@
             ++counts[replica.model];
         }
         const auto input = this->formation_of(service, now);
-        const auto model = model_to_stage(input, free.size(), counts);
-        this->log_free_hosts(service.name, view, free, model, work);
-        this->refill_load_tokens(service, work, now);
+        std::vector<spare_host> spares;
         for (const auto* host : free) {
-            const bool holds = std::find(host->staged.begin(), host->staged.end(), model) != host->staged.end();
-            const bool may_load = this->loads_are_cheap || work.load_tokens >= 1.0;
-            if (model.empty() || holds || host->is_ordered || !may_load) {
-                continue;
+            spares.push_back({host->id, this->held_model(*host, work, now)});
+        }
+        const auto plan = plan_staging(input, spares, counts);
+        this->log_free_hosts(service.name, view, free, plan.size(), work);
+        this->refill_load_tokens(service, work, now);
+        for (const auto& [id, model] : plan) {
+            if (!this->loads_are_cheap && work.load_tokens < 1.0) {
+                return;
+            }
+            const auto before = work.staging[id].since;
+            work.staging[id] = {model, now};
+            this->send_orders({{order_kind::stage, id, {}, 0, model, {}}}, work, now);
+            work.load_tokens -= before != now ? 1.0 : 0.0;
+        }
+    }
+
+    /// The model that the host holds, or was ordered to load and has had no time for yet.
+    std::string held_model(const fleet_host& host, domain_work& work, time_ms now) const
+    {
+        const auto order = work.staging.find(host.id);
+        if (order != work.staging.end()) {
+            const bool is_loading = now - order->second.since < this->settings.stage_repeat;
+            const auto& model = order->second.model;
+            const bool is_held =
+                std::find(host.staged.begin(), host.staged.end(), model) != host.staged.end();
+            if (is_loading && !is_held) {
+                return model;
             }
-            const auto before = work.orders[host->id].at;
-            this->send_orders({{order_kind::stage, host->id, {}, 0, model, {}}}, work, now);
-            work.load_tokens -= work.orders[host->id].at != before ? 1.0 : 0.0;
+            work.staging.erase(order);
         }
+        return host.staged.empty() ? std::string{} : host.staged.back();
     }
 
     /// Logs how many hosts serve nothing and what they hold, whenever that changes.
     void log_free_hosts(const std::string& service, const domain_view& view,
-                        const std::vector<const fleet_host*>& free, const std::string& wanted,
-                        domain_work& work)
+                        const std::vector<const fleet_host*>& free, std::size_t to_load, domain_work& work)
     {
         std::map<std::string, std::size_t> staged;
-        std::size_t loading = 0;
         for (const auto* host : free) {
             ++staged[host->staged.empty() ? "nothing" : host->staged.front()];
-            loading += host->is_ordered ? 1 : 0;
         }
         std::string held;
         for (const auto& [model, count] : staged) {
@@ -511,8 +546,8 @@
                                           {"domain", free.front()->fabric_domain},
                                           {"free", free.size()},
                                           {"holding", held},
-                                          {"loading", loading},
-                                          {"wanted", wanted},
+                                          {"loading", work.staging.size()},
+                                          {"to_load", to_load},
                                           {"replicas", view.record->replicas.size()}});
         }
     }
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -38,6 +38,7 @@
         current.is_ordered = status.is_ordered;
         current.staged = status.staged;
         current.part = status.part;
+        current.has_told = true;
     }
 }
 
@@ -60,6 +61,7 @@
     host.is_ordered = status.is_ordered;
     host.staged = status.staged;
     host.part = status.part;
+    host.has_told = true;
 }
 
 bool fleet_view::set_domain(const domain_key& key, domain_record record, std::uint64_t version)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -319,6 +319,8 @@
         std::map<std::string, model_load> load;
         for (const auto& [model, meter] : this->relay.service(service).meters) {
             load[model] = meter.load(now);
+            // Callers spread over all daemons alike: each sees its part of the whole.
+            load[model].requests_per_s *= static_cast<double>(this->relay.daemons);
         }
         return needed_replicas(engine, load);
     }
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -154,7 +154,7 @@
     const auto* service = this->request.routes->find_service(this->request.service);
     const std::string_view model =
         service->engine ? std::string_view{this->request.model} : std::string_view{};
-    return this->state->board.choose({model, this->context.failure_domain, this->tried},
+    return this->state->board.choose({model, this->context.failure_domain, this->tried, this->context.daemons},
                                      this->context.draw(), this->context.clock.now());
 }
 
@@ -466,7 +466,7 @@
     const auto* service = this->request.routes->find_service(this->request.service);
     const std::string_view model =
         service->engine ? std::string_view{this->request.model} : std::string_view{};
-    if (may_move && this->state->board.choose({model, {}, others}, 0.0, now)) {
+    if (may_move && this->state->board.choose({model, {}, others, 1}, 0.0, now)) {
         this->end_attempt(attempt_end::lost, "the target stands still");
     }
 }
--- a/src/relay/target_board.cpp
+++ b/src/relay/target_board.cpp
@@ -28,6 +28,12 @@
     return one.is_serving && one.info.model == model && now >= one.suspended_until;
 }
 
+double target_board::others_on(const target_state& one, std::size_t daemons, time_ms now)
+{
+    const double expected = static_cast<double>(one.own) * static_cast<double>(daemons - 1);
+    return one.load.others_at(now, load_half_life, expected);
+}
+
 std::optional<target_choice> target_board::choose(const target_wish& wish, double noise, time_ms now) const
 {
     const target_state* best = nullptr;
@@ -40,7 +46,7 @@
         }
         constexpr std::uint64_t noise_steps = 1024;
         const double drawn = static_cast<double>(stable_hash(id, salt) % noise_steps) / noise_steps;
-        const double others = one.load.others_at(now, load_half_life);
+        const double others = others_on(one, wish.daemons, now);
         const double share = (one.own + others) / std::max(1U, one.info.slots);
         const double far = one.info.failure_domain == wish.near ? 0.0 : distance_cost;
         const double score = share + far + noise_cost * drawn;
@@ -52,7 +58,7 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    return target_choice{best->info, best->own, best->load.others_at(now, load_half_life)};
+    return target_choice{best->info, best->own, others_on(*best, wish.daemons, now)};
 }
 
 std::size_t target_board::count(std::string_view model, time_ms now) const
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -45,18 +45,25 @@
     return reason;
 }
 
-/// Why an open replica can't be used any more; empty when it can.
-std::string fault_of_open(const replica_entry& replica, const domain_view& view)
+/// Why an open replica can't be used any more; empty when it can. Hosts of which only the list tells so are
+/// added to `doubts`.
+std::string fault_of_open(const replica_entry& replica, const domain_view& view,
+                          std::vector<std::string>& doubts)
 {
     for (const auto& member : replica.hosts) {
         const auto* host = present_host(view, member);
         if (host == nullptr) {
             continue; // Marked as lost before.
         }
+        const bool is_broken = has_part(*host, replica) && host->part->phase == host_phase::broken;
+        if ((is_broken || !has_part(*host, replica)) && !host->has_told) {
+            doubts.push_back(member.id);
+            continue;
+        }
         if (!has_part(*host, replica)) {
             return "host " + member.id + " left";
         }
-        if (host->part->phase == host_phase::broken) {
+        if (is_broken) {
             return "host " + member.id + " reports a broken replica";
         }
     }
@@ -124,7 +131,7 @@
 
 void follow_open(replica_entry& replica, const domain_view& view, domain_decision& decision)
 {
-    const auto fault = fault_of_open(replica, view);
+    const auto fault = fault_of_open(replica, view, decision.doubts);
     if (!fault.empty()) {
         replica.phase = replica_phase::dissolving;
         decision.reasons.push_back(replica.name + ": " + fault);
--- a/src/replicas/formation_plan.cpp
+++ b/src/replicas/formation_plan.cpp
@@ -112,24 +112,95 @@
     return plan;
 }
 
-std::string model_to_stage(const formation_input& input, std::size_t free,
-                           const std::map<std::string, std::size_t>& counts)
+namespace {
+
+std::size_t held_by(std::span<const spare_host> free, const std::string& model)
+{
+    return static_cast<std::size_t>(std::count_if(
+        free.begin(), free.end(), [&](const spare_host& host) { return host.model == model; }));
+}
+
+/// The model of a replica that the hosts suffice for and that needs the fewest loads; null without one.
+const model_profile* cheapest_replica(const formation_input& input, std::span<const spare_host> free)
 {
+    const model_profile* best = nullptr;
+    std::size_t fewest = std::numeric_limits<std::size_t>::max();
     for (const auto* model : by_shortage(input, *input.existing)) {
-        if (model->hosts_per_replica <= free) {
-            return model->name;
+        const std::size_t size = model->hosts_per_replica;
+        if (size > free.size()) {
+            continue;
+        }
+        const auto missing = size - std::min<std::size_t>(size, held_by(free, model->name));
+        if (missing < fewest) {
+            best = model;
+            fewest = missing;
         }
     }
-    std::string most;
-    std::size_t most_count = 0;
-    for (const auto* model : by_shortage(input, *input.existing)) {
-        const auto count = count_at(counts, model->name);
-        if (most.empty() || count > most_count) {
-            most = model->name;
-            most_count = count;
+    return best;
+}
+
+/// Sorts the hosts so that the best for a replica of the model come last: those that hold it, before them
+/// those that hold nothing.
+void sort_for(std::vector<spare_host>& free, const std::string& model)
+{
+    const auto rank = [&](const spare_host& host) {
+        if (host.model == model) {
+            return 2;
+        }
+        return host.model.empty() ? 1 : 0;
+    };
+    std::stable_sort(free.begin(), free.end(),
+                     [&](const spare_host& a, const spare_host& b) { return rank(a) < rank(b); });
+}
+
+/// The model with the fewest replacements for its replicas in the domain; empty without replicas.
+std::string least_covered(const std::map<std::string, std::size_t>& counts,
+                          const std::map<std::string, std::size_t>& spares)
+{
+    std::string least;
+    double lowest = std::numeric_limits<double>::max();
+    for (const auto& [model, count] : counts) {
+        const double cover = static_cast<double>(count_at(spares, model)) / static_cast<double>(count);
+        if (count > 0 && cover < lowest) {
+            least = model;
+            lowest = cover;
         }
     }
-    return most;
+    return least;
+}
+
+} // namespace
+
+std::map<std::string, std::string> plan_staging(const formation_input& input,
+                                                std::span<const spare_host> free,
+                                                const std::map<std::string, std::size_t>& counts)
+{
+    std::map<std::string, std::string> plan;
+    std::vector<spare_host> left{free.begin(), free.end()};
+    auto running = counts;
+    while (const auto* model = cheapest_replica(input, left)) {
+        sort_for(left, model->name);
+        for (unsigned i = 0; i < model->hosts_per_replica; ++i) {
+            if (left.back().model != model->name) {
+                plan[left.back().id] = model->name;
+            }
+            left.pop_back();
+        }
+        ++running[model->name];
+    }
+    std::map<std::string, std::size_t> spares;
+    for (const auto& host : left) {
+        spares[host.model] += host.model.empty() ? 0 : 1;
+    }
+    for (const auto& host : left) {
+        const bool is_useful = !host.model.empty() && count_at(running, host.model) > 0;
+        const auto model = least_covered(running, spares);
+        if (!is_useful && !model.empty()) {
+            plan[host.id] = model;
+            ++spares[model];
+        }
+    }
+    return plan;
 }
 
 } // namespace coriander
