--- a/include/coriander/relay/target_board.hpp
+++ b/include/coriander/relay/target_board.hpp
@@ -48,7 +48,7 @@
 /// What a request asks of a target.
 struct target_wish {
     std::string_view model;
-    std::string_view near;            ///< Failure domain that is preferred between equals.
+    std::string_view near;              ///< Failure domain that is preferred between equals.
     std::span<const std::string> tried; ///< Targets not to be used again.
     std::size_t daemons = 1;            ///< That send to the same targets, this one included.
 };
--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -2,7 +2,7 @@
 
 #include "coriander/relay/relay_manifest.hpp"
 #include "coriander/replicas/domain_record.hpp"
-#include "coriander/replicas/fleet_host.hpp"
+#include "coriander/replicas/listed_host.hpp"
 
 #include <map>
 #include <set>
@@ -34,7 +34,7 @@
 /// What is known of one fabric domain.
 struct domain_view {
     const domain_record* record = nullptr;
-    std::span<const fleet_host> hosts; ///< Of the domain.
+    std::span<const listed_host> hosts; ///< Of the domain.
     /// Hosts that don't answer, by id, with the incarnation that fell silent.
     const std::map<std::string, std::uint64_t>* silent = nullptr;
     /// Retiring replicas whose work has ended or has had its time, and forming ones that took too long.
@@ -47,7 +47,8 @@
     bool is_changed = false;
     bool has_loss = false; ///< A replica lost a host: its record should say so at once.
     std::vector<host_order> orders;
-    std::vector<std::string> doubts; ///< Hosts of open replicas of which the list tells otherwise: to be asked.
+    std::vector<std::string>
+        doubts; ///< Hosts of open replicas of which the list tells otherwise: to be asked.
     std::vector<std::string> reasons; ///< A text for each change, for log lines.
 
     /// Whether there is anything to do.
@@ -58,7 +59,7 @@
 [[nodiscard]] domain_decision follow_domain(const domain_view& view);
 
 /// The hosts that belong to no replica and could join one.
-[[nodiscard]] std::vector<const fleet_host*> free_hosts(const domain_view& view);
+[[nodiscard]] std::vector<const listed_host*> free_hosts(const domain_view& view);
 
 /// Adds a replica of the model to the record if enough free hosts are there. With `only_staged` only hosts
 /// that hold the model count. Returns whether it was added.
--- a/include/coriander/replicas/formation_plan.hpp
+++ b/include/coriander/replicas/formation_plan.hpp
@@ -20,7 +20,7 @@
 /// What the fleet needs and has.
 struct formation_input {
     std::span<const model_profile> models;
-    const std::map<std::string, double>* needed = nullptr;      ///< Replicas of each model, by the load.
+    const std::map<std::string, double>* needed = nullptr;        ///< Replicas of each model, by the load.
     const std::map<std::string, std::size_t>* existing = nullptr; ///< Replicas open or being formed.
     std::vector<domain_supply> domains;
     bool only_staged = true; ///< Form only of hosts that hold the model.
@@ -45,8 +45,9 @@
 
 /// Which model each of a domain's free hosts should hold, by host; hosts that need not change are left out.
 ///
-/// `counts` are the domain's replicas by model. Hosts that suffice for a replica are prepared for the one that
-/// needs the fewest loads; the others hold models that the domain's replicas run, evenly, as replacements.
+/// `counts` are the domain's replicas by model. Hosts that suffice for a replica are prepared for the one
+/// that needs the fewest loads; the others hold models that the domain's replicas run, evenly, as
+/// replacements.
 [[nodiscard]] std::map<std::string, std::string>
 plan_staging(const formation_input& input, std::span<const spare_host> free,
              const std::map<std::string, std::size_t>& counts);
--- a/include/coriander/replicas/fleet_host.hpp
+++ b/include/coriander/replicas/listed_host.hpp
@@ -24,16 +24,16 @@
 };
 
 /// An engine's or a plain service's host, as the platform's list and the host itself tell it.
-struct fleet_host {
+struct listed_host {
     std::string id;
     std::string service;
     std::string address; ///< `IP:port`.
     std::string failure_domain;
     std::string fabric_domain;
-    std::uint64_t incarnation = 0;  ///< Wall-clock time of its start, in milliseconds.
-    unsigned slots = 1;             ///< Requests that it runs at once.
-    bool is_leaving = false;        ///< Gets no new work.
-    bool is_ordered = false;        ///< An order is in progress.
+    std::uint64_t incarnation = 0;   ///< Wall-clock time of its start, in milliseconds.
+    unsigned slots = 1;              ///< Requests that it runs at once.
+    bool is_leaving = false;         ///< Gets no new work.
+    bool is_ordered = false;         ///< An order is in progress.
     std::vector<std::string> staged; ///< Models that it can load from its own memory.
     std::optional<replica_part> part;
     bool has_told = false; ///< The host itself told this lately; otherwise it is from the list, which lags.
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -37,7 +37,7 @@
 /// thread, never from within the call. `ask_now` asks over a new connection and waits no longer than told.
 template <typename T>
 concept controller_io = requires(T& io, const domain_key& key, const domain_record& record,
-                                 std::uint64_t version, const fleet_host& host, const host_order& order)
+                                 std::uint64_t version, const listed_host& host, const host_order& order)
 {
     io.commit(key, record, version, std::function<void(commit_state)>{});
     io.order(host, order, std::function<void(order_answer)>{});
@@ -127,12 +127,12 @@
     struct domain_work {
         bool is_committing = false;
         time_ms commit_again_at;
-        std::string due;          ///< What was due when it was last looked at.
+        std::string due; ///< What was due when it was last looked at.
         time_ms due_since;
-        std::map<std::string, sent_order> orders; ///< The last one to each host.
+        std::map<std::string, sent_order> orders;     ///< The last one to each host.
         std::map<std::string, staging_order> staging; ///< Models that hosts are loading.
         std::map<std::string, time_ms> asked;
-        std::map<std::string, time_ms> told; ///< When the question that a host answered last was sent.
+        std::map<std::string, time_ms> told;        ///< When the question that a host answered last was sent.
         std::map<std::string, time_ms> phase_since; ///< Of forming and retiring replicas, with the phase.
         std::set<std::string> finished;
         std::string free_state; ///< As it was logged last.
@@ -140,7 +140,7 @@
         time_ms tokens_at;
     };
 
-    domain_view view_of(const domain_record& record, const std::vector<fleet_host>& hosts,
+    domain_view view_of(const domain_record& record, const std::vector<listed_host>& hosts,
                         const domain_work& work) const
     {
         return {&record, hosts, &this->view.silent(), &work.finished};
@@ -172,8 +172,7 @@
                 this->existing[replica.model] += counts ? 1 : 0;
             }
             const bool is_settled =
-                !this->loads_are_cheap ||
-                now - this->view.last_arrival(key) >= this->settings.arrival_pause;
+                !this->loads_are_cheap || now - this->view.last_arrival(key) >= this->settings.arrival_pause;
             if (is_settled) {
                 input.domains.push_back(this->supply_of(key, record));
             }
@@ -237,8 +236,7 @@
             const auto model = std::find_if(all.begin(), all.end(),
                                             [&](const model_profile& one) { return one.name == name; });
             const bool only_staged = !this->loads_are_cheap;
-            if (model != all.end() &&
-                form_replica(decision.next, view, *model, key.domain, only_staged)) {
+            if (model != all.end() && form_replica(decision.next, view, *model, key.domain, only_staged)) {
                 decision.is_changed = true;
                 decision.reasons.push_back("form " + decision.next.replicas.back().name + " of " + name);
             }
@@ -329,8 +327,8 @@
         for (const auto& order : orders) {
             const auto* host = this->view.find_host(order.host);
             auto& last = work.orders[order.host];
-            const bool is_same = last.kind == order.kind && last.generation == order.generation &&
-                                 last.model == order.model;
+            const bool is_same =
+                last.kind == order.kind && last.generation == order.generation && last.model == order.model;
             const auto pause = this->pause_before_repeat(last);
             if (host == nullptr || last.is_in_flight || (is_same && now - last.at < pause)) {
                 continue;
@@ -362,7 +360,7 @@
         return last.was_unfitting ? this->settings.ask_interval : this->settings.order_repeat;
     }
 
-    void send_order(const fleet_host& host, const host_order& order)
+    void send_order(const listed_host& host, const host_order& order)
     {
         const domain_key key{host.service, host.fabric_domain};
         this->io.order(host, order, [this, key, order](order_answer answer) {
@@ -429,9 +427,8 @@
 
     static bool has_unsettled(const domain_record& record)
     {
-        return std::any_of(record.replicas.begin(), record.replicas.end(), [](const replica_entry& one) {
-            return one.phase != replica_phase::open;
-        });
+        return std::any_of(record.replicas.begin(), record.replicas.end(),
+                           [](const replica_entry& one) { return one.phase != replica_phase::open; });
     }
 
     /// Whether the host's own word is needed on its replica now.
@@ -464,7 +461,7 @@
         }
     }
 
-    void ask(const fleet_host& host, const replica_entry& replica, time_ms now)
+    void ask(const listed_host& host, const replica_entry& replica, time_ms now)
     {
         const domain_key key{host.service, host.fabric_domain};
         const bool is_retiring = replica.phase == replica_phase::retiring;
@@ -482,8 +479,8 @@
     }
 
     /// Has free hosts load the model that they will most likely be asked for.
-    void stage_free_hosts(const relay_service& service, const domain_view& view,
-                          domain_work& work, time_ms now)
+    void stage_free_hosts(const relay_service& service, const domain_view& view, domain_work& work,
+                          time_ms now)
     {
         const auto free = free_hosts(view);
         if (free.empty()) {
@@ -513,7 +510,7 @@
     }
 
     /// The model that the host holds, or was ordered to load and has had no time for yet.
-    std::string held_model(const fleet_host& host, domain_work& work, time_ms now) const
+    std::string held_model(const listed_host& host, domain_work& work, time_ms now) const
     {
         const auto order = work.staging.find(host.id);
         if (order != work.staging.end()) {
@@ -531,7 +528,7 @@
 
     /// Logs how many hosts serve nothing and what they hold, whenever that changes.
     void log_free_hosts(const std::string& service, const domain_view& view,
-                        const std::vector<const fleet_host*>& free, std::size_t to_load, domain_work& work)
+                        const std::vector<const listed_host*>& free, std::size_t to_load, domain_work& work)
     {
         std::map<std::string, std::size_t> staged;
         for (const auto* host : free) {
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -19,7 +19,7 @@
     return domain_key{std::string{row_key.substr(0, slash)}, std::string{row_key.substr(slash + 1)}};
 }
 
-void fleet_view::set_host(const fleet_host& host, time_ms now)
+void fleet_view::set_host(const listed_host& host, time_ms now)
 {
     ++this->changes;
     auto [entry, is_new] = this->known.try_emplace(host.id, host);
@@ -96,7 +96,7 @@
     return found != this->silent_hosts.end() && host != nullptr && host->incarnation == found->second;
 }
 
-const fleet_host* fleet_view::find_host(const std::string& id) const
+const listed_host* fleet_view::find_host(const std::string& id) const
 {
     const auto found = this->known.find(id);
     return found == this->known.end() ? nullptr : &found->second;
@@ -125,9 +125,9 @@
     return {keys.begin(), keys.end()};
 }
 
-std::vector<fleet_host> fleet_view::hosts_of(const domain_key& key) const
+std::vector<listed_host> fleet_view::hosts_of(const domain_key& key) const
 {
-    std::vector<fleet_host> found;
+    std::vector<listed_host> found;
     for (const auto& [id, host] : this->known) {
         if (host.service == key.service && host.fabric_domain == key.domain) {
             found.push_back(host);
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -4,7 +4,7 @@
 #include "coriander/relay/target_board.hpp"
 #include "coriander/replicas/domain_planner.hpp"
 #include "coriander/replicas/domain_record.hpp"
-#include "coriander/replicas/fleet_host.hpp"
+#include "coriander/replicas/listed_host.hpp"
 #include "coriander/time_ms.hpp"
 
 #include <cstdint>
@@ -53,7 +53,7 @@
 class fleet_view {
 public:
     /// Takes a host of the platform's list in.
-    void set_host(const fleet_host& host, time_ms now);
+    void set_host(const listed_host& host, time_ms now);
     /// The list doesn't hold the host any more.
     void remove_host(const std::string& id);
     /// Takes a host's own word in; for a while it goes before the list, which lags.
@@ -67,8 +67,8 @@
     void clear_silent(const std::string& id);
     [[nodiscard]] bool is_silent(const std::string& id) const;
 
-    [[nodiscard]] const fleet_host* find_host(const std::string& id) const;
-    [[nodiscard]] const std::map<std::string, fleet_host>& hosts() const noexcept { return this->known; }
+    [[nodiscard]] const listed_host* find_host(const std::string& id) const;
+    [[nodiscard]] const std::map<std::string, listed_host>& hosts() const noexcept { return this->known; }
     [[nodiscard]] const std::map<std::string, std::uint64_t>& silent() const noexcept
     {
         return this->silent_hosts;
@@ -79,7 +79,7 @@
     /// All domains of a service: of its hosts and of its rows.
     [[nodiscard]] std::vector<domain_key> domains_of(const std::string& service) const;
     /// Copies of the hosts of a domain.
-    [[nodiscard]] std::vector<fleet_host> hosts_of(const domain_key& key) const;
+    [[nodiscard]] std::vector<listed_host> hosts_of(const domain_key& key) const;
     /// When a host of the domain was last seen for the first time.
     [[nodiscard]] time_ms last_arrival(const domain_key& key) const;
 
@@ -95,7 +95,7 @@
 private:
     [[nodiscard]] bool may_serve(const replica_entry& replica) const;
 
-    std::map<std::string, fleet_host> known;
+    std::map<std::string, listed_host> known;
     std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that fell silent.
     std::map<domain_key, versioned_domain> records;
     std::map<domain_key, time_ms> arrivals;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -39,8 +39,8 @@
     gateway(asio::io_context& loop, Io& io, gateway_settings values, relay_dialect dialect,
             gateway_pages pages)
         : loop{loop}, io{io}, values{std::move(values)}, pages{std::move(pages)},
-          relay{loop, std::move(dialect), this->values.failure_domain},
-          control{io, this->fleet, this->values.name},
+          relay{loop, std::move(dialect), this->values.failure_domain}, control{io, this->fleet,
+                                                                                this->values.name},
           stalls{io, this->relay, this->fleet, [this] { this->refresh(); }}, watch_timer{loop},
           control_timer{loop}, peer_timer{loop}, chores_timer{loop}, stop_timer{loop}
     {
@@ -345,8 +345,8 @@
     {
         const auto since = this->relay.clock.now() - this->stopped_at;
         this->relay.refuses_new = since >= stop_accepting;
-        const auto keep_listening = std::min(this->values.directory_ttl * longest_keeping,
-                                             this->values.stop_limit - stop_margin);
+        const auto keep_listening =
+            std::min(this->values.directory_ttl * longest_keeping, this->values.stop_limit - stop_margin);
         const bool is_done = since >= keep_listening && this->relay.open_requests == 0;
         if (is_done || since >= this->values.stop_limit - stop_margin) {
             if (!is_done) {
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -79,8 +79,7 @@
     const auto& retries = section(check, document, "retries");
     check.reject_unknown(retries, {"ratio", "allowance", "window"});
     values.retries.ratio = check.number(retries, "ratio", values.retries.ratio, ratio_range);
-    values.retries.allowance =
-        check.number(retries, "allowance", values.retries.allowance, allowance_range);
+    values.retries.allowance = check.number(retries, "allowance", values.retries.allowance, allowance_range);
     values.retries.window = check.duration(retries, "window", values.retries.window, window_range_ms);
 }
 
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -17,16 +17,16 @@
     std::string failure_domain;
     std::string region;
     std::string ip;
-    std::string callers_address;   ///< `IP:port` where callers' requests arrive.
-    std::string readiness_address; ///< `IP:port` of the readiness page.
-    std::string directory_address; ///< `IP:port` where callers ask which entry hosts to use.
-    std::string metrics_address;   ///< `IP:port`; empty: not served.
-    std::uint16_t peer_port = 0;   ///< The same on all entry hosts.
+    std::string callers_address;    ///< `IP:port` where callers' requests arrive.
+    std::string readiness_address;  ///< `IP:port` of the readiness page.
+    std::string directory_address;  ///< `IP:port` where callers ask which entry hosts to use.
+    std::string metrics_address;    ///< `IP:port`; empty: not served.
+    std::uint16_t peer_port = 0;    ///< The same on all entry hosts.
     std::vector<std::string> seeds; ///< `IP:port` of entry hosts to begin with.
-    std::string store_address;     ///< `IP:port` of the platform's store.
-    bool is_first_start = false;   ///< The whole system starts for the first time.
-    time_ms stop_limit{8000};      ///< From the stop signal to the end of the process.
-    time_ms directory_ttl{2000};   ///< How long callers keep an answer of the directory.
+    std::string store_address;      ///< `IP:port` of the platform's store.
+    bool is_first_start = false;    ///< The whole system starts for the first time.
+    time_ms stop_limit{8000};       ///< From the stop signal to the end of the process.
+    time_ms directory_ttl{2000};    ///< How long callers keep an answer of the directory.
     retry_window_settings retries;
     std::string log_level = "INFO";
 };
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -21,8 +21,8 @@
 /// What all requests of a gateway share. Used on the loop's thread only.
 struct relay_context {
     relay_context(asio::io_context& loop, relay_dialect dialect, std::string failure_domain)
-        : loop{loop}, dialect{std::move(dialect)}, failure_domain{std::move(failure_domain)}, channels{loop},
-          random{std::random_device{}()}
+        : loop{loop}, dialect{std::move(dialect)},
+          failure_domain{std::move(failure_domain)}, channels{loop}, random{std::random_device{}()}
     {
     }
 
--- a/src/gateway/relay_request.cpp
+++ b/src/gateway/relay_request.cpp
@@ -34,8 +34,7 @@
     const auto comma = text.find(',');
     request.prompt_tokens = static_cast<double>(parse_number(text.substr(0, comma)).value_or(0));
     if (comma != std::string_view::npos) {
-        request.most_answer_tokens =
-            static_cast<double>(parse_number(text.substr(comma + 1)).value_or(0));
+        request.most_answer_tokens = static_cast<double>(parse_number(text.substr(comma + 1)).value_or(0));
     }
 }
 
@@ -73,9 +72,12 @@
 
 std::vector<http_header> forwarded_headers(const relay_request& request, const relay_dialect& dialect)
 {
-    const std::array<std::string_view, 7> replaced{dialect.authorization, dialect.customer,
-                                                   dialect.deadline_ms,   dialect.expected_host,
-                                                   dialect.last_event_id, "Content-Length",
+    const std::array<std::string_view, 7> replaced{dialect.authorization,
+                                                   dialect.customer,
+                                                   dialect.deadline_ms,
+                                                   dialect.expected_host,
+                                                   dialect.last_event_id,
+                                                   "Content-Length",
                                                    "Expect"};
     std::vector<http_header> headers;
     const auto& own = request.raw.head.headers;
@@ -119,8 +121,9 @@
 
 const char* name_of(own_answer answer) noexcept
 {
-    constexpr std::array names{"none",       "no_manifest", "no_route", "unknown_key", "no_service",  "no_target",
-                               "overloaded", "stopping",    "not_sent", "unknown_end", "timed_out"};
+    constexpr std::array names{"none",       "no_manifest", "no_route",   "unknown_key",
+                               "no_service", "no_target",   "overloaded", "stopping",
+                               "not_sent",   "unknown_end", "timed_out"};
     return names[static_cast<std::size_t>(answer)];
 }
 
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -16,16 +16,16 @@
 /// Why a request is answered without a target.
 enum class own_answer {
     none,
-    no_manifest,   ///< Nothing is known of routes yet.
+    no_manifest, ///< Nothing is known of routes yet.
     no_route,
     unknown_key,
-    no_service,    ///< The route leads to a service that the manifest doesn't declare.
-    no_target,     ///< No target of the service or model can take it now.
-    overloaded,    ///< It would come too late.
-    stopping,      ///< A planned stop has begun.
-    not_sent,      ///< Attempts failed before anything ran.
-    unknown_end,   ///< It may have run.
-    timed_out,     ///< The time limit passed.
+    no_service,  ///< The route leads to a service that the manifest doesn't declare.
+    no_target,   ///< No target of the service or model can take it now.
+    overloaded,  ///< It would come too late.
+    stopping,    ///< A planned stop has begun.
+    not_sent,    ///< Attempts failed before anything ran.
+    unknown_end, ///< It may have run.
+    timed_out,   ///< The time limit passed.
 };
 
 /// A caller's request, decoded: what routing needs of it.
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -118,15 +118,14 @@
                           this->request.give_up_at - now};
     const auto advice = forecast_admission(input);
     if (!advice.is_admitted) {
-        log_event(event::request_refused,
-                  {{"request", this->request.attempt_id},
-                   {"why", best ? "overloaded" : "no_target"},
-                   {"model", this->request.model},
-                   {"targets", this->state->board.count(this->request.model, now)},
-                   {"load", best ? best->total() : 0.0},
-                   {"slots", best ? best->target.slots : 0},
-                   {"wait", advice.predicted_wait},
-                   {"retry_after", advice.retry_after}});
+        log_event(event::request_refused, {{"request", this->request.attempt_id},
+                                           {"why", best ? "overloaded" : "no_target"},
+                                           {"model", this->request.model},
+                                           {"targets", this->state->board.count(this->request.model, now)},
+                                           {"load", best ? best->total() : 0.0},
+                                           {"slots", best ? best->target.slots : 0},
+                                           {"wait", advice.predicted_wait},
+                                           {"retry_after", advice.retry_after}});
         this->answer(best ? own_answer::overloaded : own_answer::no_target, advice.retry_after);
         return;
     }
@@ -154,8 +153,9 @@
     const auto* service = this->request.routes->find_service(this->request.service);
     const std::string_view model =
         service->engine ? std::string_view{this->request.model} : std::string_view{};
-    return this->state->board.choose({model, this->context.failure_domain, this->tried, this->context.daemons},
-                                     this->context.draw(), this->context.clock.now());
+    return this->state->board.choose(
+        {model, this->context.failure_domain, this->tried, this->context.daemons}, this->context.draw(),
+        this->context.clock.now());
 }
 
 void relay_session::dispatch(const target_choice& choice)
@@ -186,8 +186,7 @@
         this->end_attempt(attempt_end::not_sent, "the target's address can't be used");
         return;
     }
-    this->current.channel->send(this->request_text(choice), *this,
-                                this->request.raw.head.method == "HEAD");
+    this->current.channel->send(this->request_text(choice), *this, this->request.raw.head.method == "HEAD");
 }
 
 std::string relay_session::request_text(const target_choice& choice) const
@@ -246,8 +245,8 @@
     if (this->current.verdict == attempt_end::lost) {
         return; // Somebody else's bytes; the end of the exchange closes the connection.
     }
-    const bool is_stream = this->request.route->is_stream && !this->current.verdict &&
-                           this->current.head.status / 100 == 2;
+    const bool is_stream =
+        this->request.route->is_stream && !this->current.verdict && this->current.head.status / 100 == 2;
     if (is_stream) {
         this->pass_events(bytes);
     }
@@ -289,7 +288,8 @@
     }
     this->answer_has_begun = true;
     this->first_byte_at = this->context.clock.now();
-    this->context.counters.observe("coriander_first_event_seconds", "route=\"" + this->request.route->name + "\"",
+    this->context.counters.observe("coriander_first_event_seconds",
+                                   "route=\"" + this->request.route->name + "\"",
                                    (this->first_byte_at - this->request.raw.arrived).seconds());
     this->caller->begin_stream(head.status, passed_headers(head));
 }
@@ -330,7 +330,8 @@
     const double tokens =
         service->engine ? static_cast<double>(this->events) * service->engine->steps_per_event : 0.0;
     // The wait in the target's queue is left out: the forecast adds it.
-    const auto work_began = this->current.begun_at > time_ms{} ? this->current.begun_at : this->current.sent_at;
+    const auto work_began =
+        this->current.begun_at > time_ms{} ? this->current.begun_at : this->current.sent_at;
     this->state->meters[this->request.model].on_answer(tokens, now - work_began);
     const bool is_stream = this->request.route->is_stream && this->current.head.status / 100 == 2;
     if (!is_stream) {
@@ -370,7 +371,8 @@
 attempt_state relay_session::state_after(attempt_end end)
 {
     const bool was_sent = end != attempt_end::not_sent;
-    const bool has_run = end == attempt_end::failed || end == attempt_end::lost || end == attempt_end::timed_out;
+    const bool has_run =
+        end == attempt_end::failed || end == attempt_end::lost || end == attempt_end::timed_out;
     this->attempts_sent += was_sent ? 1 : 0;
     this->may_have_run = this->may_have_run || has_run;
     attempt_state state;
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -45,7 +45,7 @@
         bool has_begun = false; ///< The head of the answer came.
         bool was_reused = false;
         wire_head head;
-        std::string body; ///< Of answers that are not streams.
+        std::string body;                   ///< Of answers that are not streams.
         std::optional<attempt_end> verdict; ///< Known from the head.
         time_ms sent_at;
         time_ms begun_at;
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -31,9 +31,9 @@
     time_ms unexplained_limit{1500};
 };
 
-/// Finds out why a replica stands still, and has its requests go on elsewhere. A replica stops when one of its
-/// hosts is lost, long before the platform's list tells; its hosts are asked at once, and one that doesn't
-/// answer settles it. Used on the loop's thread only.
+/// Finds out why a replica stands still, and has its requests go on elsewhere. A replica stops when one of
+/// its hosts is lost, long before the platform's list tells; its hosts are asked at once, and one that
+/// doesn't answer settles it. Used on the loop's thread only.
 template <controller_io Io>
 class stall_response {
 public:
@@ -77,8 +77,7 @@
         std::vector<std::string> silent;
     };
 
-    void on_suspect(const std::string& service, service_state& state, const relay_target& target,
-                    time_ms now)
+    void on_suspect(const std::string& service, service_state& state, const relay_target& target, time_ms now)
     {
         auto& asked_at = this->inquiries[target.id];
         if (now - asked_at < this->settings.inquiry_pause) {
@@ -94,7 +93,7 @@
         auto asked = std::make_shared<inquiry>();
         asked->open = replica->hosts.size();
         for (const auto& member : replica->hosts) {
-            fleet_host host;
+            listed_host host;
             const auto* known = this->view.find_host(member.id);
             if (known != nullptr) {
                 host = *known;
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -11,8 +11,8 @@
 
 http_listener::http_listener(asio::io_context& loop, const asio::ip::tcp::endpoint& endpoint,
                              connection_handlers handlers)
-    : acceptor{loop, endpoint, true}, pause{loop},
-      handlers{std::make_shared<connection_handlers>(std::move(handlers))}
+    : acceptor{loop, endpoint, true}, pause{loop}, handlers{std::make_shared<connection_handlers>(
+                                                       std::move(handlers))}
 {
 }
 
@@ -23,23 +23,23 @@
 
 void http_listener::accept_next()
 {
-    this->acceptor.async_accept([self = this->shared_from_this()](const asio::error_code& failed,
-                                                                  asio::ip::tcp::socket socket) {
-        if (!self->acceptor.is_open()) {
-            return;
-        }
-        if (!failed) {
-            std::make_shared<caller_connection>(std::move(socket), self->handlers)->start();
-            self->accept_next();
-            return;
-        }
-        self->pause.expires_after(accept_pause);
-        self->pause.async_wait([self](const asio::error_code& cancelled) {
-            if (!cancelled) {
+    this->acceptor.async_accept(
+        [self = this->shared_from_this()](const asio::error_code& failed, asio::ip::tcp::socket socket) {
+            if (!self->acceptor.is_open()) {
+                return;
+            }
+            if (!failed) {
+                std::make_shared<caller_connection>(std::move(socket), self->handlers)->start();
                 self->accept_next();
+                return;
             }
+            self->pause.expires_after(accept_pause);
+            self->pause.async_wait([self](const asio::error_code& cancelled) {
+                if (!cancelled) {
+                    self->accept_next();
+                }
+            });
         });
-    });
 }
 
 void http_listener::stop()
--- a/src/net/message_parser.cpp
+++ b/src/net/message_parser.cpp
@@ -49,7 +49,8 @@
     constexpr int skip_body = 1;
     this->head.status = this->parser.status_code;
     this->head.keeps_connection = http_should_keep_alive(&this->parser) != 0;
-    this->head.has_framing = (this->parser.flags & F_CHUNKED) != 0 || (this->parser.flags & F_CONTENTLENGTH) != 0;
+    this->head.has_framing =
+        (this->parser.flags & F_CHUNKED) != 0 || (this->parser.flags & F_CONTENTLENGTH) != 0;
     if (this->parsed == side::requests) {
         this->head.method = http_method_str(static_cast<http_method>(this->parser.method));
     }
--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -72,23 +72,22 @@
             self->end(link_end::not_connected);
         }
     });
-    this->socket.async_connect(
-        to, [self, connected = std::move(connected)](const asio::error_code& failed) {
-            if (!self->socket.is_open()) {
-                return;
-            }
-            if (failed) {
-                self->end(link_end::not_connected);
-                return;
-            }
-            self->established = true;
-            self->connect_timer.cancel();
-            if (connected) {
-                connected();
-            }
-            self->start();
-            self->write_some();
-        });
+    this->socket.async_connect(to, [self, connected = std::move(connected)](const asio::error_code& failed) {
+        if (!self->socket.is_open()) {
+            return;
+        }
+        if (failed) {
+            self->end(link_end::not_connected);
+            return;
+        }
+        self->established = true;
+        self->connect_timer.cancel();
+        if (connected) {
+            connected();
+        }
+        self->start();
+        self->write_some();
+    });
 }
 
 void tcp_link::start()
--- a/src/net/wire_message.cpp
+++ b/src/net/wire_message.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> hop_headers{
-    "Connection", "Keep-Alive",       "Proxy-Authenticate", "Proxy-Authorization", "TE",
-    "Trailer",    "Transfer-Encoding", "Upgrade",           "Proxy-Connection"};
+    "Connection",        "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+    "Transfer-Encoding", "Upgrade",    "Proxy-Connection"};
 
 void append_headers(std::string& text, const std::vector<http_header>& headers)
 {
@@ -25,9 +25,8 @@
 
 bool same_name(std::string_view a, std::string_view b) noexcept
 {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
 bool is_hop_header(std::string_view name) noexcept
@@ -38,9 +37,8 @@
 
 std::string_view wire_head::header(std::string_view name) const
 {
-    const auto found = std::find_if(this->headers.begin(), this->headers.end(), [&](const http_header& one) {
-        return same_name(one.name, name);
-    });
+    const auto found = std::find_if(this->headers.begin(), this->headers.end(),
+                                    [&](const http_header& one) { return same_name(one.name, name); });
     return found == this->headers.end() ? std::string_view{} : std::string_view{found->value};
 }
 
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -5,10 +5,10 @@
 namespace coriander {
 namespace {
 
-const fleet_host* find_host(const domain_view& view, std::string_view id)
+const listed_host* find_host(const domain_view& view, std::string_view id)
 {
     const auto found = std::find_if(view.hosts.begin(), view.hosts.end(),
-                                    [&](const fleet_host& host) { return host.id == id; });
+                                    [&](const listed_host& host) { return host.id == id; });
     return found == view.hosts.end() ? nullptr : &*found;
 }
 
@@ -18,13 +18,13 @@
     return found != view.silent->end() && found->second == incarnation;
 }
 
-bool has_part(const fleet_host& host, const replica_entry& replica)
+bool has_part(const listed_host& host, const replica_entry& replica)
 {
     return host.part && host.part->replica == replica.name && host.part->generation == replica.generation;
 }
 
 /// A host that can still be reached as it was when the replica was formed; null otherwise.
-const fleet_host* present_host(const domain_view& view, const replica_host& member)
+const listed_host* present_host(const domain_view& view, const replica_host& member)
 {
     const auto* host = find_host(view, member.id);
     const bool is_present = host != nullptr && host->incarnation == member.incarnation && !member.is_lost &&
@@ -83,8 +83,9 @@
 {
     for (const auto& member : replica.hosts) {
         const auto* host = present_host(view, member);
-        const bool is_ready = host != nullptr && has_part(*host, replica) &&
-                              (host->part->phase == host_phase::ready || host->part->phase == host_phase::open);
+        const bool is_ready =
+            host != nullptr && has_part(*host, replica) &&
+            (host->part->phase == host_phase::ready || host->part->phase == host_phase::open);
         if (!is_ready) {
             return false;
         }
@@ -124,8 +125,12 @@
         decision.reasons.push_back(replica.name + " is open");
     }
     else {
-        decision.orders.push_back({order_kind::open, replica.hosts.front().id, replica.name,
-                                   replica.generation, replica.model, {}});
+        decision.orders.push_back({order_kind::open,
+                                   replica.hosts.front().id,
+                                   replica.name,
+                                   replica.generation,
+                                   replica.model,
+                                   {}});
     }
 }
 
@@ -181,7 +186,7 @@
     }
 }
 
-bool is_staged(const fleet_host& host, const std::string& model)
+bool is_staged(const listed_host& host, const std::string& model)
 {
     return std::find(host.staged.begin(), host.staged.end(), model) != host.staged.end();
 }
@@ -221,9 +226,9 @@
     return decision;
 }
 
-std::vector<const fleet_host*> free_hosts(const domain_view& view)
+std::vector<const listed_host*> free_hosts(const domain_view& view)
 {
-    std::vector<const fleet_host*> found;
+    std::vector<const listed_host*> found;
     for (const auto& host : view.hosts) {
         if (!host.part && !host.is_leaving && !is_silent(view, host.id, host.incarnation) &&
             !is_member(*view.record, host.id)) {
@@ -240,12 +245,12 @@
     current.record = &record;
     auto candidates = free_hosts(current);
     if (only_staged) {
-        std::erase_if(candidates, [&](const fleet_host* host) { return !is_staged(*host, model.name); });
+        std::erase_if(candidates, [&](const listed_host* host) { return !is_staged(*host, model.name); });
     }
     if (candidates.size() < model.hosts_per_replica || model.hosts_per_replica == 0) {
         return false;
     }
-    std::stable_sort(candidates.begin(), candidates.end(), [&](const fleet_host* a, const fleet_host* b) {
+    std::stable_sort(candidates.begin(), candidates.end(), [&](const listed_host* a, const listed_host* b) {
         return is_staged(*a, model.name) > is_staged(*b, model.name);
     });
     replica_entry entry;
--- a/src/replicas/formation_plan.cpp
+++ b/src/replicas/formation_plan.cpp
@@ -116,8 +116,8 @@
 
 std::size_t held_by(std::span<const spare_host> free, const std::string& model)
 {
-    return static_cast<std::size_t>(std::count_if(
-        free.begin(), free.end(), [&](const spare_host& host) { return host.model == model; }));
+    return static_cast<std::size_t>(
+        std::count_if(free.begin(), free.end(), [&](const spare_host& host) { return host.model == model; }));
 }
 
 /// The model of a replica that the hosts suffice for and that needs the fewest loads; null without one.
--- a/src/replicas/replica_demand.cpp
+++ b/src/replicas/replica_demand.cpp
@@ -11,8 +11,8 @@
 
 double step_ms(const engine_profile& engine, double running, double context_tokens)
 {
-    return engine.step_ms + running * (engine.step_ms_per_request +
-                                       engine.step_ms_per_1k_context * context_tokens / 1000.0);
+    return engine.step_ms +
+           running * (engine.step_ms_per_request + engine.step_ms_per_1k_context * context_tokens / 1000.0);
 }
 
 double prompt_ms(const engine_profile& engine, double prompt_tokens)
--- a/test/event_test.cpp
+++ b/test/event_test.cpp
@@ -39,9 +39,11 @@
 TEST_CASE("events: each one is logged somewhere")
 {
     std::string sources;
-    for (const auto& file : std::filesystem::recursive_directory_iterator{CORIANDER_SOURCE_DIR "/src"}) {
-        if (file.is_regular_file()) {
-            sources += read_file(file.path().string()).value_or("");
+    for (const auto* folder : {CORIANDER_SOURCE_DIR "/src", CORIANDER_SOURCE_DIR "/platform"}) {
+        for (const auto& file : std::filesystem::recursive_directory_iterator{folder}) {
+            if (file.is_regular_file()) {
+                sources += read_file(file.path().string()).value_or("");
+            }
         }
     }
     for (const auto& entry : event_catalogue) {
--- /dev/null
+++ b/test/gateway/fleet_view_test.cpp
@@ -0,0 +1,134 @@
+#include "gateway/fleet_view.hpp"
+
+#include "support/fleet_samples.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+constexpr time_ms start = 1'000'000_ms;
+
+/// Four hosts with an open replica of theirs.
+struct view_fixture {
+    view_fixture()
+    {
+        auto replica = samples::replica_of(this->hosts, "d-1", 1, replica_phase::open);
+        for (const auto& host : this->hosts) {
+            this->view.set_host(host, start);
+        }
+        this->view.set_domain({"assistant", "d"}, {"edge", 1, {replica}}, 10);
+    }
+    [[nodiscard]] std::size_t targets() const { return this->view.targets_of(samples::assistant()).size(); }
+
+    std::vector<listed_host> hosts = samples::free_hosts_of("d", 4, "large");
+    fleet_view view;
+};
+
+} // namespace
+
+TEST_CASE("fleet view: an open replica whose hosts are all there is a target, by its leader")
+{
+    const view_fixture fleet;
+    const auto targets = fleet.view.targets_of(samples::assistant());
+    REQUIRE(targets.size() == 1);
+    CHECK(targets[0].id == "d-1");
+    CHECK(targets[0].host == "d-h0");
+    CHECK(targets[0].model == "large");
+    CHECK(targets[0].slots == 26);
+}
+
+TEST_CASE("fleet view: a replica that misses any host is no target")
+{
+    view_fixture fleet;
+    SECTION("gone from the list")
+    {
+        fleet.view.remove_host("d-h3");
+    }
+    SECTION("silent")
+    {
+        fleet.view.mark_silent("d-h3", start);
+    }
+    SECTION("leaving")
+    {
+        fleet.hosts[3].is_leaving = true;
+        fleet.view.set_host(fleet.hosts[3], start);
+    }
+    SECTION("started anew")
+    {
+        fleet.hosts[3].incarnation = 9999;
+        fleet.view.set_host(fleet.hosts[3], start);
+    }
+    SECTION("told that it is broken")
+    {
+        host_status status;
+        status.incarnation = 100;
+        status.part = replica_part{"d-1", 1, host_phase::broken};
+        fleet.view.update_host("d-h0", status, start);
+    }
+    CHECK(fleet.targets() == 0);
+}
+
+TEST_CASE("fleet view: an older row of a domain is ignored")
+{
+    view_fixture fleet;
+    CHECK_FALSE(fleet.view.set_domain({"assistant", "d"}, {}, 9));
+    CHECK(fleet.targets() == 1);
+    CHECK(fleet.view.set_domain({"assistant", "d"}, {}, 11));
+    CHECK(fleet.targets() == 0);
+}
+
+TEST_CASE("fleet view: a host's own word goes before the list until the list must have caught up")
+{
+    view_fixture fleet;
+    host_status status;
+    status.incarnation = 100;
+    status.staged = {"small"};
+    fleet.view.update_host("d-h0", status, start);
+    fleet.view.set_host(fleet.hosts[0], start + 500_ms);
+    CHECK_FALSE(fleet.view.find_host("d-h0")->part);
+    fleet.view.set_host(fleet.hosts[0], start + 5_s);
+    CHECK(fleet.view.find_host("d-h0")->part);
+}
+
+TEST_CASE("fleet view: the word of an earlier start of a host is ignored")
+{
+    view_fixture fleet;
+    host_status status;
+    status.incarnation = 1;
+    fleet.view.update_host("d-h0", status, start);
+    CHECK(fleet.view.find_host("d-h0")->part);
+}
+
+TEST_CASE("fleet view: silence ends with a host's next start")
+{
+    view_fixture fleet;
+    fleet.view.mark_silent("d-h1", start);
+    CHECK(fleet.view.is_silent("d-h1"));
+    fleet.hosts[1].incarnation = 500;
+    fleet.view.set_host(fleet.hosts[1], start);
+    CHECK_FALSE(fleet.view.is_silent("d-h1"));
+}
+
+TEST_CASE("fleet view: hosts of a plain service are targets themselves, unless they leave")
+{
+    fleet_view view;
+    for (auto host : samples::free_hosts_of("", 3)) {
+        host.service = "desk";
+        host.is_leaving = host.id == "-h1";
+        view.set_host(host, start);
+    }
+    relay_service desk;
+    desk.name = "desk";
+    CHECK(view.targets_of(desk).size() == 2);
+}
+
+TEST_CASE("fleet view: keys of rows name service and domain")
+{
+    CHECK(parse_domain_key("a/b/c") == domain_key{"a", "b/c"});
+    CHECK_FALSE(parse_domain_key("ab"));
+    CHECK_FALSE(parse_domain_key("/b"));
+    CHECK_FALSE(parse_domain_key("a/"));
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/gateway/gateway_settings_test.cpp
@@ -0,0 +1,63 @@
+#include "gateway/gateway_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+const std::string good = R"([entry_host]
+name = "edge-1"
+failure_domain = "gent"
+ip = "10.1.0.40"
+callers = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+directory = "10.1.0.40:8224"
+peer_port = 7340
+seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
+first_start = true
+
+[platform]
+store = "10.200.1.7:8223"
+
+[stop]
+limit = "8s"
+
+[directory]
+ttl = "2s"
+
+[retries]
+ratio = 0.2
+allowance = 132
+window = "10s"
+)";
+
+} // namespace
+
+TEST_CASE("gateway settings: what is written is what holds")
+{
+    const auto read = parse_gateway_settings(good, "gateway.toml");
+    CHECK(findings_text(read.faults).empty());
+    CHECK(read.values.name == "edge-1");
+    CHECK(read.values.callers_address == "10.1.0.40:8227");
+    CHECK(read.values.seeds.size() == 2);
+    CHECK(read.values.is_first_start);
+    CHECK(read.values.stop_limit == 8_s);
+    CHECK(read.values.retries.allowance == 132.0);
+    CHECK(read.values.retries.window == 10_s);
+}
+
+TEST_CASE("gateway settings: all faults are reported together, with their places")
+{
+    const auto read = parse_gateway_settings("[entry_host]\nname = 5\nip = \"x\"\ncallers = \"here\"\n"
+                                             "[platform]\nstor = \"a\"\n[stop]\nlimit = \"soon\"\n",
+                                             "gateway.toml");
+    const auto text = findings_text(read.faults);
+    CAPTURE(text);
+    for (const auto* part : {"'callers'", "'name'", "'failure_domain'", "'readiness'", "'stor'", "'store'",
+                             "'limit'", "[directory]", "[retries]", "gateway.toml:4"}) {
+        CAPTURE(part);
+        CHECK(text.find(part) != std::string::npos);
+    }
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/net/caller_connection_test.cpp
@@ -0,0 +1,155 @@
+#include "net/caller_connection.hpp"
+#include "net/http_listener.hpp"
+
+#include "support/event_loop.hpp"
+#include "support/test_caller.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+/// A listener whose requests wait for the test to answer them.
+struct server_fixture {
+    server_fixture()
+    {
+        connection_handlers handlers;
+        handlers.on_request = [this](const std::shared_ptr<caller_connection>& caller, incoming_request one) {
+            this->callers.push_back(caller);
+            this->requests.push_back(std::move(one));
+        };
+        handlers.limits = [this] { return this->limits; };
+        handlers.is_closing = [this] { return this->is_closing; };
+        this->listener = std::make_shared<http_listener>(
+            this->loop.context(), asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}, handlers);
+        this->listener->start();
+    }
+    ~server_fixture() { this->listener->stop(); }
+    server_fixture(const server_fixture&) = delete;
+    server_fixture& operator=(const server_fixture&) = delete;
+
+    bool wait_for_requests(std::size_t count)
+    {
+        return this->loop.run_until([&] { return this->requests.size() >= count; });
+    }
+    bool wait_for_end(const test_caller& caller)
+    {
+        return this->loop.run_until([&] { return caller.end.has_value(); });
+    }
+
+    event_loop loop;
+    connection_limits limits;
+    bool is_closing = false;
+    std::shared_ptr<http_listener> listener;
+    std::vector<std::shared_ptr<caller_connection>> callers;
+    std::vector<incoming_request> requests;
+};
+
+const std::string request_head = "POST /a?x=1 HTTP/1.1\r\nHost: desk.example\r\n";
+
+} // namespace
+
+TEST_CASE("caller connection: a request arrives whole, and its answer goes back")
+{
+    server_fixture server;
+    test_caller caller{server.loop.context(), server.listener->port()};
+    caller.send(request_head + "Content-Length: 5\r\n\r\nhello");
+    REQUIRE(server.wait_for_requests(1));
+    CHECK(server.requests[0].head.target == "/a?x=1");
+    CHECK(server.requests[0].body == "hello");
+    server.callers[0]->send(201, {{"X", "y"}}, "done");
+    REQUIRE(server.wait_for_end(caller));
+    CHECK(caller.head.status == 201);
+    CHECK(caller.head.header("X") == "y");
+    CHECK(caller.body == "done");
+}
+
+TEST_CASE("caller connection: requests sent ahead are answered one after the other")
+{
+    server_fixture server;
+    test_caller caller{server.loop.context(), server.listener->port()};
+    caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    REQUIRE(server.wait_for_requests(1));
+    CHECK(server.requests[0].head.target == "/1");
+    server.callers[0]->send(200, {}, {});
+    REQUIRE(server.wait_for_requests(2));
+    CHECK(server.requests[1].head.target == "/2");
+}
+
+TEST_CASE("caller connection: a caller that leaves is noticed while its answer is pending")
+{
+    server_fixture server;
+    test_caller caller{server.loop.context(), server.listener->port()};
+    caller.send(request_head + "\r\n");
+    REQUIRE(server.wait_for_requests(1));
+    bool is_gone = false;
+    server.callers[0]->on_caller_gone([&] { is_gone = true; });
+    SECTION("before the answer") {}
+    SECTION("in the middle of a stream")
+    {
+        server.callers[0]->begin_stream(200, {});
+        server.callers[0]->append("part");
+    }
+    caller.leave();
+    CHECK(server.loop.run_until([&] { return is_gone; }));
+}
+
+TEST_CASE("caller connection: a stream that is cut does not look whole")
+{
+    server_fixture server;
+    test_caller caller{server.loop.context(), server.listener->port()};
+    caller.send(request_head + "\r\n");
+    REQUIRE(server.wait_for_requests(1));
+    server.callers[0]->begin_stream(200, {});
+    server.callers[0]->append("part");
+    SECTION("cut")
+    {
+        server.callers[0]->abort();
+        REQUIRE(server.wait_for_end(caller));
+        CHECK(*caller.end == exchange_end::lost);
+    }
+    SECTION("ended")
+    {
+        server.callers[0]->append("");
+        server.callers[0]->finish_stream();
+        REQUIRE(server.wait_for_end(caller));
+        CHECK(*caller.end == exchange_end::complete);
+    }
+    CHECK(caller.body == "part");
+}
+
+TEST_CASE("caller connection: what is too large, too slow or no request is answered so")
+{
+    struct row {
+        const char* text;
+        int status;
+    };
+    const auto one =
+        GENERATE(row{"POST / HTTP/1.1\r\nContent-Length: 20\r\n\r\n01234567890123456789", 413},
+                 row{"GET / HTTP/1.1\r\nX: 0123456789012345678901234567890123456789\r\n\r\n", 431},
+                 row{"nonsense\r\n\r\n", 400}, row{"GET / HTTP/1.1\r\nX: ", 408});
+    CAPTURE(one.text);
+    server_fixture server;
+    server.limits = {40, 10, 50_ms, 60_s};
+    test_caller caller{server.loop.context(), server.listener->port()};
+    caller.send(one.text);
+    REQUIRE(server.wait_for_end(caller));
+    CHECK(caller.head.status == one.status);
+    CHECK(caller.head.header("Connection") == "close");
+    CHECK(server.requests.empty());
+}
+
+TEST_CASE("caller connection: during a planned stop the last answer says that the connection closes")
+{
+    server_fixture server;
+    test_caller caller{server.loop.context(), server.listener->port()};
+    caller.send(request_head + "\r\n");
+    REQUIRE(server.wait_for_requests(1));
+    server.is_closing = true;
+    server.callers[0]->send(200, {}, "ok");
+    REQUIRE(server.wait_for_end(caller));
+    CHECK(*caller.end == exchange_end::complete);
+    CHECK(caller.head.header("Connection") == "close");
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/net/http_channel_test.cpp
@@ -0,0 +1,146 @@
+#include "net/channel_pool.hpp"
+#include "net/http_channel.hpp"
+
+#include "support/event_loop.hpp"
+#include "support/scripted_server.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+namespace coriander {
+namespace {
+
+class kept_response : public response_receiver {
+public:
+    void on_response_head(wire_head received) override { this->head = std::move(received); }
+    void on_response_body(std::string_view bytes) override { this->body += bytes; }
+    void on_exchange_end(exchange_end how) override { this->end = how; }
+
+    wire_head head;
+    std::string body;
+    std::optional<exchange_end> end;
+};
+
+const std::string plain_request = "GET / HTTP/1.1\r\n\r\n";
+const std::string short_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Sends one request to a server that answers with `answer` and then maybe closes.
+struct exchange_fixture {
+    explicit exchange_fixture(std::string answer, bool closes = false)
+        : server{this->loop.context(), [answer, closes](tcp_link& link, const std::string& /*request*/) {
+                     link.write(answer);
+                     if (closes) {
+                         link.close_when_sent();
+                     }
+                 }}
+    {
+    }
+
+    exchange_end run()
+    {
+        this->channel = this->pool.acquire(this->server.address(), false);
+        this->channel->send(plain_request, this->response);
+        REQUIRE(this->loop.run_until([this] { return this->response.end.has_value(); }));
+        return *this->response.end;
+    }
+
+    event_loop loop;
+    scripted_server server;
+    channel_pool pool{this->loop.context()};
+    std::shared_ptr<http_channel> channel;
+    kept_response response;
+};
+
+} // namespace
+
+TEST_CASE("http channel: a whole answer leaves a connection that can be used again")
+{
+    exchange_fixture one{short_answer};
+    CHECK(one.run() == exchange_end::complete);
+    CHECK(one.response.body == "ok");
+    CHECK(one.channel->is_reusable());
+    one.pool.release(one.server.address(), one.channel);
+    CHECK(one.pool.acquire(one.server.address(), false) == one.channel);
+}
+
+TEST_CASE("http channel: a fresh connection is asked for and got, whatever is kept")
+{
+    exchange_fixture one{short_answer};
+    (void)one.run();
+    one.pool.release(one.server.address(), one.channel);
+    const auto fresh = one.pool.acquire(one.server.address(), true);
+    CHECK(fresh != one.channel);
+    fresh->close();
+}
+
+TEST_CASE("http channel: bytes after a whole answer belong to no request")
+{
+    exchange_fixture one{short_answer + short_answer};
+    CHECK(one.run() == exchange_end::complete);
+    CHECK(one.response.body == "ok");
+    CHECK_FALSE(one.channel->is_reusable());
+}
+
+TEST_CASE("http channel: a connection that the server closes is not used again")
+{
+    exchange_fixture one{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"};
+    CHECK(one.run() == exchange_end::complete);
+    CHECK_FALSE(one.channel->is_reusable());
+}
+
+TEST_CASE("http channel: an answer that ends early is lost, one without framing ends with its connection")
+{
+    struct row {
+        const char* answer;
+        exchange_end expected;
+    };
+    const auto one =
+        GENERATE(row{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", exchange_end::lost},
+                 row{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", exchange_end::lost},
+                 row{"HTTP/1.1 200 OK\r\n\r\nok", exchange_end::complete}, row{"", exchange_end::lost});
+    CAPTURE(one.answer);
+    exchange_fixture play{one.answer, true};
+    CHECK(play.run() == one.expected);
+    CHECK_FALSE(play.channel->is_reusable());
+}
+
+TEST_CASE("http channel: what is no answer is told as such")
+{
+    exchange_fixture one{"nonsense\r\n\r\n"};
+    CHECK(one.run() == exchange_end::spoiled);
+}
+
+TEST_CASE("http channel: without a listener nothing was sent")
+{
+    event_loop loop;
+    std::string address;
+    {
+        const scripted_server gone{loop.context(), [](tcp_link&, const std::string&) {}};
+        address = gone.address();
+    }
+    channel_pool pool{loop.context()};
+    kept_response response;
+    const auto channel = pool.acquire(address, false);
+    channel->send(plain_request, response);
+    REQUIRE(loop.run_until([&] { return response.end.has_value(); }));
+    CHECK(*response.end == exchange_end::not_sent);
+}
+
+TEST_CASE("http channel: the time that a server keeps connections is understood")
+{
+    exchange_fixture one{"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3, max=9\r\nContent-Length: 0\r\n\r\n"};
+    CHECK(one.run() == exchange_end::complete);
+    CHECK(one.channel->keep_alive() == 3_s);
+}
+
+TEST_CASE("http channel: texts that are no address are told")
+{
+    CHECK(parse_endpoint("127.0.0.1:80").port() == 80);
+    CHECK(parse_endpoint("127.0.0.1").port() == 0);
+    CHECK(parse_endpoint("127.0.0.1:99999").port() == 0);
+    CHECK(parse_endpoint("desk:80").port() == 0);
+    CHECK(parse_endpoint("").port() == 0);
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/net/message_parser_test.cpp
@@ -0,0 +1,112 @@
+#include "net/message_parser.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+class recorded_message : public message_events {
+public:
+    void on_message_head(wire_head head) override { this->head = std::move(head); }
+    void on_message_body(std::string_view bytes) override { this->body += bytes; }
+
+    wire_head head;
+    std::string body;
+};
+
+struct parsed {
+    recorded_message message;
+    message_parser parser{message_parser::side::responses, this->message};
+};
+
+} // namespace
+
+TEST_CASE("message parser: a message ends where it ends, and what follows is not its own")
+{
+    parsed one;
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n";
+    CHECK(one.parser.feed(text) == text.find("HTTP", 5));
+    CHECK(one.parser.is_complete());
+    CHECK(one.message.body == "abc");
+}
+
+TEST_CASE("message parser: chunks are joined, and the last one completes the message")
+{
+    parsed one;
+    one.parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    CHECK_FALSE(one.parser.is_complete());
+    one.parser.feed("2\r\nde\r\n0\r\n\r\n");
+    CHECK(one.parser.is_complete());
+    CHECK(one.message.body == "abcde");
+}
+
+TEST_CASE("message parser: without framing only an orderly end completes the body")
+{
+    parsed one;
+    one.parser.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    CHECK_FALSE(one.message.head.has_framing);
+    CHECK_FALSE(one.parser.is_complete());
+    one.parser.feed_end();
+    CHECK(one.parser.is_complete());
+}
+
+TEST_CASE("message parser: an end before the announced length is not complete")
+{
+    parsed one;
+    one.parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+    one.parser.feed_end();
+    CHECK_FALSE(one.parser.is_complete());
+    CHECK(one.parser.is_broken());
+}
+
+TEST_CASE("message parser: bytes that are no response are told")
+{
+    const auto* const text = GENERATE("hello\r\n\r\n", "SSH-2.0-x\r\n", "\x01\x02\x03\x04");
+    parsed one;
+    one.parser.feed(text);
+    CHECK(one.parser.is_broken());
+}
+
+TEST_CASE("message parser: interim responses are passed over")
+{
+    parsed one;
+    one.parser.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nX: y\r\nContent-Length: 0\r\n\r\n");
+    CHECK(one.parser.is_complete());
+    CHECK(one.message.head.status == 201);
+    CHECK(one.message.head.header("x") == "y");
+}
+
+TEST_CASE("message parser: an answer to HEAD has no body whatever its length says")
+{
+    parsed one;
+    one.parser.begin(true);
+    one.parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    CHECK(one.parser.is_complete());
+}
+
+TEST_CASE("message parser: a head is the same however its bytes are cut")
+{
+    const std::string text = "POST /a/b?x=1 HTTP/1.1\r\nHost: desk.example\r\nX-Long: one two\r\n"
+                             "Content-Length: 2\r\n\r\nok";
+    recorded_message message;
+    message_parser parser{message_parser::side::requests, message};
+    for (const char byte : text) {
+        parser.feed({&byte, 1});
+    }
+    CHECK(parser.is_complete());
+    CHECK(message.head.method == "POST");
+    CHECK(message.head.target == "/a/b?x=1");
+    CHECK(message.head.header("x-long") == "one two");
+    CHECK(message.body == "ok");
+}
+
+TEST_CASE("message parser: the head's size leaves the body out")
+{
+    recorded_message message;
+    message_parser parser{message_parser::side::requests, message};
+    parser.feed("POST / HTTP/1.1\r\nContent-Length: 30000\r\n\r\n" + std::string(30000, 'x'));
+    CHECK(parser.is_complete());
+    CHECK(parser.head_bytes() < 100);
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/platform/platform_reader_test.cpp
@@ -0,0 +1,152 @@
+#include "platform_reader.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace coriander::platform {
+namespace {
+
+const std::string whole_manifest = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r-1", "hostname": "desk.example", "path_prefix": "/a/", "kind": "streaming", "timeout_ms": 8000,
+     "target_latency_ms": 300, "priority": 1, "traffic_split": [{"service": "old", "weight": 90},
+     {"service": "new", "weight": 10}], "max_attempts": 2, "no_auth": false, "resumable": true,
+     "target_gap_ms": 250},
+    {"name": "r-2", "hostname": "desk.example", "path_prefix": "/b/", "kind": "non_idempotent",
+     "service": "plain", "max_attempts": 1, "no_auth": true}],
+  "services": [
+    {"name": "old", "max_conns": 404, "engine": {"slots": 26, "step_ms": 5.95, "per_seq_ms": 0.0445,
+     "read_per_s": 50700.0, "stride": 7, "loads_per_s": 4.5, "form_ms": 300.0,
+     "usual": {"prompt": 1115, "answer": 178},
+     "models": [{"name": "m0", "size": 4, "share": 0.57, "pace": 1.0, "load_s": 16.0, "warm_s": 1.6}]}},
+    {"name": "plain", "health_path": "/healthz"}],
+  "limits": {"max_header_bytes": 16000, "max_body_bytes": 400, "header_timeout_ms": 3000, "idle_timeout_ms": 9000},
+  "tenants": [{"name": "gent", "api_keys": ["k1", "k2"], "priority": 1}]
+})";
+
+const std::string whole_entry = R"({"service": "old", "address": "10.0.0.9:8080", "zone": "gent", "slots": 26,
+  "state": "ready", "seq": 44, "domain": "gent-d0", "staged": ["m0"], "born": 1784637625720,
+  "group": {"name": "g7", "epoch": 12, "rank": 1, "state": "open"}})";
+
+} // namespace
+
+TEST_CASE("platform reader: a manifest's parts arrive where the product keeps them")
+{
+    const auto read = read_manifest_text(whole_manifest);
+    REQUIRE(read.manifest);
+    CHECK(read.faults.empty());
+    const auto& manifest = *read.manifest;
+    CHECK(manifest.version == 7);
+    REQUIRE(manifest.routes.size() == 2);
+    const auto& stream = manifest.routes[0];
+    CHECK(stream.kind == repetition::resumable);
+    CHECK(stream.is_stream);
+    CHECK(stream.needs_customer);
+    CHECK(stream.max_attempts == 2);
+    CHECK(stream.time_limit == 8_s);
+    CHECK(stream.latency_objective == 300_ms);
+    CHECK(stream.gap_objective == 250_ms);
+    REQUIRE(stream.services.size() == 2);
+    CHECK(stream.services[1].weight == 10.0);
+    CHECK(manifest.routes[1].kind == repetition::non_idempotent);
+    CHECK_FALSE(manifest.routes[1].needs_customer);
+    const auto& engine = manifest.services.at("old").engine;
+    REQUIRE(engine);
+    CHECK(engine->slots == 26);
+    CHECK(engine->steps_per_event == 7);
+    CHECK(engine->forming_time == 300_ms);
+    REQUIRE(engine->models.size() == 1);
+    CHECK(engine->models[0].hosts_per_replica == 4);
+    CHECK(engine->models[0].staged_load_time == 1600_ms);
+    CHECK_FALSE(manifest.services.at("plain").engine);
+    CHECK(manifest.limits.max_body_bytes == 400);
+    CHECK(manifest.limits.idle_timeout == 9_s);
+    REQUIRE(manifest.customers.size() == 1);
+    CHECK(manifest.customers[0].keys.size() == 2);
+}
+
+TEST_CASE("platform reader: a stream that may not be resumed may not be repeated")
+{
+    auto text = whole_manifest;
+    const std::string flag = R"("resumable": true,)";
+    text.erase(text.find(flag), flag.size());
+    const auto read = read_manifest_text(text);
+    REQUIRE(read.manifest);
+    CHECK(read.manifest->routes[0].kind == repetition::non_idempotent);
+    CHECK(read.manifest->routes[0].is_stream);
+}
+
+TEST_CASE("platform reader: one bad route is a finding and spoils no other")
+{
+    const auto read = read_manifest_text(
+        R"({"version": 3, "routes": [{"name": "bad"}, 7, {"name": "good", "hostname": "h", "path_prefix": "/",
+        "service": "s", "kind": "idempotent"}, {"name": "odd", "hostname": "h", "path_prefix": "/o/",
+        "service": "s", "kind": "someday"}], "services": "none", "tenants": [1], "later": {"x": 1}})");
+    REQUIRE(read.manifest);
+    REQUIRE(read.manifest->routes.size() == 2);
+    CHECK(read.manifest->routes[0].name == "good");
+    CHECK(read.manifest->routes[1].kind == repetition::non_idempotent);
+    CHECK(read.faults.size() == 2);
+}
+
+TEST_CASE("platform reader: what is no manifest is told, whatever it is")
+{
+    const auto* const text =
+        GENERATE("", "null", "[]", "{}", R"({"version": "7"})", R"({"version": -1})", "\xff\xfe");
+    CAPTURE(text);
+    const auto read = read_manifest_text(text);
+    CHECK_FALSE(read.manifest);
+    CHECK_FALSE(read.faults.empty());
+}
+
+TEST_CASE("platform reader: a host's entry names its place, its start and its part in a replica")
+{
+    const auto host = read_host_entry("i-1", whole_entry);
+    REQUIRE(host);
+    CHECK(host->service == "old");
+    CHECK(host->failure_domain == "gent");
+    CHECK(host->fabric_domain == "gent-d0");
+    CHECK(host->incarnation == 1784637625720);
+    CHECK(host->staged == std::vector<std::string>{"m0"});
+    REQUIRE(host->part);
+    CHECK(host->part->replica == "g7");
+    CHECK(host->part->generation == 12);
+    CHECK(host->part->phase == host_phase::open);
+    CHECK_FALSE(host->is_leaving);
+}
+
+TEST_CASE("platform reader: an entry of another writer names no host to use")
+{
+    const auto* const text =
+        GENERATE("", "17", "{}", R"({"service": "s"})", R"({"service": "s", "address": 5, "state": "ready"})",
+                 R"({"service": "s", "address": "a:1", "state": "dancing"})",
+                 R"({"service": ["s"], "address": "a:1", "state": "ready"})",
+                 R"({"service": "s", "address": "a:1", "state": "ready", "slots": "many"})",
+                 R"({"service": "s", "address": "a:1", "state": "ready", "born": "yesterday"})", "\x80\x81");
+    CAPTURE(text);
+    CHECK_FALSE(read_host_entry("i-1", text));
+}
+
+TEST_CASE("platform reader: a report without a replica says so, other texts are no report")
+{
+    const auto status =
+        read_host_status(R"({"seq": 2, "born": 5, "num_running": 3, "waiting": 1, "group": null})");
+    REQUIRE(status);
+    CHECK_FALSE(status->part);
+    CHECK(status->running == 3);
+    CHECK(status->orders_begun == 2);
+    CHECK_FALSE(read_host_status("{}"));
+    CHECK_FALSE(read_host_status("busy"));
+}
+
+TEST_CASE("platform reader: any bytes are read without harm")
+{
+    rc::prop("random texts", [](const std::string& text) {
+        (void)read_manifest_text(text);
+        (void)read_host_entry("i", text);
+        (void)read_host_status(text);
+    });
+}
+
+} // namespace coriander::platform
--- /dev/null
+++ b/test/relay/attempt_decision_test.cpp
@@ -0,0 +1,96 @@
+#include "coriander/relay/attempt_decision.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace coriander {
+namespace {
+
+attempt_state state_of(attempt_end end, repetition kind)
+{
+    attempt_state state;
+    state.end = end;
+    state.kind = kind;
+    state.attempts_sent = end == attempt_end::not_sent ? 0 : 1;
+    state.max_attempts = 2;
+    state.may_have_run =
+        end == attempt_end::failed || end == attempt_end::lost || end == attempt_end::timed_out;
+    state.is_permitted = true;
+    return state;
+}
+
+} // namespace
+
+TEST_CASE("attempt decision: each end of a first attempt, by what may be repeated")
+{
+    struct row {
+        attempt_end end;
+        repetition kind;
+        next_step expected;
+    };
+    const auto one =
+        GENERATE(row{attempt_end::not_sent, repetition::non_idempotent, next_step::try_again},
+                 row{attempt_end::declined, repetition::non_idempotent, next_step::try_again},
+                 row{attempt_end::failed, repetition::non_idempotent, next_step::pass_failure},
+                 row{attempt_end::lost, repetition::non_idempotent, next_step::report_unknown},
+                 row{attempt_end::timed_out, repetition::non_idempotent, next_step::report_time_out},
+                 row{attempt_end::failed, repetition::idempotent, next_step::try_again},
+                 row{attempt_end::lost, repetition::idempotent, next_step::try_again},
+                 row{attempt_end::timed_out, repetition::idempotent, next_step::report_time_out},
+                 row{attempt_end::lost, repetition::resumable, next_step::try_again});
+    CAPTURE(name_of(one.end), static_cast<int>(one.kind));
+    CHECK(std::string{name_of(decide_next(state_of(one.end, one.kind)))} == name_of(one.expected));
+}
+
+TEST_CASE("attempt decision: a begun stream goes on elsewhere or is visibly cut")
+{
+    auto state = state_of(attempt_end::lost, repetition::resumable);
+    state.answer_has_begun = true;
+    CHECK(decide_next(state) == next_step::resume);
+    state.is_permitted = false;
+    CHECK(decide_next(state) == next_step::break_off);
+    state = state_of(attempt_end::lost, repetition::non_idempotent);
+    state.answer_has_begun = true;
+    CHECK(decide_next(state) == next_step::break_off);
+}
+
+TEST_CASE("attempt decision: the number of attempts is kept")
+{
+    auto state = state_of(attempt_end::declined, repetition::idempotent);
+    state.attempts_sent = 2;
+    CHECK(decide_next(state) == next_step::refuse);
+    state = state_of(attempt_end::lost, repetition::idempotent);
+    state.attempts_sent = 2;
+    CHECK(decide_next(state) == next_step::report_unknown);
+}
+
+TEST_CASE("attempt decision: whatever happened, 'not run' is said only of what can't have run")
+{
+    rc::prop("any state", [](bool begun, bool run, bool permitted) {
+        attempt_state state;
+        state.end = *rc::gen::element(attempt_end::not_sent, attempt_end::declined, attempt_end::failed,
+                                      attempt_end::lost, attempt_end::timed_out);
+        state.kind =
+            *rc::gen::element(repetition::idempotent, repetition::non_idempotent, repetition::resumable);
+        state.attempts_sent = *rc::gen::inRange(0U, 4U);
+        state.max_attempts = *rc::gen::inRange(1U, 4U);
+        const bool has_run_now = state.end != attempt_end::not_sent && state.end != attempt_end::declined;
+        state.may_have_run = run || has_run_now;
+        state.answer_has_begun = begun;
+        state.is_permitted = permitted;
+        const auto step = decide_next(state);
+        if (step == next_step::refuse) {
+            RC_ASSERT(!state.may_have_run);
+        }
+        if (step == next_step::try_again || step == next_step::resume) {
+            RC_ASSERT(permitted);
+            RC_ASSERT(state.attempts_sent < state.max_attempts);
+            RC_ASSERT(state.kind != repetition::non_idempotent || !state.may_have_run);
+        }
+        if (begun) {
+            RC_ASSERT(step == next_step::resume || step == next_step::break_off);
+        }
+    });
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/replicas/domain_planner_test.cpp
@@ -0,0 +1,213 @@
+#include "coriander/replicas/domain_planner.hpp"
+
+#include "support/fleet_samples.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace coriander {
+namespace {
+
+/// A domain of nine hosts, the first four of which are an open replica.
+struct domain_fixture {
+    domain_fixture()
+    {
+        std::vector<listed_host> members(this->hosts.begin(), this->hosts.begin() + 4);
+        this->record.last_generation = 5;
+        this->record.replicas.push_back(samples::replica_of(members, "d-5", 5, replica_phase::open));
+        std::copy(members.begin(), members.end(), this->hosts.begin());
+    }
+
+    [[nodiscard]] domain_view view() const
+    {
+        return {&this->record, this->hosts, &this->silent, &this->finished};
+    }
+    [[nodiscard]] domain_decision decide() const { return follow_domain(this->view()); }
+
+    /// Orders of a kind, as text.
+    [[nodiscard]] std::vector<std::string> ordered(order_kind kind) const
+    {
+        std::vector<std::string> found;
+        for (const auto& order : this->decide().orders) {
+            if (order.kind == kind) {
+                found.push_back(order.host);
+            }
+        }
+        return found;
+    }
+
+    std::vector<listed_host> hosts = samples::free_hosts_of("d", 9, "large");
+    domain_record record;
+    std::map<std::string, std::uint64_t> silent;
+    std::set<std::string> finished;
+};
+
+using names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("domain planner: a sound open replica is left alone")
+{
+    const domain_fixture domain;
+    CHECK_FALSE(domain.decide().is_due());
+}
+
+TEST_CASE("domain planner: a replica that lost a host is dissolved at once, however the loss is known")
+{
+    domain_fixture domain;
+    SECTION("the host left the list")
+    {
+        domain.hosts.erase(domain.hosts.begin() + 2);
+    }
+    SECTION("the host started anew")
+    {
+        domain.hosts[2].incarnation = 999;
+    }
+    SECTION("the host does not answer")
+    {
+        domain.silent["d-h2"] = 102;
+    }
+    const auto decision = domain.decide();
+    CHECK(decision.is_changed);
+    CHECK(decision.has_loss);
+    REQUIRE(decision.next.replicas.size() == 1);
+    CHECK(decision.next.replicas[0].phase == replica_phase::dissolving);
+    CHECK(decision.next.replicas[0].hosts[2].is_lost);
+}
+
+TEST_CASE("domain planner: silence of an earlier start of a host is forgotten")
+{
+    domain_fixture domain;
+    domain.silent["d-h2"] = 1;
+    CHECK_FALSE(domain.decide().is_due());
+}
+
+TEST_CASE("domain planner: hosts of a dissolving replica leave it before they are free")
+{
+    domain_fixture domain;
+    domain.record.replicas[0].phase = replica_phase::dissolving;
+    domain.record.replicas[0].hosts[1].is_lost = true;
+    CHECK(domain.ordered(order_kind::leave) == names{"d-h0", "d-h2", "d-h3"});
+    CHECK_FALSE(domain.decide().is_changed);
+    CHECK(free_hosts(domain.view()).size() == 5);
+    for (auto& host : domain.hosts) {
+        host.part.reset();
+    }
+    CHECK(domain.decide().is_changed);
+    CHECK(domain.decide().next.replicas.empty());
+}
+
+TEST_CASE("domain planner: an open replica is not given up because the list tells otherwise")
+{
+    domain_fixture domain;
+    domain.hosts[1].part = replica_part{"d-4", 4, host_phase::ready};
+    domain.hosts[1].has_told = false;
+    CHECK_FALSE(domain.decide().is_changed);
+    CHECK(domain.decide().doubts == names{"d-h1"});
+    domain.hosts[1].has_told = true;
+    CHECK(domain.decide().is_changed);
+    CHECK_FALSE(domain.decide().has_loss);
+}
+
+TEST_CASE("domain planner: a replica retires when a host will leave, and goes when its work has ended")
+{
+    domain_fixture domain;
+    domain.hosts[3].is_leaving = true;
+    auto decision = domain.decide();
+    REQUIRE(decision.is_changed);
+    CHECK(decision.next.replicas[0].phase == replica_phase::retiring);
+    domain.record = decision.next;
+    CHECK_FALSE(domain.decide().is_due());
+    domain.finished.insert("d-5");
+    CHECK(domain.decide().next.replicas[0].phase == replica_phase::dissolving);
+}
+
+TEST_CASE("domain planner: forming orders joins, then the leader to open, then counts as open")
+{
+    domain_fixture domain;
+    domain.record.replicas[0].phase = replica_phase::forming;
+    for (int i = 0; i < 4; ++i) {
+        domain.hosts[static_cast<std::size_t>(i)].part.reset();
+    }
+    CHECK(domain.ordered(order_kind::join) == names{"d-h0", "d-h1", "d-h2", "d-h3"});
+    for (std::size_t i = 0; i < 4; ++i) {
+        domain.hosts[i].part = replica_part{"d-5", 5, host_phase::joining};
+    }
+    CHECK_FALSE(domain.decide().is_due());
+    for (std::size_t i = 0; i < 4; ++i) {
+        domain.hosts[i].part->phase = host_phase::ready;
+    }
+    CHECK(domain.ordered(order_kind::open) == names{"d-h0"});
+    domain.hosts[0].part->phase = host_phase::open;
+    CHECK(domain.decide().next.replicas[0].phase == replica_phase::open);
+}
+
+TEST_CASE("domain planner: a replica is never opened while a host is not ready in this generation")
+{
+    domain_fixture domain;
+    domain.record.replicas[0].phase = replica_phase::forming;
+    for (std::size_t i = 0; i < 4; ++i) {
+        domain.hosts[i].part = replica_part{"d-5", 5, host_phase::ready};
+    }
+    SECTION("one still loads")
+    {
+        domain.hosts[3].part->phase = host_phase::joining;
+    }
+    SECTION("one is ready in an older generation")
+    {
+        domain.hosts[3].part->generation = 4;
+    }
+    SECTION("one has no part")
+    {
+        domain.hosts[3].part.reset();
+    }
+    CHECK(domain.ordered(order_kind::open).empty());
+}
+
+TEST_CASE("domain planner: a host is ordered out of another replica before it joins")
+{
+    domain_fixture domain;
+    domain.record.replicas[0].phase = replica_phase::forming;
+    domain.hosts[1].part = replica_part{"d-3", 3, host_phase::open};
+    CHECK(domain.ordered(order_kind::leave) == names{"d-h1"});
+    CHECK(domain.ordered(order_kind::join).empty());
+}
+
+TEST_CASE("domain planner: hosts in replicas that no record names are ordered out and not used before")
+{
+    domain_fixture domain;
+    domain.hosts[8].part = replica_part{"d-2", 2, host_phase::open};
+    CHECK(domain.ordered(order_kind::leave) == names{"d-h8"});
+    CHECK(free_hosts(domain.view()).size() == 4);
+}
+
+TEST_CASE("domain planner: a replica is formed of hosts that hold the model, in a new generation")
+{
+    domain_fixture domain;
+    domain.hosts[4].staged = {"small"};
+    const auto models = samples::two_models();
+    auto next = domain.record;
+    REQUIRE(form_replica(next, domain.view(), models[0], "d", true));
+    CHECK(next.last_generation == 6);
+    REQUIRE(next.replicas.size() == 2);
+    CHECK(next.replicas[1].name == "d-6");
+    names members;
+    for (const auto& host : next.replicas[1].hosts) {
+        members.push_back(host.id);
+    }
+    CHECK(members == names{"d-h5", "d-h6", "d-h7", "d-h8"});
+    CHECK_FALSE(form_replica(next, domain.view(), models[0], "d", true));
+}
+
+TEST_CASE("domain planner: leaving and silent hosts are not used for new replicas")
+{
+    domain_fixture domain;
+    domain.hosts[5].is_leaving = true;
+    domain.silent["d-h6"] = 106;
+    auto next = domain.record;
+    CHECK_FALSE(form_replica(next, domain.view(), samples::two_models()[0], "d", false));
+    CHECK(form_replica(next, domain.view(), samples::two_models()[1], "d", false));
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/replicas/formation_plan_test.cpp
@@ -0,0 +1,159 @@
+#include "coriander/replicas/formation_plan.hpp"
+#include "coriander/replicas/replica_demand.hpp"
+
+#include "support/fleet_samples.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace coriander {
+namespace {
+
+struct plan_fixture {
+    std::vector<model_profile> models = samples::two_models();
+    std::map<std::string, double> needed{{"large", 5.0}, {"small", 4.0}};
+    std::map<std::string, std::size_t> existing;
+    std::vector<domain_supply> domains;
+    bool only_staged = false;
+
+    [[nodiscard]] formation_input input() const
+    {
+        return {this->models, &this->needed, &this->existing, this->domains, this->only_staged};
+    }
+
+    [[nodiscard]] std::map<std::string, std::size_t> formed() const
+    {
+        std::map<std::string, std::size_t> counts;
+        for (const auto& [domain, names] : plan_formation(this->input())) {
+            for (const auto& name : names) {
+                ++counts[name];
+            }
+        }
+        return counts;
+    }
+};
+
+using spares = std::vector<spare_host>;
+using stagings = std::map<std::string, std::string>;
+
+} // namespace
+
+TEST_CASE("formation plan: domains are filled with few hosts left over, models by their need")
+{
+    plan_fixture plan;
+    for (int i = 0; i < 6; ++i) {
+        plan.domains.push_back({"d" + std::to_string(i), 9, {}});
+    }
+    const auto counts = plan.formed();
+    CHECK(counts.at("large") * 4 + counts.at("small") * 3 >= 50);
+    CHECK(counts.at("large") >= counts.at("small"));
+}
+
+TEST_CASE("formation plan: what is short of replicas comes first")
+{
+    plan_fixture plan;
+    plan.domains = {{"d", 4, {}}};
+    plan.existing = {{"large", 6}, {"small", 1}};
+    CHECK(plan_formation(plan.input()) == formation{{"d", {"small"}}});
+    plan.existing = {{"large", 1}, {"small", 6}};
+    CHECK(plan_formation(plan.input()) == formation{{"d", {"large"}}});
+}
+
+TEST_CASE("formation plan: with loads dear only hosts that hold the model count")
+{
+    plan_fixture plan;
+    plan.only_staged = true;
+    plan.domains = {{"d", 9, {{"large", 3}, {"small", 2}}}};
+    CHECK(plan_formation(plan.input()).empty());
+    plan.domains = {{"d", 9, {{"large", 3}, {"small", 3}}}};
+    CHECK(plan_formation(plan.input()) == formation{{"d", {"small"}}});
+}
+
+TEST_CASE("formation plan: never more hosts than a domain has")
+{
+    rc::prop("random supplies", []() {
+        plan_fixture plan;
+        const auto count = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < count; ++i) {
+            const auto free = *rc::gen::inRange<std::size_t>(0, 20);
+            const auto large = *rc::gen::inRange<std::size_t>(0, free + 1);
+            plan.domains.push_back(
+                {"d" + std::to_string(i), free, {{"large", large}, {"small", free - large}}});
+        }
+        plan.only_staged = *rc::gen::arbitrary<bool>();
+        for (const auto& [name, formed] : plan_formation(plan.input())) {
+            std::map<std::string, std::size_t> used;
+            for (const auto& model : formed) {
+                used[model] += model == "large" ? 4 : 3;
+            }
+            const auto& domain = *std::find_if(plan.domains.begin(), plan.domains.end(),
+                                               [&](const domain_supply& one) { return one.domain == name; });
+            RC_ASSERT(used["large"] + used["small"] <= domain.free);
+            if (plan.only_staged) {
+                RC_ASSERT(used["large"] <= domain.staged.at("large"));
+                RC_ASSERT(used["small"] <= domain.staged.at("small"));
+            }
+        }
+    });
+}
+
+TEST_CASE("formation plan: usable hosts are what replicas of these sizes can take")
+{
+    const auto models = samples::two_models();
+    CHECK(usable_hosts(2, models) == 0);
+    CHECK(usable_hosts(5, models) == 4);
+    CHECK(usable_hosts(6, models) == 6);
+    CHECK(usable_hosts(9, models) == 9);
+}
+
+TEST_CASE(
+    "staging plan: a replica is completed with the fewest loads, and a left-over host replaces its hosts")
+{
+    plan_fixture plan;
+    const spares free{{"a", "large"}, {"b", "large"}, {"c", "large"}, {"d", "small"}, {"e", ""}};
+    CHECK(plan_staging(plan.input(), free, {}) == stagings{{"d", "large"}, {"e", "large"}});
+}
+
+TEST_CASE("staging plan: a plan that is being carried out does not change")
+{
+    plan_fixture plan;
+    const spares free{{"a", "small"}, {"b", ""}, {"c", ""}};
+    const auto first = plan_staging(plan.input(), free, {});
+    CHECK(first == stagings{{"b", "small"}, {"c", "small"}});
+    const spares loading{{"a", "small"}, {"b", "small"}, {"c", "small"}};
+    CHECK(plan_staging(plan.input(), loading, {}).empty());
+}
+
+TEST_CASE("staging plan: replacements are spread evenly over the models that the domain runs")
+{
+    plan_fixture plan;
+    const std::map<std::string, std::size_t> running{{"large", 1}, {"small", 1}};
+    CHECK(plan_staging(plan.input(), spares{{"a", ""}, {"b", ""}}, running) ==
+          stagings{{"a", "large"}, {"b", "small"}});
+    CHECK(plan_staging(plan.input(), spares{{"a", "large"}, {"b", ""}}, running) == stagings{{"b", "small"}});
+    CHECK(plan_staging(plan.input(), spares{{"a", "other"}}, running) == stagings{{"a", "large"}});
+}
+
+TEST_CASE("replica demand: a request's cost grows with its tokens and with the model's pace")
+{
+    const auto service = samples::assistant();
+    const auto& engine = *service.engine;
+    const double usual = request_cost_ms(engine, engine.models[0], 1000.0, 100.0);
+    CHECK(usual > 0.0);
+    CHECK(request_cost_ms(engine, engine.models[0], 2000.0, 100.0) > usual);
+    CHECK(request_cost_ms(engine, engine.models[0], 1000.0, 200.0) > usual);
+    CHECK(request_cost_ms(engine, engine.models[1], 1000.0, 100.0) == Approx(0.6 * usual));
+}
+
+TEST_CASE("replica demand: the declared shares count until a load was measured")
+{
+    const auto service = samples::assistant();
+    const auto declared = needed_replicas(*service.engine, {});
+    CHECK(declared.at("large") == Approx(0.6));
+    const auto measured = needed_replicas(*service.engine, {{"small", {80.0, 700.0, 220.0}}});
+    CHECK(measured.at("large") == 0.0);
+    CHECK(measured.at("small") > 2.0);
+    CHECK(measured.at("small") < 6.0);
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/support/event_loop.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+
+#include <chrono>
+
+namespace coriander {
+
+/// An event loop that a test drives.
+class event_loop {
+public:
+    [[nodiscard]] asio::io_context& context() noexcept { return this->loop; }
+
+    /// Runs until the condition holds; false after a time that only a fault can take.
+    template <typename Condition>
+    bool run_until(Condition is_met)
+    {
+        constexpr std::chrono::seconds fault_limit{20};
+        const auto deadline = std::chrono::steady_clock::now() + fault_limit;
+        while (!is_met()) {
+            if (std::chrono::steady_clock::now() > deadline) {
+                return false;
+            }
+            this->loop.restart();
+            this->loop.run_one_for(std::chrono::milliseconds{20});
+        }
+        return true;
+    }
+
+private:
+    asio::io_context loop{1};
+};
+
+} // namespace coriander
--- /dev/null
+++ b/test/support/fake_controller_io.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "gateway/fleet_controller.hpp"
+#include "gateway/fleet_view.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace coriander {
+
+/// A row of a domain as several controllers share it.
+struct shared_row {
+    domain_record record;
+    std::uint64_t version = 0;
+};
+
+/// The outside of a controller in memory: rows with versions, and hosts that obey orders. Callbacks are kept
+/// until `deliver`, so that a test decides what happens between a question and its answer.
+class fake_controller_io {
+public:
+    /// The table and the hosts, shared by all daemons of a test.
+    struct world {
+        std::map<std::string, shared_row> rows;
+        std::map<std::string, listed_host> hosts;
+        std::vector<std::string> daemons;
+        std::vector<host_order> orders; ///< As they were carried out.
+        std::uint64_t last_version = 0;
+        std::vector<std::string> unreachable; ///< Hosts that don't answer.
+        unsigned joined_twice = 0;            ///< Joins of hosts that still belonged to another replica.
+    };
+
+    explicit fake_controller_io(world& shared) : shared{shared} {}
+
+    void commit(const domain_key& key, const domain_record& record, std::uint64_t version,
+                std::function<void(commit_state)> done)
+    {
+        this->pending.push_back([this, key, record, version, done] {
+            if (!this->reaches_table) {
+                done(commit_state::not_applied);
+                return;
+            }
+            auto& row = this->shared.rows[key.row_key()];
+            if (row.version != version) {
+                done(commit_state::conflict);
+                return;
+            }
+            row = {record, ++this->shared.last_version};
+            if (this->loses_answers) {
+                done(commit_state::unknown);
+                return;
+            }
+            done(commit_state::applied);
+        });
+    }
+
+    void order(const listed_host& host, const host_order& order, std::function<void(order_answer)> done)
+    {
+        this->pending.push_back([this, id = host.id, order, done] { done(this->carry_out(id, order)); });
+    }
+
+    void ask(const listed_host& host, std::function<void(std::optional<host_status>)> done)
+    {
+        this->pending.push_back([this, id = host.id, done] {
+            if (!this->answers(id)) {
+                done(std::nullopt);
+                return;
+            }
+            const auto& known = this->shared.hosts.at(id);
+            host_status status;
+            status.incarnation = known.incarnation;
+            status.staged = known.staged;
+            status.part = known.part;
+            done(status);
+        });
+    }
+
+    void ask_now(const listed_host& host, time_ms /*limit*/,
+                 std::function<void(std::optional<host_status>)> done)
+    {
+        this->ask(host, std::move(done));
+    }
+
+    [[nodiscard]] std::vector<std::string> daemons() const { return this->shared.daemons; }
+
+    /// Calls back for everything asked so far.
+    void deliver()
+    {
+        for (const auto& answer : std::exchange(this->pending, {})) {
+            answer();
+        }
+    }
+    /// Forgets what was asked: this daemon was killed.
+    void drop() { this->pending.clear(); }
+
+    bool reaches_table = true;
+    bool loses_answers = false;
+
+private:
+    [[nodiscard]] bool answers(const std::string& id) const
+    {
+        const auto& gone = this->shared.unreachable;
+        return this->shared.hosts.contains(id) && std::find(gone.begin(), gone.end(), id) == gone.end();
+    }
+
+    order_answer carry_out(const std::string& id, const host_order& order)
+    {
+        if (!this->answers(id)) {
+            return order_answer::unanswered;
+        }
+        auto& host = this->shared.hosts.at(id);
+        const bool is_part =
+            host.part && host.part->replica == order.replica && host.part->generation == order.generation;
+        if (order.kind == order_kind::join) {
+            this->shared.joined_twice += host.part && !is_part ? 1 : 0;
+            host.part = replica_part{order.replica, order.generation, host_phase::ready};
+            host.staged = {order.model};
+        }
+        else if (order.kind == order_kind::stage) {
+            host.staged = {order.model};
+        }
+        else if (!is_part) {
+            return order_answer::unfitting;
+        }
+        else if (order.kind == order_kind::open) {
+            host.part->phase = host_phase::open;
+        }
+        else {
+            host.part.reset();
+        }
+        this->shared.orders.push_back(order);
+        return order_answer::accepted;
+    }
+
+    world& shared;
+    std::vector<std::function<void()>> pending;
+};
+
+static_assert(controller_io<fake_controller_io>);
+
+} // namespace coriander
--- /dev/null
+++ b/test/support/test_caller.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "net/http_channel.hpp"
+
+#include <asio/io_context.hpp>
+
+#include <optional>
+#include <string>
+
+namespace coriander {
+
+/// A caller on a connection of its own that keeps what it receives.
+class test_caller : public response_receiver {
+public:
+    test_caller(asio::io_context& loop, std::uint16_t port) : channel{std::make_shared<http_channel>(loop)}
+    {
+        constexpr time_ms limit = 5_s;
+        this->channel->connect({asio::ip::make_address("127.0.0.1"), port}, limit);
+    }
+    ~test_caller() override { this->channel->close(); }
+    test_caller(const test_caller&) = delete;
+    test_caller& operator=(const test_caller&) = delete;
+
+    void send(const std::string& request)
+    {
+        this->end.reset();
+        this->body.clear();
+        this->channel->send(request, *this);
+    }
+    void leave() { this->channel->close(); }
+
+    void on_response_head(wire_head received) override { this->head = std::move(received); }
+    void on_response_body(std::string_view bytes) override { this->body += bytes; }
+    void on_exchange_end(exchange_end how) override { this->end = how; }
+
+    wire_head head;
+    std::string body;
+    std::optional<exchange_end> end;
+
+private:
+    std::shared_ptr<http_channel> channel;
+};
+
+} // namespace coriander
