--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -92,9 +92,9 @@
     void set_cheap_loads(bool are_cheap) { this->loads_are_cheap = are_cheap; }
 
     /// Replicas that each model of a service needs, by the load.
-    void set_needed(const std::string& service, std::map<std::string, double> needed)
+    void set_needed(const std::string& service, const std::map<std::string, double>& replicas)
     {
-        this->needed[service] = std::move(needed);
+        this->needed[service] = replicas;
     }
 
     /// Does what is due in all domains of the service. Returns when to call again at the latest.
@@ -492,6 +492,7 @@
         }
         const auto input = this->formation_of(service, now);
         std::vector<spare_host> spares;
+        spares.reserve(free.size());
         for (const auto* host : free) {
             spares.push_back({host->id, this->held_model(*host, work, now)});
         }
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-gateway_peers::gateway_peers(asio::io_context& loop, member_identity self, std::uint16_t port,
+gateway_peers::gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                              std::vector<std::string> seeds, on_manifest manifest)
     : loop{loop}, seeds{std::move(seeds)}, manifest{std::move(manifest)}, members{self,
                                                                                   settings_of_members()},
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -24,7 +24,7 @@
     using on_manifest = std::function<void(std::uint64_t version, const std::string& text)>;
 
     /// Listens on the identity's address and `port`. Throws `std::system_error` when it can't be bound.
-    gateway_peers(asio::io_context& loop, member_identity self, std::uint16_t port,
+    gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                   std::vector<std::string> seeds, on_manifest manifest);
 
     /// Learns of another gateway from the table.
--- a/test/net/http_channel_test.cpp
+++ b/test/net/http_channel_test.cpp
@@ -27,7 +27,7 @@
 
 /// Sends one request to a server that answers with `answer` and then maybe closes.
 struct exchange_fixture {
-    explicit exchange_fixture(std::string answer, bool closes = false)
+    explicit exchange_fixture(const std::string& answer, bool closes = false)
         : server{this->loop.context(), [answer, closes](tcp_link& link, const std::string& /*request*/) {
                      link.write(answer);
                      if (closes) {
--- a/test/replicas/formation_plan_test.cpp
+++ b/test/replicas/formation_plan_test.cpp
@@ -86,8 +86,9 @@
             for (const auto& model : formed) {
                 used[model] += model == "large" ? 4 : 3;
             }
-            const auto& domain = *std::find_if(plan.domains.begin(), plan.domains.end(),
-                                               [&](const domain_supply& one) { return one.domain == name; });
+            const auto& domain =
+                *std::find_if(plan.domains.begin(), plan.domains.end(),
+                              [&, wanted = name](const domain_supply& one) { return one.domain == wanted; });
             RC_ASSERT(used["large"] + used["small"] <= domain.free);
             if (plan.only_staged) {
                 RC_ASSERT(used["large"] <= domain.staged.at("large"));
--- a/test/support/fake_controller_io.hpp
+++ b/test/support/fake_controller_io.hpp
@@ -37,7 +37,7 @@
     explicit fake_controller_io(world& shared) : shared{shared} {}
 
     void commit(const domain_key& key, const domain_record& record, std::uint64_t version,
-                std::function<void(commit_state)> done)
+                const std::function<void(commit_state)>& done)
     {
         this->pending.push_back([this, key, record, version, done] {
             if (!this->reaches_table) {
@@ -58,12 +58,13 @@
         });
     }
 
-    void order(const listed_host& host, const host_order& order, std::function<void(order_answer)> done)
+    void order(const listed_host& host, const host_order& order,
+               const std::function<void(order_answer)>& done)
     {
         this->pending.push_back([this, id = host.id, order, done] { done(this->carry_out(id, order)); });
     }
 
-    void ask(const listed_host& host, std::function<void(std::optional<host_status>)> done)
+    void ask(const listed_host& host, const std::function<void(std::optional<host_status>)>& done)
     {
         this->pending.push_back([this, id = host.id, done] {
             if (!this->answers(id)) {
@@ -80,9 +81,9 @@
     }
 
     void ask_now(const listed_host& host, time_ms /*limit*/,
-                 std::function<void(std::optional<host_status>)> done)
+                 const std::function<void(std::optional<host_status>)>& done)
     {
-        this->ask(host, std::move(done));
+        this->ask(host, done);
     }
 
     [[nodiscard]] std::vector<std::string> daemons() const { return this->shared.daemons; }
