--- /dev/null
+++ b/testing/platform/standin_fleet_main.cpp
@@ -0,0 +1,161 @@
+#include "platform/standin_host.hpp"
+#include "platform/standin_store.hpp"
+
+#include "coriander/replicas/domain_record.hpp"
+#include "runtime/command_line.hpp"
+
+#include <asio/io_context.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DEFINE_int32(domains, 2, "fabric domains of the engine service");
+DEFINE_int32(hosts, 7, "hosts of each domain");
+DEFINE_int32(plain_hosts, 2, "hosts of the plain service");
+
+namespace {
+
+using namespace coriander;
+using namespace coriander::standin;
+
+/// The manifest of the stand-in's operator: streams to two models, and calls of a plain service.
+json_object manifest_text(std::uint64_t version)
+{
+    const auto route = [](const char* prefix, const char* service, const char* kind, bool resumable) {
+        return json_object{{"name", std::string{"to"} + prefix}, {"hostname", "desk.example"},
+                           {"path_prefix", prefix}, {"kind", kind}, {"resumable", resumable},
+                           {"service", service}, {"max_attempts", 3}, {"timeout_ms", 8000},
+                           {"target_latency_ms", 500}, {"no_auth", false}};
+    };
+    const auto model = [](const char* name, int size) {
+        return json_object{{"name", name}, {"size", size}, {"share", 0.5}, {"pace", 1.0},
+                           {"load_s", 0.4}, {"warm_s", 0.15}};
+    };
+    return {{"version", version},
+            {"routes",
+             {route("/chat/", "assistant", "streaming", true), route("/book/", "desk", "non_idempotent", false),
+              route("/look/", "desk", "idempotent", false)}},
+            {"services",
+             {{{"name", "assistant"},
+               {"engine",
+                {{"slots", 26}, {"step_ms", 3.0}, {"read_per_s", 50000.0}, {"stride", 1}, {"form_ms", 60.0},
+                 {"loads_per_s", 20.0}, {"usual", {{"prompt", 100}, {"answer", 12}}},
+                 {"models", {model("large", 4), model("small", 3)}}}}},
+              {{"name", "desk"}}}},
+            {"tenants", {{{"name", "gent"}, {"api_keys", {"gent-key"}}}}}};
+}
+
+/// The stand-in as one program: the store, the hosts, and pages for a test's wishes.
+class standin_fleet {
+public:
+    explicit standin_fleet(asio::io_context& loop) : loop{loop}, store{loop}
+    {
+        this->store.put("op", "config", to_text(manifest_text(1)));
+        for (int d = 0; d < FLAGS_domains; ++d) {
+            for (int i = 0; i < FLAGS_hosts; ++i) {
+                this->add("assistant", "d" + std::to_string(d), "h" + std::to_string(d) + "-" + std::to_string(i));
+            }
+        }
+        for (int i = 0; i < FLAGS_plain_hosts; ++i) {
+            this->add("desk", "", "p" + std::to_string(i));
+        }
+        this->store_listener = this->listen([this](const auto& caller, const incoming_request& request) {
+            this->store.serve(caller, request);
+        });
+        this->control_listener = this->listen([this](const auto& caller, const incoming_request& request) {
+            this->control(*caller, request);
+        });
+        std::cout << "listening store 127.0.0.1:" << this->store_listener->port() << "\n"
+                  << "listening control 127.0.0.1:" << this->control_listener->port() << std::endl;
+    }
+
+private:
+    template <typename Serve>
+    std::shared_ptr<http_listener> listen(Serve serve)
+    {
+        connection_handlers handlers{serve, [] { return connection_limits{}; }, [] { return false; }};
+        auto listener = std::make_shared<http_listener>(
+            this->loop, asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}, std::move(handlers));
+        listener->start();
+        return listener;
+    }
+
+    void add(const std::string& service, const std::string& domain, const std::string& id)
+    {
+        this->hosts.push_back(std::make_unique<standin_host>(
+            this->loop, this->world, id, service, domain,
+            [this](const std::string& name, const std::optional<std::string>& entry) {
+                this->store.put("servers", name, entry);
+            }));
+    }
+
+    /// `POST /fault` with `{"host":ID,"do":"dark"|"restart"|"drain"}`, `{"store":"sound"|"busy"|"silent"}`,
+    /// `{"lose_answers":N}`, `{"forget_history":true}` or `{"manifest":VERSION}`; `GET /status`.
+    void control(caller_connection& caller, const incoming_request& request)
+    {
+        if (request.head.target == "/status") {
+            caller.send(200, {}, to_text(this->status()));
+            return;
+        }
+        const auto wish = parse_object(request.body).value_or(json_object::object());
+        const auto host = this->world.hosts.find(text_member(wish, "host"));
+        if (host != this->world.hosts.end()) {
+            const auto action = text_member(wish, "do");
+            action == "dark"      ? host->second->go_dark()
+            : action == "restart" ? host->second->restart()
+                                  : host->second->drain();
+        }
+        const auto mode = text_member(wish, "store");
+        if (!mode.empty()) {
+            this->store.set_mode(mode == "busy"     ? store_mode::busy
+                                 : mode == "silent" ? store_mode::silent
+                                                    : store_mode::sound);
+        }
+        this->store.lose_answers(static_cast<unsigned>(integer_member(wish, "lose_answers")));
+        if (bool_member(wish, "forget_history")) {
+            this->store.forget_history();
+        }
+        if (const auto version = integer_member(wish, "manifest"); version > 0) {
+            this->store.put("op", "config", to_text(manifest_text(static_cast<std::uint64_t>(version))));
+        }
+        caller.send(200, {}, {});
+    }
+
+    [[nodiscard]] json_object status() const
+    {
+        auto leaders = json_object::array();
+        for (const auto& [id, host] : this->world.hosts) {
+            if (host->leads_open_replica()) {
+                leaders.push_back(id);
+            }
+        }
+        unsigned twice = 0;
+        for (const auto& [attempt, count] : this->world.runs) {
+            twice += attempt.starts_with("book") && count > 1 ? 1 : 0;
+        }
+        return {{"leaders", leaders},
+                {"bookings_run_twice", twice},
+                {"joined_while_open", this->world.joined_while_open},
+                {"runs", this->world.runs.size()}};
+    }
+
+    asio::io_context& loop;
+    standin_store store;
+    host_world world;
+    std::vector<std::unique_ptr<standin_host>> hosts;
+    std::shared_ptr<http_listener> store_listener;
+    std::shared_ptr<http_listener> control_listener;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler): no handler is set.
+    (void)parse_command_line(argc, argv, "Plays the users' platform: its store, engines' hosts and a plain service.");
+    asio::io_context loop{1};
+    const standin_fleet fleet{loop};
+    loop.run();
+    return 0;
+}
