Run the gateway's peers on its one loop; keep the log library to one idle thread

Ruled out: our own memory use (address and undefined behaviour sanitizers over the end-to-end test and 50 gateways found nothing). A gateway has one busy thread now.

--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -2,8 +2,6 @@
 
 #include "peer/peer_message.hpp"
 
-#include <asio/post.hpp>
-
 #include <algorithm>
 
 namespace coriander {
@@ -23,13 +21,10 @@
 
 gateway_peers::gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                              std::vector<std::string> seeds, on_manifest manifest)
-    : loop{loop}, seeds{std::move(seeds)}, manifest{std::move(manifest)}, members{self,
-                                                                                  settings_of_members()},
-      random{std::random_device{}()}, link{self.peer_address.substr(0, self.peer_address.rfind(':')), port,
-                                           [this](const peer_message& message) {
-                                               asio::post(this->loop,
-                                                          [this, message] { this->receive(message); });
-                                           }}
+    : seeds{std::move(seeds)}, manifest{std::move(manifest)}, members{self, settings_of_members()},
+      random{std::random_device{}()}, link{loop, self.peer_address.substr(0, self.peer_address.rfind(':')),
+                                           port,
+                                           [this](const peer_message& message) { this->receive(message); }}
 {
 }
 
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -17,7 +17,7 @@
 
 /// Tells the other gateways that this one lives, learns who else does, and passes the manifest on to those
 /// that have an older one: so a daemon that the store turns away keeps up. Soft state only. Used on the
-/// loop's thread; the link's own thread only hands messages over.
+/// loop's thread.
 class gateway_peers {
 public:
     /// A manifest that a peer sent: its version and text.
@@ -50,7 +50,6 @@
 
     void receive(const peer_message& message);
 
-    asio::io_context& loop;
     std::vector<std::string> seeds;
     on_manifest manifest;
     monotonic_clock clock;
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -64,7 +64,13 @@
         std::vector<std::uint8_t> body;
     };
 
-    explicit state(on_message receive) : acceptor{this->context}, receive{std::move(receive)} {}
+    /// Works on `loop`, or on a loop and a thread of its own without one.
+    state(asio::io_context* loop, on_message receive)
+        : own_context{loop == nullptr ? std::make_unique<asio::io_context>() : nullptr},
+          context{loop == nullptr ? *this->own_context : *loop}, acceptor{this->context}, receive{std::move(
+                                                                                              receive)}
+    {
+    }
 
     void listen(const std::string& address, std::uint16_t port)
     {
@@ -207,11 +213,11 @@
                           });
     }
 
-    asio::io_context context;
-    asio::executor_work_guard<asio::io_context::executor_type> work{this->context.get_executor()};
+    std::unique_ptr<asio::io_context> own_context;
+    asio::io_context& context;
     tcp::acceptor acceptor;
     on_message receive;
-    std::map<std::string, std::shared_ptr<outgoing>> connections; ///< Touched by the link's thread only.
+    std::map<std::string, std::shared_ptr<outgoing>> connections; ///< Touched by the loop's thread only.
     std::atomic<std::uint16_t> bound_port{0};
     std::atomic<std::uint64_t> sent{0};
     std::atomic<std::uint64_t> received{0};
@@ -219,16 +225,25 @@
 };
 
 peer_link::peer_link(const std::string& address, std::uint16_t port, on_message receive)
-    : self{std::make_shared<state>(std::move(receive))}
+    : self{std::make_shared<state>(nullptr, std::move(receive))}
 {
-    this->self->listen(address, port);
+    this->self->listen(address, port); // Accepting keeps the loop at work.
     this->self->thread = std::thread{[state = this->self.get()] { state->context.run(); }};
 }
 
+peer_link::peer_link(asio::io_context& loop, const std::string& address, std::uint16_t port,
+                     on_message receive)
+    : self{std::make_shared<state>(&loop, std::move(receive))}
+{
+    this->self->listen(address, port);
+}
+
 peer_link::~peer_link()
 {
-    this->self->context.stop();
-    this->self->thread.join();
+    if (this->self->thread.joinable()) {
+        this->self->context.stop();
+        this->self->thread.join();
+    }
 }
 
 void peer_link::send(const std::string& address, const peer_message& message)
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -2,6 +2,8 @@
 
 #include "peer/peer_message.hpp"
 
+#include <asio/io_context.hpp>
+
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -19,6 +21,9 @@
     /// Listens on `address`:`port` (0 picks a free port). `receive` is called on the link's thread.
     /// Throws `std::system_error` when the address can't be bound.
     peer_link(const std::string& address, std::uint16_t port, on_message receive);
+    /// The same on the caller's loop, without a thread: `receive` is called on the loop's thread, and the
+    /// loop must end before the link is destroyed.
+    peer_link(asio::io_context& loop, const std::string& address, std::uint16_t port, on_message receive);
     ~peer_link();
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/bounded_stdout.hpp"
 
+#include <log4cplus/config.hxx>
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -111,6 +112,7 @@
 void open_log(const std::string& program, const std::string& level, const std::string& file)
 {
     static const log4cplus::Initializer initializer;
+    log4cplus::setThreadPoolSize(1); // Lines are written by who logs them; the library's own threads idle.
     log4cplus::SharedAppenderPtr appender;
     if (file == standard_output) {
         appender = new bounded_stdout;
--- a/testing/platform/relay_caller_main.cpp
+++ b/testing/platform/relay_caller_main.cpp
@@ -53,8 +53,8 @@
         call.target = "/resolve?name=desk.example&region=r&zone=z";
         this->calls.start(call, [this, next](const http_result& answer) {
             const auto parsed = parse_object(answer.body);
-            const auto found = parsed ? parsed->value("addresses", std::vector<std::string>{})
-                                      : std::vector<std::string>{};
+            const auto found =
+                parsed ? parsed->value("addresses", std::vector<std::string>{}) : std::vector<std::string>{};
             if (answer.ok() && !found.empty()) {
                 this->addresses = found;
             }
@@ -76,8 +76,9 @@
 public:
     caller_request(asio::io_context& loop, const address_book& book, tally& sum, std::mt19937& random,
                    std::string kind, std::string name)
-        : loop{loop}, book{book}, sum{sum}, random{random}, timer{loop}, kind{std::move(kind)},
-          name{std::move(name)}
+        : loop{loop}, book{book}, sum{sum}, random{random}, timer{loop}, kind{std::move(kind)}, name{
+                                                                                                    std::move(
+                                                                                                        name)}
     {
     }
 
@@ -131,7 +132,8 @@
             this->sum.refusal_ms.push_back((this->clock.now() - this->sent_at).count());
             ++this->sum.outcomes["refusals"];
             const std::string wait{this->head.header("Retry-After")};
-            this->send_later(time_ms{wait.empty() ? 200 : static_cast<std::int64_t>(std::stod(wait) * 1000.0)});
+            this->send_later(
+                time_ms{wait.empty() ? 200 : static_cast<std::int64_t>(std::stod(wait) * 1000.0)});
         }
         else if (this->kind != "book") {
             ++this->sum.outcomes[how == exchange_end::complete ? "errors" : "cut"];
@@ -208,8 +210,9 @@
 class open_loop {
 public:
     explicit open_loop(asio::io_context& loop)
-        : loop{loop}, calls{loop}, book{this->calls, split(FLAGS_directories)}, timer{loop}, book_timer{loop},
-          random{static_cast<std::uint32_t>(FLAGS_seed)}, left{static_cast<unsigned>(FLAGS_rate * FLAGS_seconds)}
+        : loop{loop}, calls{loop}, book{this->calls, split(FLAGS_directories)}, timer{loop},
+          book_timer{loop}, random{static_cast<std::uint32_t>(FLAGS_seed)}, left{static_cast<unsigned>(
+                                                                                FLAGS_rate * FLAGS_seconds)}
     {
         this->refresh();
         this->schedule();
@@ -283,7 +286,8 @@
         loop.restart();
     }
     const auto& sum = load.result();
-    auto slowest = sum.refusal_ms.empty() ? 0 : *std::max_element(sum.refusal_ms.begin(), sum.refusal_ms.end());
+    auto slowest =
+        sum.refusal_ms.empty() ? 0 : *std::max_element(sum.refusal_ms.begin(), sum.refusal_ms.end());
     std::cout << to_text({{"outcomes", sum.outcomes}, {"wrong", sum.wrong}, {"slowest_refusal_ms", slowest}})
               << std::endl;
     return sum.wrong.empty() ? 0 : 1;
--- a/testing/platform/standin_fleet_main.cpp
+++ b/testing/platform/standin_fleet_main.cpp
@@ -23,27 +23,39 @@
 json_object manifest_text(std::uint64_t version)
 {
     const auto route = [](const char* prefix, const char* service, const char* kind, bool resumable) {
-        return json_object{{"name", std::string{"to"} + prefix}, {"hostname", "desk.example"},
-                           {"path_prefix", prefix}, {"kind", kind}, {"resumable", resumable},
-                           {"service", service}, {"max_attempts", 3}, {"timeout_ms", 8000},
-                           {"target_latency_ms", 500}, {"no_auth", false}};
+        return json_object{{"name", std::string{"to"} + prefix},
+                           {"hostname", "desk.example"},
+                           {"path_prefix", prefix},
+                           {"kind", kind},
+                           {"resumable", resumable},
+                           {"service", service},
+                           {"max_attempts", 3},
+                           {"timeout_ms", 8000},
+                           {"target_latency_ms", 500},
+                           {"no_auth", false}};
     };
     const auto model = [](const char* name, int size) {
-        return json_object{{"name", name}, {"size", size}, {"share", 0.5}, {"pace", 1.0},
-                           {"load_s", 0.4}, {"warm_s", 0.15}};
+        return json_object{{"name", name}, {"size", size},  {"share", 0.5},
+                           {"pace", 1.0},  {"load_s", 0.4}, {"warm_s", 0.15}};
     };
-    return {{"version", version},
-            {"routes",
-             {route("/chat/", "assistant", "streaming", true), route("/book/", "desk", "non_idempotent", false),
-              route("/look/", "desk", "idempotent", false)}},
-            {"services",
-             {{{"name", "assistant"},
-               {"engine",
-                {{"slots", 26}, {"step_ms", 3.0}, {"read_per_s", 50000.0}, {"stride", 1}, {"form_ms", 60.0},
-                 {"loads_per_s", 20.0}, {"usual", {{"prompt", 100}, {"answer", 12}}},
-                 {"models", {model("large", 4), model("small", 3)}}}}},
-              {{"name", "desk"}}}},
-            {"tenants", {{{"name", "gent"}, {"api_keys", {"gent-key"}}}}}};
+    return {
+        {"version", version},
+        {"routes",
+         {route("/chat/", "assistant", "streaming", true), route("/book/", "desk", "non_idempotent", false),
+          route("/look/", "desk", "idempotent", false)}},
+        {"services",
+         {{{"name", "assistant"},
+           {"engine",
+            {{"slots", 26},
+             {"step_ms", 3.0},
+             {"read_per_s", 50000.0},
+             {"stride", 1},
+             {"form_ms", 60.0},
+             {"loads_per_s", 20.0},
+             {"usual", {{"prompt", 100}, {"answer", 12}}},
+             {"models", {model("large", 4), model("small", 3)}}}}},
+          {{"name", "desk"}}}},
+        {"tenants", {{{"name", "gent"}, {"api_keys", {"gent-key"}}}}}};
 }
 
 /// The stand-in as one program: the store, the hosts, and pages for a test's wishes.
@@ -54,7 +66,8 @@
         this->store.put("op", "config", to_text(manifest_text(1)));
         for (int d = 0; d < FLAGS_domains; ++d) {
             for (int i = 0; i < FLAGS_hosts; ++i) {
-                this->add("assistant", "d" + std::to_string(d), "h" + std::to_string(d) + "-" + std::to_string(i));
+                this->add("assistant", "d" + std::to_string(d),
+                          "h" + std::to_string(d) + "-" + std::to_string(i));
             }
         }
         for (int i = 0; i < FLAGS_plain_hosts; ++i) {
@@ -63,9 +76,8 @@
         this->store_listener = this->listen([this](const auto& caller, const incoming_request& request) {
             this->store.serve(caller, request);
         });
-        this->control_listener = this->listen([this](const auto& caller, const incoming_request& request) {
-            this->control(*caller, request);
-        });
+        this->control_listener = this->listen(
+            [this](const auto& caller, const incoming_request& request) { this->control(*caller, request); });
         std::cout << "listening store 127.0.0.1:" << this->store_listener->port() << "\n"
                   << "listening control 127.0.0.1:" << this->control_listener->port() << std::endl;
     }
@@ -153,7 +165,8 @@
 int main(int argc, char** argv)
 {
     std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler): no handler is set.
-    (void)parse_command_line(argc, argv, "Plays the users' platform: its store, engines' hosts and a plain service.");
+    (void)parse_command_line(argc, argv,
+                             "Plays the users' platform: its store, engines' hosts and a plain service.");
     asio::io_context loop{1};
     const standin_fleet fleet{loop};
     loop.run();
--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -29,8 +29,8 @@
 standin_host::standin_host(asio::io_context& loop, host_world& world, std::string id, std::string service,
                            std::string domain, enter_list enter)
     : loop{loop}, world{world}, id{std::move(id)}, service{std::move(service)}, domain{std::move(domain)},
-      enter_row{std::move(enter)}, beat_timer{loop}, event_timer{loop},
-      born{static_cast<std::uint64_t>(wall_clock_now().count())}
+      enter_row{std::move(enter)}, beat_timer{loop}, event_timer{loop}, born{static_cast<std::uint64_t>(
+                                                                            wall_clock_now().count())}
 {
     connection_handlers handlers;
     handlers.on_request = [this](const std::shared_ptr<caller_connection>& caller,
@@ -64,9 +64,8 @@
     json_object text{{"born", this->born}, {"staged", this->staged}, {"domain", this->domain}};
     text["group"] = nullptr;
     if (this->own) {
-        text["group"] = {{"name", this->own->replica},
-                         {"epoch", this->own->generation},
-                         {"state", this->own->state}};
+        text["group"] = {
+            {"name", this->own->replica}, {"epoch", this->own->generation}, {"state", this->own->state}};
     }
     return text;
 }
@@ -125,7 +124,8 @@
 
 bool standin_host::leads_open_replica() const
 {
-    return !this->is_dark && this->own && this->own->state == "open" && this->own->members.front() == this->id;
+    return !this->is_dark && this->own && this->own->state == "open" &&
+           this->own->members.front() == this->id;
 }
 
 bool standin_host::is_whole() const
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -23,9 +23,9 @@
     time_ms load{400};
     time_ms staged_join{150};
     time_ms open{60};
-    time_ms event{20};       ///< Between events of one stream.
-    time_ms stall{1500};     ///< From the loss of a host to the leader's giving up.
-    unsigned events = 12;    ///< Of one answer.
+    time_ms event{20};    ///< Between events of one stream.
+    time_ms stall{1500};  ///< From the loss of a host to the leader's giving up.
+    unsigned events = 12; ///< Of one answer.
     unsigned slots = 26;
 };
 
