--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_peers.hpp"
 
+#include "coriander/shard_choice.hpp"
 #include "peer/peer_message.hpp"
 
 #include <algorithm>
@@ -59,7 +60,7 @@
     message.beats = this->members.beats_to_send(now);
     const auto targets = this->members.choose_targets(targets_per_round, now, this->random);
     for (const auto& view : this->members.alive(now)) {
-        if (view.beat.config_number < manifest_version && !manifest_text.empty()) {
+        if (view.beat.config_number < manifest_version && !manifest_text.empty() && this->should_tell(view)) {
             auto with_manifest = message;
             with_manifest.config = config_record{};
             with_manifest.config->number = manifest_version;
@@ -77,6 +78,14 @@
     }
 }
 
+/// Whoever reaches the table learns of manifests there; a few tell those that don't.
+bool gateway_peers::should_tell(const member_view& other) const
+{
+    constexpr std::size_t tellers = 2;
+    return !other.beat.table_reachable &&
+           shard_rank(other.identity.name, this->members.self().name, this->controllers()) < tellers;
+}
+
 std::vector<member_identity> gateway_peers::serving() const
 {
     std::vector<member_identity> found;
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -49,6 +49,7 @@
     static constexpr std::size_t targets_per_round = 8;
 
     void receive(const peer_message& message);
+    [[nodiscard]] bool should_tell(const member_view& other) const;
 
     std::vector<std::string> seeds;
     on_manifest manifest;
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -24,6 +24,7 @@
     std::uint16_t peer_port = 0;    ///< The same on all entry hosts.
     std::vector<std::string> seeds; ///< `IP:port` of entry hosts to begin with.
     std::string store_address;      ///< `IP:port` of the platform's store.
+    time_ms leaving_limit{2000};    ///< A leaving host gets nothing new after this time.
     bool is_first_start = false;    ///< The whole system starts for the first time.
     time_ms stop_limit{8000};       ///< From the stop signal to the end of the process.
     time_ms directory_ttl{2000};    ///< How long callers keep an answer of the directory.
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -203,7 +203,7 @@
                const std::shared_ptr<frame>& bytes)
     {
         asio::async_write(slot->socket, asio::buffer(*bytes),
-                          [=, this](const asio::error_code& failed, std::size_t count) {
+                          [this, address, slot, bytes](const asio::error_code& failed, std::size_t count) {
                               this->sent += count;
                               slot->timer.cancel();
                               slot->busy = false;
--- /dev/null
+++ b/test/peer_link_test.cpp
@@ -0,0 +1,58 @@
+#include "peer/peer_link.hpp"
+
+#include "support/event_loop.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+#include <vector>
+
+namespace coriander {
+namespace {
+
+/// A message that takes many writes.
+peer_message large_message()
+{
+    constexpr std::size_t size = 3U << 20U;
+    peer_message message;
+    message.config = config_record{};
+    message.config->number = 7;
+    message.config->toml.reserve(size);
+    for (std::size_t i = 0; message.config->toml.size() < size; ++i) {
+        message.config->toml += std::to_string(i) + ",";
+    }
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("peer link: a message of many writes arrives as it was sent")
+{
+    event_loop loop;
+    std::vector<peer_message> received;
+    peer_link to{loop.context(), "127.0.0.1", 0,
+                 [&](peer_message message) { received.push_back(std::move(message)); }};
+    peer_link from{loop.context(), "127.0.0.1", 0, [](const peer_message&) {}};
+    const auto sent = large_message();
+    from.send("127.0.0.1:" + std::to_string(to.port()), sent);
+    REQUIRE(loop.run_until([&] { return !received.empty(); }));
+    REQUIRE(received[0].config);
+    const bool is_same = received[0].config->toml == sent.config->toml; // Too long to be printed.
+    CHECK(is_same);
+}
+
+TEST_CASE("peer link: on the caller's loop messages come on the loop's thread")
+{
+    event_loop loop;
+    std::vector<std::thread::id> threads;
+    peer_link to{loop.context(), "127.0.0.1", 0,
+                 [&](const peer_message&) { threads.push_back(std::this_thread::get_id()); }};
+    peer_link from{loop.context(), "127.0.0.1", 0, [](const peer_message&) {}};
+    peer_message message;
+    message.beats.push_back({1, 2, 3, 4, false, true});
+    from.send("127.0.0.1:" + std::to_string(to.port()), message);
+    REQUIRE(loop.run_until([&] { return !threads.empty(); }));
+    CHECK(threads[0] == std::this_thread::get_id());
+}
+
+} // namespace coriander
