--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -55,6 +55,9 @@
     time_ms takeover_delay{2500};
     /// The same for noting that a replica has lost a host, which needs no order.
     time_ms loss_delay{120};
+    /// The same for an owner that is not known to live or to reach the table: word of its return may be on
+    /// the way, and two that take each other's place in turn get nothing done.
+    time_ms absent_owner_delay{500};
     /// Between two daemons that may step in.
     time_ms rank_delay{250};
     /// How often hosts of replicas that are being formed or dissolved are asked.
@@ -268,6 +271,9 @@
         if (owner_lives) {
             delay = delay + (decision.has_loss ? this->settings.loss_delay : this->settings.takeover_delay);
         }
+        else if (!current.record.owner.empty()) {
+            delay = delay + this->settings.absent_owner_delay;
+        }
         return now - work.due_since >= delay;
     }
 
--- a/test/e2e/gateway_test.sh
+++ b/test/e2e/gateway_test.sh
@@ -64,6 +64,11 @@
 expect_promises
 expect "all was served without the store" "$(calls whole)" 160
 wish '{"store":"sound"}'
+sleep 1.5
+wish '{"manifest":5}'
+sleep 1.5
+expect "a manifest after the store's return is in force on all gateways" \
+  "$(grep -l "E4001 config_in_force version=5" "$RUN_DIR"/gateway-*.log | wc -l)" "${#GATEWAYS[@]}"
 wish '{"forget_history":true}'
 sleep 2.5
 start_calls 2 40
--- a/testing/platform/standin_store.cpp
+++ b/testing/platform/standin_store.cpp
@@ -199,14 +199,16 @@
 void standin_store::set_mode(store_mode changed)
 {
     this->mode = changed;
-    for (const auto& caller : std::exchange(this->unanswered, {})) {
-        caller->abort();
+    if (changed == store_mode::sound) {
+        return; // What was asked meanwhile stays unanswered for good.
     }
-    if (changed != store_mode::sound) {
-        for (const auto& one : std::exchange(this->readers, {})) {
-            if (const auto caller = one.caller.lock()) {
-                caller->abort();
-            }
+    for (const auto& one : std::exchange(this->readers, {})) {
+        const auto caller = one.caller.lock();
+        if (caller && changed == store_mode::silent) {
+            this->unanswered.push_back(caller);
+        }
+        else if (caller) {
+            caller->abort();
         }
     }
 }
