--- a/include/coriander/relay/admission_forecast.hpp
+++ b/include/coriander/relay/admission_forecast.hpp
@@ -15,6 +15,7 @@
     time_ms usual_duration{};          ///< From dispatch to the end of an answer of this kind.
     time_ms objective{};               ///< For the first event, or the whole answer.
     time_ms time_left{};               ///< Until the caller or the route gives up.
+    double refused_share = 0.0;        ///< Of the requests of the last seconds.
 };
 
 /// Whether a request is sent now, and if not, when its caller should come back.
@@ -32,6 +33,9 @@
     /// When no target can take a request: the usual time until a lost replica is formed anew.
     time_ms outage_retry{800};
     time_ms least_retry{100};
+    /// Callers that come back into the same shortage only add to it. A shortage passes when a lost replica is
+    /// formed anew, which takes about this long; the more are refused, the longer callers are sent away.
+    time_ms shortage_retry{2000};
 };
 
 /// Forecasts the wait in the least loaded target's queue and refuses what would come too late. Pure.
@@ -50,7 +54,9 @@
     if (wait <= bound && wait < input.time_left) {
         return {true, wait, {}};
     }
-    return {false, wait, std::max(settings.least_retry, wait - bound)};
+    const time_ms shortage{static_cast<std::int64_t>(input.refused_share *
+                                                     static_cast<double>(settings.shortage_retry.count()))};
+    return {false, wait, std::max(settings.least_retry, wait - bound) + shortage};
 }
 
 } // namespace coriander
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -111,13 +111,15 @@
     const auto now = this->context.clock.now();
     this->state = &this->context.service(this->request.service);
     this->state->retries.on_request(now);
-    this->state->meters[this->request.model].on_request(this->request.prompt_tokens, now);
+    auto& meter = this->state->meters[this->request.model];
+    meter.on_request(this->request.prompt_tokens, now);
     const auto* service = this->request.routes->find_service(this->request.service);
     const auto best = this->choose_target();
     admission_input input{best, this->usual_duration(*service), this->request.route->latency_objective,
-                          this->request.give_up_at - now};
+                          this->request.give_up_at - now, meter.refused_share(now)};
     const auto advice = forecast_admission(input);
     if (!advice.is_admitted) {
+        meter.on_refused(now);
         log_event(event::request_refused, {{"request", this->request.attempt_id},
                                            {"why", best ? "overloaded" : "no_target"},
                                            {"model", this->request.model},
--- a/src/gateway/service_state.cpp
+++ b/src/gateway/service_state.cpp
@@ -1,5 +1,6 @@
 #include "gateway/service_state.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace coriander {
@@ -13,16 +14,33 @@
     value += value == 0.0 ? sample : size_gain * (sample - value);
 }
 
+/// What is left of a rate after `age` without events.
+double faded(double rate, time_ms age)
+{
+    return rate * std::exp(-age.seconds() / rate_window_s);
+}
+
 } // namespace
 
 void model_meter::on_request(double prompt_tokens, time_ms now)
 {
-    const double age = (now - this->rate_at).seconds();
-    this->rate = this->rate * std::exp(-age / rate_window_s) + 1.0 / rate_window_s;
+    this->rate = faded(this->rate, now - this->rate_at) + 1.0 / rate_window_s;
     this->rate_at = now;
     average(this->prompt, prompt_tokens);
 }
 
+void model_meter::on_refused(time_ms now)
+{
+    this->refusal_rate = faded(this->refusal_rate, now - this->refusal_at) + 1.0 / rate_window_s;
+    this->refusal_at = now;
+}
+
+double model_meter::refused_share(time_ms now) const
+{
+    const double all = faded(this->rate, now - this->rate_at);
+    return all > 0.0 ? std::min(1.0, faded(this->refusal_rate, now - this->refusal_at) / all) : 0.0;
+}
+
 void model_meter::on_answer(double answer_tokens, time_ms duration)
 {
     average(this->answer, answer_tokens);
@@ -31,8 +49,7 @@
 
 model_load model_meter::load(time_ms now) const
 {
-    const double age = (now - this->rate_at).seconds();
-    return {this->rate * std::exp(-age / rate_window_s), this->prompt, this->answer};
+    return {faded(this->rate, now - this->rate_at), this->prompt, this->answer};
 }
 
 } // namespace coriander
--- a/src/gateway/service_state.hpp
+++ b/src/gateway/service_state.hpp
@@ -19,6 +19,10 @@
 public:
     /// A request arrived.
     void on_request(double prompt_tokens, time_ms now);
+    /// The request was refused for want of capacity.
+    void on_refused(time_ms now);
+    /// The refused part of the requests of the last seconds.
+    [[nodiscard]] double refused_share(time_ms now) const;
     /// An answer ended well.
     void on_answer(double answer_tokens, time_ms duration);
 
@@ -33,6 +37,8 @@
 private:
     double rate = 0.0;
     time_ms rate_at;
+    double refusal_rate = 0.0;
+    time_ms refusal_at;
     double prompt = 0.0;
     double answer = 0.0;
     double duration_ms = 0.0;
--- /dev/null
+++ b/test/gateway/service_state_test.cpp
@@ -0,0 +1,51 @@
+#include "gateway/service_state.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+constexpr time_ms start = 1'000'000_ms;
+
+/// A meter after ten seconds of ten requests a second, of which each `refused_of`th was refused.
+model_meter busy_meter(int refused_of)
+{
+    model_meter meter;
+    for (int i = 0; i < 100; ++i) {
+        const auto now = start + time_ms{100LL * i};
+        meter.on_request(500.0, now);
+        if (refused_of > 0 && i % refused_of == 0) {
+            meter.on_refused(now);
+        }
+    }
+    return meter;
+}
+
+constexpr time_ms end = start + 9900_ms;
+
+} // namespace
+
+TEST_CASE("model meter: the rate and the size of requests are averaged")
+{
+    const auto load = busy_meter(0).load(end);
+    CHECK(load.requests_per_s == Approx(10.0).epsilon(0.15));
+    CHECK(load.prompt_tokens == Approx(500.0));
+    CHECK(busy_meter(0).load(end + 30_s).requests_per_s < 0.1);
+}
+
+TEST_CASE("model meter: the refused part is that of the last seconds")
+{
+    CHECK(busy_meter(0).refused_share(end) == 0.0);
+    CHECK(busy_meter(2).refused_share(end) == Approx(0.5).epsilon(0.1));
+    CHECK(model_meter{}.refused_share(end) == 0.0);
+}
+
+TEST_CASE("model meter: the usual duration is known after the first answer")
+{
+    model_meter meter;
+    CHECK(meter.usual_duration() == 0_ms);
+    meter.on_answer(100.0, 900_ms);
+    CHECK(meter.usual_duration() == 900_ms);
+}
+
+} // namespace coriander
--- a/test/relay/admission_forecast_test.cpp
+++ b/test/relay/admission_forecast_test.cpp
@@ -55,6 +55,14 @@
     CHECK_FALSE(forecast_admission(input).is_admitted);
 }
 
+TEST_CASE("admission forecast: the more are refused, the later they are told to come back")
+{
+    auto input = input_with(10, 20.0);
+    const auto alone = forecast_admission(input).retry_after;
+    input.refused_share = 0.5;
+    CHECK(forecast_admission(input).retry_after == alone + 1_s);
+}
+
 TEST_CASE("admission forecast: without a target the answer is a refusal for the time of an outage")
 {
     const auto advice = forecast_admission({});
