Split the relay session and the fleet controller by job; no behaviour changed

Order history, staging, timing, log lines, the caller's stream and the judging of answers stand alone now; the log counts attempts as sent (it was one too many for failed ones).

--- /dev/null
+++ b/src/gateway/controller_settings.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "coriander/time_ms.hpp"
+
+namespace coriander {
+
+/// Times and limits of control.
+struct controller_settings {
+    /// Another daemon steps in when the owner of a domain leaves work undone for so long. Longer
+    /// than the host list may lag: what it tells may be done already.
+    time_ms takeover_delay{2500};
+    /// The same for noting that a replica has lost a host, which needs no order.
+    time_ms loss_delay{120};
+    /// The same for an owner that is not known to live or to reach the table: word of its return may be on
+    /// the way, and two that take each other's place in turn get nothing done.
+    time_ms absent_owner_delay{500};
+    /// Between two daemons that may step in.
+    time_ms rank_delay{250};
+    /// How often hosts of replicas that are being formed or dissolved are asked.
+    time_ms ask_interval{100};
+    /// An order whose effect doesn't show is sent again.
+    time_ms order_repeat{600};
+    /// After a change that was not committed.
+    time_ms commit_pause{1000};
+    /// Staging takes as long as a load.
+    time_ms stage_repeat{20000};
+    /// A replica that is not formed after its load time and this is given up.
+    time_ms forming_margin{4000};
+    /// A retiring replica's requests have at most this time; its leaving host waits about as long.
+    time_ms retiring_limit{9000};
+    /// After a host appeared, others may follow: no replica is planned before.
+    time_ms arrival_pause{1500};
+    /// Hosts that an order didn't reach so many times are taken as gone.
+    unsigned silent_after = 2;
+    /// Part of the weight store's rate that daemons use together: they don't count each other's loads.
+    double load_rate_share = 0.8;
+};
+
+} // namespace coriander
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -7,7 +7,13 @@
 #include "coriander/shard_choice.hpp"
 #include "coriander/table_store.hpp"
 #include "coriander/time_ms.hpp"
+#include "gateway/controller_io.hpp"
+#include "gateway/controller_settings.hpp"
+#include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/host_staging.hpp"
+#include "gateway/order_history.hpp"
+#include "gateway/replica_timing.hpp"
 #include "runtime/log.hpp"
 
 #include <algorithm>
@@ -24,62 +30,6 @@
 
 namespace coriander {
 
-/// How a host answered an order.
-enum class order_answer {
-    accepted,   ///< It has begun, or the state already holds.
-    unfitting,  ///< It does not fit the host's state now.
-    outdated,   ///< The host has seen a higher generation.
-    refused,    ///< The host knows no such order, or is another one.
-    unanswered, ///< It may be carried out, also later.
-};
-
-/// The outside of a controller: the table, hosts, and other daemons. All callbacks come on the loop's
-/// thread, never from within the call. `ask_now` asks over a new connection and waits no longer than told.
-template <typename T>
-concept controller_io = requires(T& io, const domain_key& key, const domain_record& record,
-                                 std::uint64_t version, const listed_host& host, const host_order& order)
-{
-    io.commit(key, record, version, std::function<void(commit_state)>{});
-    io.order(host, order, std::function<void(order_answer)>{});
-    io.ask(host, std::function<void(std::optional<host_status>)>{});
-    io.ask_now(host, time_ms{}, std::function<void(std::optional<host_status>)>{});
-    {
-        io.daemons()
-        } -> std::convertible_to<std::vector<std::string>>;
-};
-
-/// Times and limits of control.
-struct controller_settings {
-    /// Another daemon steps in when the owner of a domain leaves work undone for so long. Longer
-    /// than the host list may lag: what it tells may be done already.
-    time_ms takeover_delay{2500};
-    /// The same for noting that a replica has lost a host, which needs no order.
-    time_ms loss_delay{120};
-    /// The same for an owner that is not known to live or to reach the table: word of its return may be on
-    /// the way, and two that take each other's place in turn get nothing done.
-    time_ms absent_owner_delay{500};
-    /// Between two daemons that may step in.
-    time_ms rank_delay{250};
-    /// How often hosts of replicas that are being formed or dissolved are asked.
-    time_ms ask_interval{100};
-    /// An order whose effect doesn't show is sent again.
-    time_ms order_repeat{600};
-    /// After a change that was not committed.
-    time_ms commit_pause{1000};
-    /// Staging takes as long as a load.
-    time_ms stage_repeat{20000};
-    /// A replica that is not formed after its load time and this is given up.
-    time_ms forming_margin{4000};
-    /// A retiring replica's requests have at most this time; its leaving host waits about as long.
-    time_ms retiring_limit{9000};
-    /// After a host appeared, others may follow: no replica is planned before.
-    time_ms arrival_pause{1500};
-    /// Hosts that an order didn't reach so many times are taken as gone.
-    unsigned silent_after = 2;
-    /// Part of the weight store's rate that daemons use together: they don't count each other's loads.
-    double load_rate_share = 0.8;
-};
-
 /// Forms, follows and mends the replicas of engine services. Every daemon runs one; a domain's record names
 /// the one that acts, and another steps in when it doesn't. What must hold rests on the record's version:
 /// each change is committed under the condition that nobody else made one. Used on the loop's thread only.
@@ -114,39 +64,23 @@
 private:
     static constexpr time_ms idle_interval{500};
 
-    struct sent_order {
-        order_kind kind = order_kind::join;
-        std::uint64_t generation = 0;
-        std::string model;
-        time_ms at;
-        unsigned unanswered = 0;
-        bool was_unfitting = false;
-        bool is_in_flight = false;
-    };
-    struct staging_order {
-        std::string model;
-        time_ms since;
-    };
     struct domain_work {
         bool is_committing = false;
         time_ms commit_again_at;
         std::string due; ///< What was due when it was last looked at.
         time_ms due_since;
-        std::map<std::string, sent_order> orders;     ///< The last one to each host.
-        std::map<std::string, staging_order> staging; ///< Models that hosts are loading.
+        order_history orders;
+        host_staging staging;
         std::map<std::string, time_ms> asked;
-        std::map<std::string, time_ms> told;        ///< When the question that a host answered last was sent.
-        std::map<std::string, time_ms> phase_since; ///< Of forming and retiring replicas, with the phase.
-        std::set<std::string> finished;
+        std::map<std::string, time_ms> told; ///< When the question that a host answered last was sent.
+        replica_timing timing;
         std::string free_state; ///< As it was logged last.
-        double load_tokens = 0.0;
-        time_ms tokens_at;
     };
 
     domain_view view_of(const domain_record& record, const std::vector<listed_host>& hosts,
                         const domain_work& work) const
     {
-        return {&record, hosts, &this->view.silent(), &work.finished};
+        return {&record, hosts, &this->view.silent(), &work.timing.finished()};
     }
 
     /// Which models to form in each domain, were all domains this daemon's.
@@ -204,7 +138,7 @@
         auto& work = this->work[key];
         const auto& current = this->view.domain(key);
         const auto hosts = this->view.hosts_of(key);
-        this->note_finished(service, current.record, work, now);
+        work.timing.update(current.record, *service.engine, this->settings, this->loads_are_cheap, now);
         const auto view = this->view_of(current.record, hosts, work);
         auto decision = follow_domain(view);
         if (!decision.is_changed) {
@@ -307,11 +241,7 @@
     {
         work.is_committing = true;
         for (const auto& reason : decision.reasons) {
-            log_event(event::placement_decided, {{"domain", key.row_key()},
-                                                 {"decision", reason},
-                                                 {"row_version", version},
-                                                 {"hosts", this->view.hosts_of(key).size()},
-                                                 {"silent", this->view.silent().size()}});
+            log_placement(key, reason, version, this->view);
         }
         this->io.commit(key, decision.next, version, [this, key, now](commit_state state) {
             auto& done = this->work[key];
@@ -332,105 +262,37 @@
     {
         for (const auto& order : orders) {
             const auto* host = this->view.find_host(order.host);
-            auto& last = work.orders[order.host];
-            const bool is_same =
-                last.kind == order.kind && last.generation == order.generation && last.model == order.model;
-            const auto pause = this->pause_before_repeat(last);
-            if (host == nullptr || last.is_in_flight || (is_same && now - last.at < pause)) {
-                continue;
+            // Before a join the host itself must have told its state: the list may be older than an order of
+            // another daemon.
+            const bool is_known = order.kind != order_kind::join || this->has_told(work, order);
+            if (host != nullptr && is_known && work.orders.is_due(order, this->settings, now)) {
+                work.orders.on_sent(order, now);
+                this->send_order(*host, order);
             }
-            if (order.kind == order_kind::join && !this->has_told(work, order)) {
-                continue; // The list may be older than an order of another daemon.
-            }
-            const auto unanswered = is_same ? last.unanswered : 0U;
-            last = {order.kind, order.generation, order.model, now, unanswered, false, true};
-            this->send_order(*host, order);
         }
     }
 
     /// Whether the host itself has told its state since its replica was planned.
     static bool has_told(const domain_work& work, const host_order& order)
     {
-        const auto planned = work.phase_since.find(order.replica + "/" + name_of(replica_phase::forming));
+        const auto planned = work.timing.forming_since(order.replica);
         const auto told = work.told.find(order.host);
-        return planned != work.phase_since.end() && told != work.told.end() &&
-               told->second >= planned->second;
-    }
-
-    [[nodiscard]] time_ms pause_before_repeat(const sent_order& last) const
-    {
-        if (last.kind == order_kind::stage) {
-            return this->settings.stage_repeat;
-        }
-        // An order that came too early is tried again at once.
-        return last.was_unfitting ? this->settings.ask_interval : this->settings.order_repeat;
+        return planned && told != work.told.end() && told->second >= *planned;
     }
 
     void send_order(const listed_host& host, const host_order& order)
     {
         const domain_key key{host.service, host.fabric_domain};
         this->io.order(host, order, [this, key, order](order_answer answer) {
-            auto& last = this->work[key].orders[order.host];
-            last.is_in_flight = false;
-            this->on_order_answer(order, answer, last);
-        });
-    }
-
-    void on_order_answer(const host_order& order, order_answer answer, sent_order& last)
-    {
-        constexpr std::array answers{"accepted", "unfitting", "outdated", "refused", "unanswered"};
-        const bool is_accepted = answer == order_answer::accepted;
-        log_event(is_accepted ? event::order_sent : event::order_failed,
-                  {{"order", name_of(order.kind)},
-                   {"host", order.host},
-                   {"replica", order.replica},
-                   {"generation", order.generation},
-                   {"model", order.model},
-                   {"answer", answers[static_cast<std::size_t>(answer)]}});
-        last.was_unfitting = answer == order_answer::unfitting;
-        last.unanswered = answer == order_answer::unanswered ? last.unanswered + 1 : 0;
-        if (last.unanswered >= this->settings.silent_after) {
-            this->view.mark_silent(order.host, last.at);
-        }
-    }
-
-    /// Notes which forming replicas took too long and which retiring ones have had their time.
-    void note_finished(const relay_service& service, const domain_record& record, domain_work& work,
-                       time_ms now)
-    {
-        std::set<std::string> seen;
-        for (const auto& replica : record.replicas) {
-            if (replica.phase != replica_phase::forming && replica.phase != replica_phase::retiring) {
-                continue;
-            }
-            const auto id = replica.name + "/" + name_of(replica.phase);
-            seen.insert(id);
-            const auto since = work.phase_since.try_emplace(id, now).first->second;
-            const auto limit = replica.phase == replica_phase::retiring
-                                   ? this->settings.retiring_limit
-                                   : this->forming_limit(service, replica.model);
-            if (now - since > limit) {
-                work.finished.insert(replica.name);
+            auto& history = this->work[key].orders;
+            const auto unanswered = history.on_answer(order, answer);
+            log_order(order, answer);
+            if (unanswered >= this->settings.silent_after) {
+                this->view.mark_silent(order.host, history.last_sent(order.host));
             }
-        }
-        std::erase_if(work.phase_since, [&](const auto& item) { return !seen.contains(item.first); });
-        std::erase_if(work.finished, [&](const std::string& name) {
-            return std::none_of(record.replicas.begin(), record.replicas.end(),
-                                [&](const replica_entry& one) { return one.name == name; });
         });
     }
 
-    time_ms forming_limit(const relay_service& service, const std::string& model) const
-    {
-        for (const auto& one : service.engine->models) {
-            if (one.name == model) {
-                const auto load = this->loads_are_cheap ? one.load_time : one.staged_load_time;
-                return load + service.engine->forming_time + this->settings.forming_margin;
-            }
-        }
-        return this->settings.forming_margin;
-    }
-
     static bool has_unsettled(const domain_record& record)
     {
         return std::any_of(record.replicas.begin(), record.replicas.end(),
@@ -479,7 +341,7 @@
             this->work[key].told[id] = now;
             this->view.update_host(id, *status, now);
             if (is_retiring && status->running == 0 && status->waiting == 0) {
-                this->work[key].finished.insert(name);
+                this->work[key].timing.on_idle(name);
             }
         });
     }
@@ -500,77 +362,23 @@
         std::vector<spare_host> spares;
         spares.reserve(free.size());
         for (const auto* host : free) {
-            spares.push_back({host->id, this->held_model(*host, work, now)});
+            spares.push_back({host->id, work.staging.held_model(*host, this->settings.stage_repeat, now)});
         }
         const auto plan = plan_staging(input, spares, counts);
-        this->log_free_hosts(service.name, view, free, plan.size(), work);
-        this->refill_load_tokens(service, work, now);
-        for (const auto& [id, model] : plan) {
-            if (!this->loads_are_cheap && work.load_tokens < 1.0) {
-                return;
-            }
-            const auto before = work.staging[id].since;
-            work.staging[id] = {model, now};
-            this->send_orders({{order_kind::stage, id, {}, 0, model, {}}}, work, now);
-            work.load_tokens -= before != now ? 1.0 : 0.0;
-        }
-    }
-
-    /// The model that the host holds, or was ordered to load and has had no time for yet.
-    std::string held_model(const listed_host& host, domain_work& work, time_ms now) const
-    {
-        const auto order = work.staging.find(host.id);
-        if (order != work.staging.end()) {
-            const bool is_loading = now - order->second.since < this->settings.stage_repeat;
-            const auto& model = order->second.model;
-            const bool is_held =
-                std::find(host.staged.begin(), host.staged.end(), model) != host.staged.end();
-            if (is_loading && !is_held) {
-                return model;
-            }
-            work.staging.erase(order);
-        }
-        return host.staged.empty() ? std::string{} : host.staged.back();
-    }
-
-    /// Logs how many hosts serve nothing and what they hold, whenever that changes.
-    void log_free_hosts(const std::string& service, const domain_view& view,
-                        const std::vector<const listed_host*>& free, std::size_t to_load, domain_work& work)
-    {
-        std::map<std::string, std::size_t> staged;
-        for (const auto* host : free) {
-            ++staged[host->staged.empty() ? "nothing" : host->staged.front()];
-        }
-        std::string held;
-        for (const auto& [model, count] : staged) {
-            held += (held.empty() ? "" : ",") + model + ":" + std::to_string(count);
-        }
+        const auto held = held_models_text(free);
         if (std::exchange(work.free_state, held) != held) {
-            log_event(event::hosts_idle, {{"service", service},
-                                          {"domain", free.front()->fabric_domain},
-                                          {"free", free.size()},
-                                          {"holding", held},
-                                          {"loading", work.staging.size()},
-                                          {"to_load", to_load},
-                                          {"replicas", view.record->replicas.size()}});
+            log_idle_hosts(service.name, free, held, plan.size(), work.staging.loading_count());
         }
-    }
-
-    /// Each domain has an even part of the weight store's rate, so that owners need not agree.
-    void refill_load_tokens(const relay_service& service, domain_work& work, time_ms now)
-    {
         const auto domains = std::max<std::size_t>(1, this->view.domains_of(service.name).size());
-        const double rate =
+        const double loads_per_s =
             this->settings.load_rate_share * service.engine->loads_per_s / static_cast<double>(domains);
-        constexpr double most_saved = 2.0;
-        if (work.tokens_at == time_ms{}) {
-            work.load_tokens = 1.0;
-        }
-        else {
-            work.load_tokens =
-                std::min(most_saved, work.load_tokens + rate * (now - work.tokens_at).seconds());
+        for (const auto& [id, model] : plan) {
+            if (!work.staging.may_load(loads_per_s, now) && !this->loads_are_cheap) {
+                return;
+            }
+            work.staging.on_ordered(id, model, now);
+            this->send_orders({{order_kind::stage, id, {}, 0, model, {}}}, work, now);
         }
-        work.tokens_at = now;
     }
 
     Io& io;
--- /dev/null
+++ b/src/gateway/fleet_events.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "coriander/replicas/domain_planner.hpp"
+#include "coriander/replicas/listed_host.hpp"
+#include "gateway/controller_io.hpp"
+#include "gateway/fleet_view.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+
+namespace coriander {
+
+/// One log line for each decision on a domain's replicas. Thread-safe.
+void log_placement(const domain_key& key, const std::string& reason, std::uint64_t row_version,
+                   const fleet_view& view);
+void log_order(const host_order& order, order_answer answer);
+void log_idle_hosts(const std::string& service, std::span<const listed_host* const> free,
+                    const std::string& held, std::size_t to_load, std::size_t loading);
+
+/// How many of the hosts hold each model, as text.
+[[nodiscard]] std::string held_models_text(std::span<const listed_host* const> hosts);
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/relay_events.cpp
@@ -0,0 +1,65 @@
+#include "gateway/relay_events.hpp"
+
+#include "runtime/log.hpp"
+
+namespace coriander {
+
+void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
+                 const admission_advice& advice, std::size_t targets)
+{
+    log_event(event::request_refused, {{"request", request.attempt_id},
+                                       {"why", best ? "overloaded" : "no_target"},
+                                       {"model", request.model},
+                                       {"targets", targets},
+                                       {"load", best ? best->total() : 0.0},
+                                       {"slots", best ? best->target.slots : 0},
+                                       {"wait", advice.predicted_wait},
+                                       {"retry_after", advice.retry_after}});
+}
+
+void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
+                std::optional<std::uint64_t> after_event)
+{
+    log_event(event::route_chosen, {{"request", request.attempt_id},
+                                    {"route", request.route->name},
+                                    {"target", choice.target.id},
+                                    {"host", choice.target.host},
+                                    {"generation", choice.target.generation},
+                                    {"own", choice.own},
+                                    {"others", choice.others},
+                                    {"attempt", attempt},
+                                    {"after_event", after_event.value_or(0)},
+                                    {"manifest", request.routes->manifest().version}});
+}
+
+void log_attempt_end(const relay_request& request, const attempt_report& report)
+{
+    log_event(event::attempt_failed, {{"request", request.attempt_id},
+                                      {"target", report.target.id},
+                                      {"host", report.target.host},
+                                      {"end", name_of(report.end)},
+                                      {"why", report.why},
+                                      {"status", report.status},
+                                      {"reused", report.was_reused ? "yes" : "no"},
+                                      {"after", report.after},
+                                      {"events", report.events},
+                                      {"next", name_of(report.next)}});
+}
+
+void log_request_end(const relay_request& request, const request_report& report)
+{
+    log_event(event::request_ended,
+              {{"request", request.attempt_id},
+               {"route", request.route != nullptr ? request.route->name : std::string{}},
+               {"customer", request.customer != nullptr ? request.customer->name : std::string{}},
+               {"model", request.model},
+               {"outcome", report.outcome},
+               {"status", report.status},
+               {"target", report.target},
+               {"attempts", report.attempts},
+               {"events", report.events},
+               {"first_event", report.first_event},
+               {"took", report.took}});
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/relay_events.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "coriander/relay/admission_forecast.hpp"
+#include "coriander/relay/attempt_decision.hpp"
+#include "coriander/relay/target_board.hpp"
+#include "gateway/relay_request.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace coriander {
+
+/// How an attempt ended, for its log line.
+struct attempt_report {
+    const relay_target& target;
+    attempt_end end;
+    const char* why;
+    int status;
+    bool was_reused; ///< It went over a kept connection.
+    time_ms after;
+    std::size_t events;
+    next_step next;
+};
+
+/// How a request ended, for its log line.
+struct request_report {
+    const char* outcome;
+    int status;
+    const std::string& target;
+    unsigned attempts;
+    std::size_t events;
+    time_ms first_event;
+    time_ms took;
+};
+
+/// One log line for each decision on a request. Thread-safe.
+void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
+                 const admission_advice& advice, std::size_t targets);
+void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
+                std::optional<std::uint64_t> after_event);
+void log_attempt_end(const relay_request& request, const attempt_report& report);
+void log_request_end(const relay_request& request, const request_report& report);
+
+} // namespace coriander
--- a/src/gateway/relay_request.cpp
+++ b/src/gateway/relay_request.cpp
@@ -1,5 +1,7 @@
 #include "gateway/relay_request.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -103,6 +105,20 @@
     return headers;
 }
 
+std::vector<http_header> own_answer_headers(own_answer answer, const relay_request& request,
+                                            const relay_dialect& dialect, time_ms retry_after)
+{
+    constexpr int unavailable_status = 503;
+    std::vector<http_header> headers;
+    if (!request.attempt_id.empty()) {
+        headers.push_back({dialect.attempt_id, request.attempt_id});
+    }
+    if (status_of(answer) == unavailable_status && retry_after > time_ms{}) {
+        headers.push_back({"Retry-After", fmt::format("{:.3f}", retry_after.seconds())});
+    }
+    return headers;
+}
+
 int status_of(own_answer answer) noexcept
 {
     switch (answer) {
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -51,6 +51,10 @@
 [[nodiscard]] std::vector<http_header> forwarded_headers(const relay_request& request,
                                                          const relay_dialect& dialect);
 
+/// The headers of an own answer; one that promises that nothing has run tells when to come back.
+[[nodiscard]] std::vector<http_header> own_answer_headers(own_answer answer, const relay_request& request,
+                                                          const relay_dialect& dialect, time_ms retry_after);
+
 /// The status of an own answer.
 [[nodiscard]] int status_of(own_answer answer) noexcept;
 /// The name in log lines and metrics.
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "coriander/relay/attempt_decision.hpp"
-#include "coriander/relay/event_framer.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_request.hpp"
+#include "gateway/stream_answer.hpp"
 #include "net/http_channel.hpp"
 
 #include <asio/steady_timer.hpp>
@@ -31,13 +31,16 @@
     void leave_target();
 
     /// Whether the caller has received a part of the answer.
-    [[nodiscard]] bool has_begun() const noexcept { return this->answer_has_begun; }
+    [[nodiscard]] bool has_begun() const noexcept { return this->stream.has_begun(); }
 
     void on_response_head(wire_head head) override;
     void on_response_body(std::string_view bytes) override;
     void on_exchange_end(exchange_end end) override;
 
 private:
+    /// When a refusal says nothing of load: another entry host or target may take the request at once.
+    static constexpr time_ms short_retry{150};
+
     struct attempt {
         target_choice choice;
         std::shared_ptr<http_channel> channel;
@@ -55,11 +58,9 @@
     void dispatch(const target_choice& choice);
     [[nodiscard]] std::string request_text(const target_choice& choice) const;
     [[nodiscard]] std::optional<target_choice> choose_target();
-    [[nodiscard]] time_ms usual_duration(const relay_service& service);
-    void judge_head(const wire_head& head);
     void read_load(const wire_head& head);
     void pass_events(std::string_view bytes);
-    void begin_caller_stream(const wire_head& head);
+    [[nodiscard]] bool is_event_stream() const;
     void complete();
     void end_attempt(attempt_end end, const char* why);
     void close_attempt(bool is_failure);
@@ -79,15 +80,11 @@
     std::shared_ptr<relay_session> self; ///< Until the request has ended.
     attempt current;
     std::vector<std::string> tried;
-    event_framer framer;
-    std::optional<std::uint64_t> last_event; ///< That the caller has received.
+    stream_answer stream;
     unsigned attempts_sent = 0;
-    std::size_t events = 0;
     bool may_have_run = false;
-    bool answer_has_begun = false;
     bool has_ended = false;
     bool counts_as_open = false;
-    time_ms first_byte_at;
 };
 
 } // namespace coriander
--- /dev/null
+++ b/src/gateway/relay_session_end.cpp
@@ -0,0 +1,191 @@
+#include "gateway/relay_session.hpp"
+
+#include "gateway/relay_events.hpp"
+#include "gateway/target_answer.hpp"
+#include "runtime/log.hpp"
+
+#include <algorithm>
+
+// How attempts and requests end; their beginning is in relay_session.cpp.
+namespace coriander {
+namespace {
+
+/// Less time than this is not enough for another attempt.
+constexpr time_ms least_attempt_time = 30_ms;
+/// Targets that couldn't be connected to, before a request is refused.
+constexpr std::size_t max_connect_failures = 3;
+/// A target that declined a request is left alone for so long.
+constexpr time_ms declined_pause = 150_ms;
+/// Callers that are refused together come back spread over this part of the advised time.
+constexpr double retry_spread = 0.5;
+
+} // namespace
+
+void relay_session::close_attempt(bool is_failure)
+{
+    if (!this->current.is_open) {
+        return;
+    }
+    this->current.is_open = false;
+    const auto& id = this->current.choice.target.id;
+    const auto open = this->state->sessions.find(id);
+    if (open != this->state->sessions.end()) {
+        open->second.erase(this);
+        if (open->second.empty()) {
+            this->state->sessions.erase(open);
+        }
+    }
+    this->state->board.on_ended(id, this->current.has_begun, is_failure, this->context.clock.now());
+}
+
+attempt_state relay_session::state_after(attempt_end end)
+{
+    const bool was_sent = end != attempt_end::not_sent;
+    const bool has_run =
+        end == attempt_end::failed || end == attempt_end::lost || end == attempt_end::timed_out;
+    this->attempts_sent += was_sent ? 1 : 0;
+    this->may_have_run = this->may_have_run || has_run;
+    attempt_state state;
+    state.end = end;
+    state.kind = this->request.route->kind;
+    state.attempts_sent = this->attempts_sent;
+    state.max_attempts = this->request.route->max_attempts;
+    state.may_have_run = this->may_have_run;
+    state.answer_has_begun = this->stream.has_begun();
+    return state;
+}
+
+void relay_session::end_attempt(attempt_end end, const char* why)
+{
+    const auto keep = this->shared_from_this();
+    const auto now = this->context.clock.now();
+    const auto target = this->current.choice.target;
+    const bool is_failure = end != attempt_end::timed_out && end != attempt_end::declined;
+    if (this->current.channel && end != attempt_end::declined && end != attempt_end::failed) {
+        this->current.channel->close();
+    }
+    this->close_attempt(is_failure);
+    if (end == attempt_end::declined) {
+        this->state->board.suspend(target.id, suspension::full, now + declined_pause);
+    }
+    this->tried.push_back(target.id);
+    this->stream.end_attempt();
+    auto state = this->state_after(end);
+    state.is_permitted = this->request.give_up_at - now > least_attempt_time &&
+                         this->tried.size() < max_connect_failures + this->attempts_sent;
+    auto step = decide_next(state);
+    std::optional<target_choice> next;
+    if (step == next_step::try_again || step == next_step::resume) {
+        const bool costs_budget = this->attempts_sent > 0;
+        next = this->choose_target();
+        state.is_permitted =
+            next && (!costs_budget || this->state->retries.try_retry(now, this->context.daemons));
+        step = decide_next(state);
+    }
+    log_attempt_end(this->request, {target, end, why, this->current.head.status, this->current.was_reused,
+                                    now - this->current.sent_at, this->stream.events(), step});
+    this->carry_out(step, next);
+}
+
+void relay_session::carry_out(next_step step, const std::optional<target_choice>& next)
+{
+    switch (step) {
+    case next_step::try_again:
+    case next_step::resume:
+        this->context.counters.add("coriander_retries_total", "service=\"" + this->request.service + "\"");
+        this->dispatch(*next);
+        return;
+    case next_step::refuse:
+        this->answer(own_answer::not_sent, short_retry);
+        return;
+    case next_step::pass_failure:
+        this->pass_answer();
+        return;
+    case next_step::report_unknown:
+        this->answer(own_answer::unknown_end);
+        return;
+    case next_step::report_time_out:
+        this->answer(own_answer::timed_out);
+        return;
+    case next_step::break_off:
+        this->caller->abort();
+        this->finish("broken_off", 0);
+        return;
+    }
+}
+
+void relay_session::leave_target()
+{
+    if (this->has_ended || !this->current.is_open) {
+        return;
+    }
+    const auto now = this->context.clock.now();
+    const auto& route = *this->request.route;
+    const bool may_move = route.kind != repetition::non_idempotent &&
+                          this->attempts_sent + 1 < route.max_attempts &&
+                          this->request.give_up_at - now > least_attempt_time;
+    // Without another target the stream waits here: its replica may yet go on.
+    auto others = this->tried;
+    others.push_back(this->current.choice.target.id);
+    const auto* service = this->request.routes->find_service(this->request.service);
+    const std::string_view model =
+        service->engine ? std::string_view{this->request.model} : std::string_view{};
+    if (may_move && this->state->board.choose({model, {}, others, 1}, 0.0, now)) {
+        this->end_attempt(attempt_end::lost, "the target stands still");
+    }
+}
+
+void relay_session::answer(own_answer answer, time_ms retry_after)
+{
+    const int status = status_of(answer);
+    const double factor = 1.0 + retry_spread * this->context.draw();
+    const time_ms spread{static_cast<std::int64_t>(static_cast<double>(retry_after.count()) * factor)};
+    auto headers = own_answer_headers(answer, this->request, this->context.dialect, spread);
+    this->caller->send(status, std::move(headers), {});
+    this->finish(name_of(answer), status);
+}
+
+void relay_session::finish(const char* outcome, int status)
+{
+    this->has_ended = true;
+    this->limit_timer.cancel();
+    const auto now = this->context.clock.now();
+    const auto took = now - this->request.raw.arrived;
+    const auto first =
+        this->stream.has_begun() ? this->stream.begun_at() - this->request.raw.arrived : time_ms{};
+    if (this->stream.has_begun()) {
+        this->context.counters.observe("coriander_first_event_seconds",
+                                       "route=\"" + this->request.route->name + "\"", first.seconds());
+    }
+    log_request_end(this->request, {outcome, status, this->current.choice.target.id, this->attempts_sent,
+                                    this->stream.events(), first, took});
+    this->context.counters.add("coriander_requests_total", "outcome=\"" + std::string{outcome} + "\"");
+    this->context.counters.observe("coriander_request_seconds", {}, took.seconds());
+    this->self.reset();
+}
+
+void relay_session::on_time_limit()
+{
+    if (!this->has_ended && this->current.is_open) {
+        this->end_attempt(attempt_end::timed_out, "the time limit");
+    }
+}
+
+void relay_session::on_caller_gone()
+{
+    if (this->has_ended) {
+        return;
+    }
+    const auto keep = this->shared_from_this();
+    this->attempts_sent += this->current.is_open ? 1 : 0;
+    if (this->current.channel) {
+        this->current.channel->close();
+    }
+    this->close_attempt(false);
+    log_event(event::caller_gone, {{"request", this->request.attempt_id},
+                                   {"after", this->context.clock.now() - this->request.raw.arrived},
+                                   {"events", this->stream.events()}});
+    this->finish("caller_gone", 0);
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/replica_timing.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "coriander/relay/relay_manifest.hpp"
+#include "coriander/replicas/domain_record.hpp"
+#include "coriander/time_ms.hpp"
+#include "gateway/controller_settings.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace coriander {
+
+/// Follows how long a domain's replicas have been forming or retiring. Not thread-safe.
+class replica_timing {
+public:
+    /// Takes the record as it is now, and notes whose time is up.
+    void update(const domain_record& record, const engine_profile& engine,
+                const controller_settings& settings, bool loads_are_cheap, time_ms now)
+    {
+        std::set<std::string> seen;
+        for (const auto& replica : record.replicas) {
+            const bool is_forming = replica.phase == replica_phase::forming;
+            if (!is_forming && replica.phase != replica_phase::retiring) {
+                continue;
+            }
+            const auto id = key_of(replica.name, replica.phase);
+            seen.insert(id);
+            const auto began = this->since.try_emplace(id, now).first->second;
+            const auto limit = is_forming ? forming_limit(engine, replica.model, settings, loads_are_cheap)
+                                          : settings.retiring_limit;
+            if (now - began > limit) {
+                this->ended.insert(replica.name);
+            }
+        }
+        std::erase_if(this->since, [&](const auto& item) { return !seen.contains(item.first); });
+        std::erase_if(this->ended, [&](const std::string& name) {
+            return std::none_of(record.replicas.begin(), record.replicas.end(),
+                                [&](const replica_entry& one) { return one.name == name; });
+        });
+    }
+
+    /// Notes that a retiring replica has no work left.
+    void on_idle(const std::string& replica) { this->ended.insert(replica); }
+
+    /// Replicas whose work has ended or whose time is up.
+    [[nodiscard]] const std::set<std::string>& finished() const noexcept { return this->ended; }
+
+    /// Since when the replica has been forming; nothing when it isn't.
+    [[nodiscard]] std::optional<time_ms> forming_since(const std::string& replica) const
+    {
+        const auto found = this->since.find(key_of(replica, replica_phase::forming));
+        return found == this->since.end() ? std::nullopt : std::optional{found->second};
+    }
+
+private:
+    static std::string key_of(const std::string& replica, replica_phase phase)
+    {
+        return replica + "/" + name_of(phase);
+    }
+
+    static time_ms forming_limit(const engine_profile& engine, const std::string& model,
+                                 const controller_settings& settings, bool loads_are_cheap)
+    {
+        for (const auto& one : engine.models) {
+            if (one.name == model) {
+                const auto load = loads_are_cheap ? one.load_time : one.staged_load_time;
+                return load + engine.forming_time + settings.forming_margin;
+            }
+        }
+        return settings.forming_margin;
+    }
+
+    std::map<std::string, time_ms> since; ///< By replica and phase.
+    std::set<std::string> ended;
+};
+
+} // namespace coriander
--- a/src/gateway/service_state.cpp
+++ b/src/gateway/service_state.cpp
@@ -52,4 +52,19 @@
     return {faded(this->rate, now - this->rate_at), this->prompt, this->answer};
 }
 
+time_ms usual_duration_of(const model_meter& meter, const relay_service& service, const std::string& model)
+{
+    if (meter.usual_duration() > time_ms{} || !service.engine) {
+        return meter.usual_duration();
+    }
+    const auto& engine = *service.engine;
+    for (const auto& one : engine.models) {
+        if (one.name == model) {
+            return time_ms{static_cast<std::int64_t>(answer_time_ms(
+                engine, one, engine.usual_prompt_tokens, engine.usual_answer_tokens, engine.slots))};
+        }
+    }
+    return {};
+}
+
 } // namespace coriander
--- a/src/gateway/service_state.hpp
+++ b/src/gateway/service_state.hpp
@@ -44,6 +44,11 @@
     double duration_ms = 0.0;
 };
 
+/// The usual time that a request of the model takes, without its wait: as measured, or, before any was, by
+/// the engine's profile; zero when neither is known.
+[[nodiscard]] time_ms usual_duration_of(const model_meter& meter, const relay_service& service,
+                                        const std::string& model);
+
 /// What a daemon keeps of one service for routing.
 struct service_state {
     target_board board;
--- /dev/null
+++ b/src/gateway/stream_answer.cpp
@@ -0,0 +1,42 @@
+#include "gateway/stream_answer.hpp"
+
+#include "gateway/target_answer.hpp"
+
+#include <string>
+
+namespace coriander {
+
+void stream_answer::pass(std::string_view bytes, const wire_head& head, time_ms now)
+{
+    std::string passed;
+    this->framer.feed(bytes, [&](std::string_view event, std::optional<std::uint64_t> number) {
+        const bool is_known = number && this->last && *number <= *this->last;
+        if (!is_known) {
+            passed.append(event);
+            this->last = number ? number : this->last;
+            ++this->count;
+        }
+    });
+    if (!passed.empty()) {
+        this->begin(head, now);
+        this->caller->append(passed);
+    }
+}
+
+void stream_answer::finish(const wire_head& head, time_ms now)
+{
+    this->begin(head, now);
+    this->caller->append(this->framer.take_partial());
+    this->caller->finish_stream();
+}
+
+void stream_answer::begin(const wire_head& head, time_ms now)
+{
+    if (!this->begun) {
+        this->begun = true;
+        this->first_at = now;
+        this->caller->begin_stream(head.status, passed_headers(head));
+    }
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/target_answer.cpp
@@ -0,0 +1,55 @@
+#include "gateway/target_answer.hpp"
+
+#include <charconv>
+
+namespace coriander {
+namespace {
+
+constexpr int first_success_status = 200;
+constexpr int first_redirect_status = 300;
+constexpr int misdirected_status = 421;
+constexpr int first_error_status = 500;
+
+} // namespace
+
+std::optional<told_load> parse_load(std::string_view text)
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    const auto* end = text.data() + text.size();
+    const auto first = std::from_chars(text.data(), end, running);
+    if (first.ec != std::errc{} || first.ptr == end || *first.ptr != ',') {
+        return std::nullopt;
+    }
+    const auto second = std::from_chars(first.ptr + 1, end, waiting);
+    return second.ec == std::errc{} ? std::optional{told_load{running, waiting}} : std::nullopt;
+}
+
+std::vector<http_header> passed_headers(const wire_head& head)
+{
+    std::vector<http_header> headers;
+    for (const auto& header : head.headers) {
+        if (!is_hop_header(header.name) && !same_name(header.name, "Content-Length")) {
+            headers.push_back(header);
+        }
+    }
+    return headers;
+}
+
+std::optional<attempt_end> judge_answer(const wire_head& head, const relay_dialect& dialect,
+                                        std::string_view attempt_id)
+{
+    const auto echoed = head.header(dialect.attempt_id);
+    const bool is_success = head.status >= first_success_status && head.status < first_redirect_status;
+    const bool is_foreign = !echoed.empty() && echoed != attempt_id;
+    const bool is_unsigned = head.header(dialect.signature).empty() || echoed.empty();
+    if (is_foreign || !head.header("Content-Encoding").empty() || (is_success && is_unsigned)) {
+        return attempt_end::lost;
+    }
+    if (head.status == misdirected_status || !head.header(dialect.not_run).empty()) {
+        return attempt_end::declined;
+    }
+    return head.status >= first_error_status ? std::optional{attempt_end::failed} : std::nullopt;
+}
+
+} // namespace coriander
