Forget requests older than the retry window although nothing is retried

Cause: old requests were dropped only by a retry, so that a gateway without retries kept every request's time for good. Test first seen failing (1000 of at most 101 remembered).

--- a/include/coriander/relay/retry_window.hpp
+++ b/include/coriander/relay/retry_window.hpp
@@ -22,7 +22,11 @@
     explicit retry_window(retry_window_settings settings = {}) : settings{settings} {}
 
     /// Counts a request's first attempt.
-    void on_request(time_ms now) { this->requests.push_back(now); }
+    void on_request(time_ms now)
+    {
+        this->forget_old(now);
+        this->requests.push_back(now);
+    }
 
     /// Takes one retry, or tells that the part of this daemon, one of `daemons`, is used up.
     /// Precondition: `daemons` > 0.
@@ -39,6 +43,12 @@
         return true;
     }
 
+    /// Requests and retries that are remembered.
+    [[nodiscard]] std::size_t remembered() const noexcept
+    {
+        return this->requests.size() + this->retries.size();
+    }
+
 private:
     /// Part of the bound that is used: daemons' windows don't begin at the same moment.
     static constexpr double safety = 0.8;
--- a/test/relay/retry_window_test.cpp
+++ b/test/relay/retry_window_test.cpp
@@ -30,6 +30,15 @@
     CHECK(window.try_retry(12_s, 1));
 }
 
+TEST_CASE("retry window: requests older than the window are forgotten although nothing is retried")
+{
+    retry_window window{{0.2, 10.0, 10_s}};
+    for (int i = 0; i < 1000; ++i) {
+        window.on_request(time_ms{100LL * i});
+    }
+    CHECK(window.remembered() <= 101);
+}
+
 TEST_CASE("retry window: all daemons together stay within the bound in any span of the window's length")
 {
     rc::prop("random requests and retries over five daemons", []() {
