--- a/include/coriander/relay/stall_watch.hpp
+++ b/include/coriander/relay/stall_watch.hpp
@@ -82,9 +82,6 @@
     /// Counts silence from now on.
     void forgive(time_ms now) { this->quiet_since = now; }
 
-    /// The usual time between events, in milliseconds.
-    [[nodiscard]] double usual_gap() const noexcept { return this->usual_gap_ms; }
-
 private:
     static constexpr double gain = 0.1;
     /// Events that arrive together belong to one pass.
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -17,13 +17,10 @@
 #include "runtime/log.hpp"
 
 #include <algorithm>
-#include <array>
-#include <concepts>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -183,15 +183,11 @@
     return targets;
 }
 
-const replica_entry* fleet_view::find_replica(const std::string& service, const std::string& name,
-                                              domain_key* key) const
+const replica_entry* fleet_view::find_replica(const std::string& service, const std::string& name) const
 {
     for (const auto& [domain, versioned] : this->records) {
         for (const auto& replica : versioned.record.replicas) {
             if (domain.service == service && replica.name == name) {
-                if (key != nullptr) {
-                    *key = domain;
-                }
                 return &replica;
             }
         }
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -85,9 +85,9 @@
 
     /// The targets of a service that may get new work.
     [[nodiscard]] std::vector<relay_target> targets_of(const relay_service& service) const;
-    /// The replica with this name and its domain; null without one.
-    [[nodiscard]] const replica_entry* find_replica(const std::string& service, const std::string& name,
-                                                    domain_key* key = nullptr) const;
+    /// The service's replica with this name; null without one.
+    [[nodiscard]] const replica_entry* find_replica(const std::string& service,
+                                                    const std::string& name) const;
 
     /// Counts changes: differs when targets may have changed.
     [[nodiscard]] std::uint64_t change_count() const noexcept { return this->changes; }
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -71,7 +71,7 @@
     auto& meter = this->state->meters[this->request.model];
     meter.on_request(this->request.prompt_tokens, now);
     const auto* service = this->request.routes->find_service(this->request.service);
-    const auto best = this->choose_target();
+    const auto best = this->choose_target(this->tried);
     admission_input input{best, usual_duration_of(meter, *service, this->request.model),
                           this->request.route->latency_objective, this->request.give_up_at - now,
                           meter.refused_share(now)};
@@ -85,14 +85,13 @@
     this->dispatch(*best);
 }
 
-std::optional<target_choice> relay_session::choose_target()
+std::optional<target_choice> relay_session::choose_target(std::span<const std::string> without)
 {
     const auto* service = this->request.routes->find_service(this->request.service);
     const std::string_view model =
         service->engine ? std::string_view{this->request.model} : std::string_view{};
-    return this->state->board.choose(
-        {model, this->context.failure_domain, this->tried, this->context.daemons}, this->context.draw(),
-        this->context.clock.now());
+    return this->state->board.choose({model, this->context.failure_domain, without, this->context.daemons},
+                                     this->context.draw(), this->context.clock.now());
 }
 
 void relay_session::dispatch(const target_choice& choice)
@@ -143,7 +142,7 @@
 {
     this->current.has_begun = true;
     this->current.begun_at = this->context.clock.now();
-    this->state->board.on_begun(this->current.choice.target.id, this->context.clock.now());
+    this->state->board.on_begun(this->current.choice.target.id, this->current.begun_at);
     this->read_load(head);
     this->current.verdict = judge_answer(head, this->context.dialect, this->request.attempt_id);
     this->current.head = std::move(head);
@@ -155,9 +154,7 @@
     if (this->current.verdict == attempt_end::lost) {
         return; // Somebody else's bytes; the end of the exchange closes the connection.
     }
-    const bool is_stream =
-        this->request.route->is_stream && !this->current.verdict && this->current.head.status / 100 == 2;
-    if (is_stream) {
+    if (!this->current.verdict && this->is_event_stream()) {
         this->pass_events(bytes);
     }
     else {
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -57,7 +58,8 @@
     void admit();
     void dispatch(const target_choice& choice);
     [[nodiscard]] std::string request_text(const target_choice& choice) const;
-    [[nodiscard]] std::optional<target_choice> choose_target();
+    /// The best target but for those named.
+    [[nodiscard]] std::optional<target_choice> choose_target(std::span<const std::string> without);
     void read_load(const wire_head& head);
     void pass_events(std::string_view bytes);
     [[nodiscard]] bool is_event_stream() const;
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -4,8 +4,6 @@
 #include "gateway/target_answer.hpp"
 #include "runtime/log.hpp"
 
-#include <algorithm>
-
 // How attempts and requests end; their beginning is in relay_session.cpp.
 namespace coriander {
 namespace {
@@ -77,7 +75,7 @@
     std::optional<target_choice> next;
     if (step == next_step::try_again || step == next_step::resume) {
         const bool costs_budget = this->attempts_sent > 0;
-        next = this->choose_target();
+        next = this->choose_target(this->tried);
         state.is_permitted =
             next && (!costs_budget || this->state->retries.try_retry(now, this->context.daemons));
         step = decide_next(state);
@@ -127,10 +125,7 @@
     // Without another target the stream waits here: its replica may yet go on.
     auto others = this->tried;
     others.push_back(this->current.choice.target.id);
-    const auto* service = this->request.routes->find_service(this->request.service);
-    const std::string_view model =
-        service->engine ? std::string_view{this->request.model} : std::string_view{};
-    if (may_move && this->state->board.choose({model, {}, others, 1}, 0.0, now)) {
+    if (may_move && this->choose_target(others)) {
         this->end_attempt(attempt_end::lost, "the target stands still");
     }
 }
--- a/src/net/channel_pool.cpp
+++ b/src/net/channel_pool.cpp
@@ -61,26 +61,6 @@
     std::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
 }
 
-void channel_pool::forget(const std::string& address)
-{
-    const auto found = this->idle.find(address);
-    if (found != this->idle.end()) {
-        for (auto& one : found->second) {
-            one.channel->close();
-        }
-        this->idle.erase(found);
-    }
-}
-
-std::size_t channel_pool::idle_count() const
-{
-    std::size_t count = 0;
-    for (const auto& [address, waiting] : this->idle) {
-        count += waiting.size();
-    }
-    return count;
-}
-
 asio::ip::tcp::endpoint parse_endpoint(const std::string& address)
 {
     const auto colon = address.rfind(':');
--- a/src/net/channel_pool.hpp
+++ b/src/net/channel_pool.hpp
@@ -34,11 +34,6 @@
     /// Closes what has been idle for too long.
     void close_old();
 
-    /// Closes the idle connections of a server that is gone or may have changed.
-    void forget(const std::string& address);
-
-    [[nodiscard]] std::size_t idle_count() const;
-
 private:
     struct idle_channel {
         std::shared_ptr<http_channel> channel;
--- a/test/net/http_channel_test.cpp
+++ b/test/net/http_channel_test.cpp
@@ -2,26 +2,14 @@
 #include "net/http_channel.hpp"
 
 #include "support/event_loop.hpp"
+#include "support/kept_response.hpp"
 #include "support/scripted_server.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <optional>
-
 namespace coriander {
 namespace {
 
-class kept_response : public response_receiver {
-public:
-    void on_response_head(wire_head received) override { this->head = std::move(received); }
-    void on_response_body(std::string_view bytes) override { this->body += bytes; }
-    void on_exchange_end(exchange_end how) override { this->end = how; }
-
-    wire_head head;
-    std::string body;
-    std::optional<exchange_end> end;
-};
-
 const std::string plain_request = "GET / HTTP/1.1\r\n\r\n";
 const std::string short_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
--- a/test/support/test_caller.hpp
+++ b/test/support/test_caller.hpp
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "net/http_channel.hpp"
+#include "support/kept_response.hpp"
 
 #include <asio/io_context.hpp>
 
-#include <optional>
 #include <string>
 
 namespace coriander {
 
 /// A caller on a connection of its own that keeps what it receives.
-class test_caller : public response_receiver {
+class test_caller : public kept_response {
 public:
     test_caller(asio::io_context& loop, std::uint16_t port) : channel{std::make_shared<http_channel>(loop)}
     {
@@ -29,14 +29,6 @@
     }
     void leave() { this->channel->close(); }
 
-    void on_response_head(wire_head received) override { this->head = std::move(received); }
-    void on_response_body(std::string_view bytes) override { this->body += bytes; }
-    void on_exchange_end(exchange_end how) override { this->end = how; }
-
-    wire_head head;
-    std::string body;
-    std::optional<exchange_end> end;
-
 private:
     std::shared_ptr<http_channel> channel;
 };
