A host is lost only when it leaves several questions unanswered and its replica sends nothing

Now a replica that sends events again has lost none, and silent hosts are asked three times over new connections, 40 ms each: the same 120 ms in all.

The three tests of stall_response were seen failing with the version before.

--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "coriander/clock.hpp"
+#include "coriander/relay/loss_inquiry.hpp"
 #include "gateway/fleet_controller.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
 #include "runtime/log.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -20,8 +22,11 @@
 
 /// Times of the response to a replica that stands still.
 struct stall_response_settings {
-    /// A sound host answers within a round trip; a longer silence is taken as its loss.
-    time_ms ask_limit{120};
+    /// A sound host answers within a round trip of a few milliseconds.
+    time_ms ask_limit{40};
+    /// A host that doesn't answer so many questions, each over a new connection, is taken as lost. With a
+    /// twelfth of the packets lost one question in four fails.
+    unsigned ask_rounds = 3;
     /// Least time between two inquiries about one replica.
     time_ms inquiry_pause{150};
     /// A replica that lost a host gets no new work for so long: its record tells of the loss by then.
@@ -73,8 +78,11 @@
 
 private:
     struct inquiry {
-        std::size_t open = 0;
-        std::vector<std::string> silent;
+        std::string service;
+        relay_target target;
+        std::vector<replica_host> members;
+        loss_inquiry asked;
+        time_ms begun_at;
     };
 
     void on_suspect(const std::string& service, service_state& state, const relay_target& target, time_ms now)
@@ -84,62 +92,93 @@
             return;
         }
         asked_at = now;
-        state.board.suspend(target.id, suspension::silent, now + this->settings.ask_limit);
         const auto* replica = this->view.find_replica(service, target.id);
         if (replica == nullptr) {
             leave(state, target.id);
             return;
         }
-        auto asked = std::make_shared<inquiry>();
-        asked->open = replica->hosts.size();
+        std::vector<std::string> ids;
         for (const auto& member : replica->hosts) {
-            listed_host host;
-            const auto* known = this->view.find_host(member.id);
-            if (known != nullptr) {
-                host = *known;
+            ids.push_back(member.id);
+        }
+        this->ask_round(std::make_shared<inquiry>(
+            inquiry{service, target, replica->hosts, {std::move(ids), this->settings.ask_rounds}, now}));
+    }
+
+    void ask_round(const std::shared_ptr<inquiry>& open)
+    {
+        const auto now = this->context.clock.now();
+        this->context.service(open->service)
+            .board.suspend(open->target.id, suspension::silent, now + this->settings.ask_limit);
+        const auto hosts = open->asked.silent_hosts();
+        for (const auto& member : open->members) {
+            if (std::find(hosts.begin(), hosts.end(), member.id) != hosts.end()) {
+                this->ask(open, member);
             }
-            host.id = member.id;
-            host.address = member.address;
-            this->io.ask_now(host, this->settings.ask_limit,
-                             [this, asked, service, target, member](std::optional<host_status> status) {
-                                 const bool is_same = status && status->incarnation == member.incarnation;
-                                 if (!is_same) {
-                                     asked->silent.push_back(member.id);
-                                 }
-                                 if (--asked->open == 0) {
-                                     this->conclude(service, target, *asked);
-                                 }
-                             });
         }
     }
 
-    void conclude(const std::string& service, const relay_target& target, const inquiry& asked)
+    void ask(const std::shared_ptr<inquiry>& open, const replica_host& member)
+    {
+        listed_host host;
+        const auto* known = this->view.find_host(member.id);
+        if (known != nullptr) {
+            host = *known;
+        }
+        host.id = member.id;
+        host.address = member.address;
+        this->io.ask_now(host, this->settings.ask_limit,
+                         [this, open, member](std::optional<host_status> status) {
+                             const bool is_same = status && status->incarnation == member.incarnation;
+                             if (open->asked.on_ended(member.id, is_same)) {
+                                 this->conclude(open);
+                             }
+                         });
+    }
+
+    void conclude(const std::shared_ptr<inquiry>& open)
     {
         const auto now = this->context.clock.now();
-        auto& state = this->context.service(service);
+        const auto& target = open->target;
+        auto& state = this->context.service(open->service);
+        const auto silence = state.board.silence(target.id, now);
+        const bool has_moved = state.board.own_requests(target.id) > 0 && silence < now - open->begun_at;
+        const auto verdict = open->asked.conclude(has_moved);
+        if (verdict == inquiry_verdict::ask_again) {
+            this->ask_round(open);
+            return;
+        }
+        const auto& silent = open->asked.silent_hosts();
         log_event(event::replica_suspected,
                   {{"replica", target.id},
                    {"leader", target.host},
-                   {"silent_hosts", asked.silent.size()},
-                   {"first_silent", asked.silent.empty() ? std::string{} : asked.silent.front()},
+                   {"silent_hosts", silent.size()},
+                   {"first_silent", silent.empty() ? std::string{} : silent.front()},
                    {"requests", state.board.own_requests(target.id)},
-                   {"still_silent", state.board.is_suspect(target.id, now) ? "yes" : "no"}});
-        if (!asked.silent.empty()) {
-            for (const auto& host : asked.silent) {
-                this->view.mark_silent(host, now);
-            }
-            state.board.suspend(target.id, suspension::silent, now + this->settings.avoidance);
-            leave(state, target.id);
-            this->changed();
+                   {"silence", silence},
+                   {"moves", has_moved ? "yes" : "no"}});
+        if (verdict == inquiry_verdict::lost) {
+            this->on_lost(silent, state, target, now);
             return;
         }
         state.board.restore(target.id);
-        if (state.board.silence(target.id, now) > this->settings.unexplained_limit) {
+        if (silence > this->settings.unexplained_limit) {
             state.board.suspend(target.id, suspension::silent, now + this->settings.avoidance);
             leave(state, target.id, true);
         }
     }
 
+    void on_lost(const std::vector<std::string>& hosts, service_state& state, const relay_target& target,
+                 time_ms now)
+    {
+        for (const auto& host : hosts) {
+            this->view.mark_silent(host, now);
+        }
+        state.board.suspend(target.id, suspension::silent, now + this->settings.avoidance);
+        leave(state, target.id);
+        this->changed();
+    }
+
     Io& io;
     relay_context& context;
     fleet_view& view;
--- /dev/null
+++ b/test/gateway/stall_response_test.cpp
@@ -0,0 +1,92 @@
+#include "gateway/stall_response.hpp"
+
+#include "support/event_loop.hpp"
+#include "support/fake_controller_io.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+const std::string service_name = "desk";
+const std::string replica_name = "d0-1";
+
+/// A replica of hosts `a` and `b` on which one stream stands still.
+struct stalled_replica {
+    stalled_replica()
+    {
+        domain_record record;
+        record.replicas = {{replica_name, "m", 1, replica_phase::open, {}}};
+        for (const auto* id : {"a", "b"}) {
+            listed_host host;
+            host.id = id;
+            host.service = service_name;
+            host.address = std::string{id} + ":1";
+            host.fabric_domain = "d0";
+            host.incarnation = 7;
+            host.part = replica_part{replica_name, 1, host_phase::open};
+            this->world.hosts[id] = host;
+            this->view.set_host(host, this->start);
+            record.replicas.front().hosts.push_back({id, host.address, 7, false});
+        }
+        this->view.set_domain({service_name, "d0"}, record, 1);
+        const relay_target target{replica_name, "a", "a:1", {}, "m", 1, 8, 1.0};
+        this->board().set_targets({&target, 1});
+        this->board().on_sent(replica_name, this->start - 5_s);
+        this->board().on_begun(replica_name, this->start - 5_s);
+    }
+
+    target_board& board() { return this->context.service(service_name).board; }
+
+    event_loop loop;
+    relay_context context{this->loop.context(), {}, "here"};
+    time_ms start = this->context.clock.now();
+    fake_controller_io::world world;
+    fake_controller_io io{this->world};
+    fleet_view view;
+    unsigned changes = 0;
+    stall_response<fake_controller_io> stalls{this->io, this->context, this->view,
+                                              [this] { ++this->changes; }};
+};
+
+} // namespace
+
+TEST_CASE("stall response: a host that misses one question is asked again before it counts as lost")
+{
+    stalled_replica replica;
+    replica.world.unreachable = {"b"};
+    replica.stalls.check(service_name, replica.start);
+    replica.io.deliver();
+    CHECK(replica.view.silent().empty());
+    replica.world.unreachable.clear();
+    replica.io.deliver();
+    CHECK(replica.view.silent().empty());
+    CHECK(replica.changes == 0);
+}
+
+TEST_CASE("stall response: a host that answers no question is lost")
+{
+    stalled_replica replica;
+    replica.world.unreachable = {"b"};
+    replica.stalls.check(service_name, replica.start);
+    for (unsigned round = 0; round < stall_response_settings{}.ask_rounds; ++round) {
+        CHECK(replica.view.silent().empty());
+        replica.io.deliver();
+    }
+    REQUIRE(replica.view.silent().size() == 1);
+    CHECK(replica.view.is_silent("b"));
+    CHECK(replica.changes == 1);
+}
+
+TEST_CASE("stall response: a replica that goes on while its hosts are asked has lost none")
+{
+    stalled_replica replica;
+    replica.world.unreachable = {"a", "b"};
+    replica.stalls.check(service_name, replica.start);
+    replica.board().on_progress(replica_name, replica.start + 1_s);
+    replica.io.deliver();
+    CHECK(replica.view.silent().empty());
+    CHECK(replica.changes == 0);
+}
+
+} // namespace coriander
