--- a/include/coriander/relay/relay_manifest.hpp
+++ b/include/coriander/relay/relay_manifest.hpp
@@ -45,7 +45,7 @@
     std::string name;
     unsigned hosts_per_replica = 1;
     double time_factor = 1.0;   ///< Multiplies all of the replica's times.
-    double initial_share = 0.0; ///< Its part of the service's work before any was measured.
+    double initial_share = 0.0; ///< Its part of the service's hosts before any load was measured.
     time_ms load_time{};        ///< From the weight store.
     time_ms staged_load_time{}; ///< From the host's own memory.
 };
--- a/src/replicas/replica_demand.cpp
+++ b/src/replicas/replica_demand.cpp
@@ -58,7 +58,7 @@
     }
     for (const auto& model : engine.models) {
         if (measured <= 0.0) {
-            needed[model.name] = model.initial_share;
+            needed[model.name] = model.initial_share / std::max(1U, model.hosts_per_replica);
         }
         else {
             needed.try_emplace(model.name, 0.0);
