A domain runs one model, so that survivors make up new replicas without a load

Hosts that hold the same model make up a replica again within 2 s. Replacements that hold a second of one model before the first of another are loaded anew; hosts to lose count, not replicas. A declared share counts as one of 85 in 100 of the hosts, so that 'met' means something before any load.

--- a/include/coriander/replicas/formation_plan.hpp
+++ b/include/coriander/replicas/formation_plan.hpp
@@ -10,11 +10,12 @@
 
 namespace coriander {
 
-/// The free hosts of a fabric domain.
+/// The free hosts of a fabric domain, and what it runs.
 struct domain_supply {
     std::string domain;
     std::size_t free = 0;
-    std::map<std::string, std::size_t> staged; ///< Free hosts that hold each model.
+    std::map<std::string, std::size_t> staged;  ///< Free hosts that hold each model.
+    std::map<std::string, std::size_t> running; ///< Its replicas by model.
 };
 
 /// What the fleet needs and has.
@@ -30,8 +31,9 @@
 using formation = std::map<std::string, std::vector<std::string>>;
 
 /// Divides the free hosts of all domains among the models: the model that is shortest of replicas for its
-/// load comes first, in the domain where the fewest hosts are left over. Pure and deterministic, so that
-/// daemons that know the same plan the same.
+/// load comes first. A domain runs replicas of one model as long as the load of the others is met elsewhere:
+/// what is left of replicas that lost hosts then makes up new ones without a load. Pure and deterministic, so
+/// that daemons that know the same plan the same.
 [[nodiscard]] formation plan_formation(formation_input input);
 
 /// The most hosts out of `free` that replicas of these models can use.
@@ -46,8 +48,8 @@
 /// Which model each of a domain's free hosts should hold, by host; hosts that need not change are left out.
 ///
 /// `counts` are the domain's replicas by model. Hosts that suffice for a replica are prepared for the one
-/// that needs the fewest loads; the others hold models that the domain's replicas run, evenly, as
-/// replacements.
+/// that needs the fewest loads; the others hold models that the domain's replicas run, by the hosts that each
+/// has to lose, as replacements; each model has one before another has two.
 [[nodiscard]] std::map<std::string, std::string>
 plan_staging(const formation_input& input, std::span<const spare_host> free,
              const std::map<std::string, std::size_t>& counts);
--- a/include/coriander/replicas/replica_demand.hpp
+++ b/include/coriander/replicas/replica_demand.hpp
@@ -24,8 +24,10 @@
 [[nodiscard]] double answer_time_ms(const engine_profile& engine, const model_profile& model,
                                     double prompt_tokens, double answer_tokens, double running);
 
-/// How many replicas of each model the load keeps busy; by the declared shares while nothing was measured.
+/// How many replicas of each model the load keeps busy; by the declared shares of `hosts` while nothing was
+/// measured.
 [[nodiscard]] std::map<std::string, double> needed_replicas(const engine_profile& engine,
-                                                            const std::map<std::string, model_load>& load);
+                                                            const std::map<std::string, model_load>& load,
+                                                            std::size_t hosts);
 
 } // namespace coriander
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -94,7 +94,7 @@
         input.models = service.engine->models;
         auto& wanted = this->needed[service.name];
         if (wanted.empty()) {
-            wanted = needed_replicas(*service.engine, {});
+            wanted = needed_replicas(*service.engine, {}, this->view.host_count(service.name));
         }
         input.needed = &wanted;
         input.only_staged = !this->loads_are_cheap;
@@ -118,7 +118,11 @@
     domain_supply supply_of(const domain_key& key, const domain_record& record)
     {
         const auto hosts = this->view.hosts_of(key);
-        domain_supply supply{key.domain, 0, {}};
+        domain_supply supply{key.domain, 0, {}, {}};
+        for (const auto& replica : record.replicas) {
+            const bool counts = replica.phase == replica_phase::forming || replica.phase == replica_phase::open;
+            supply.running[replica.model] += counts ? 1 : 0;
+        }
         for (const auto* host : free_hosts(this->view_of(record, hosts, this->work[key]))) {
             ++supply.free;
             for (const auto& model : host->staged) {
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -136,6 +136,13 @@
     return found;
 }
 
+std::size_t fleet_view::host_count(const std::string& service) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->known.begin(), this->known.end(),
+                      [&](const auto& item) { return item.second.service == service; }));
+}
+
 time_ms fleet_view::last_arrival(const domain_key& key) const
 {
     const auto found = this->arrivals.find(key);
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -80,6 +80,8 @@
     [[nodiscard]] std::vector<domain_key> domains_of(const std::string& service) const;
     /// Copies of the hosts of a domain.
     [[nodiscard]] std::vector<listed_host> hosts_of(const domain_key& key) const;
+    /// How many hosts of the service are listed.
+    [[nodiscard]] std::size_t host_count(const std::string& service) const;
     /// When a host of the domain was last seen for the first time.
     [[nodiscard]] time_ms last_arrival(const domain_key& key) const;
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -323,7 +323,7 @@
             // Callers spread over all daemons alike: each sees its part of the whole.
             load[model].requests_per_s *= static_cast<double>(this->relay.daemons);
         }
-        return needed_replicas(engine, load);
+        return needed_replicas(engine, load, this->fleet.host_count(service));
     }
 
     void run_peers()
--- a/src/replicas/formation_plan.cpp
+++ b/src/replicas/formation_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace coriander {
 namespace {
@@ -47,20 +48,29 @@
     return usable >= model.hosts_per_replica;
 }
 
-/// The domain where forming the model leaves the fewest hosts that no replica could use.
-domain_supply* best_domain(formation_input& input, const model_profile& model)
+bool runs_others(const domain_supply& domain, const std::string& model)
+{
+    return std::any_of(domain.running.begin(), domain.running.end(),
+                       [&](const auto& one) { return one.first != model && one.second > 0; });
+}
+
+/// The domain to form the model in: one that runs it alone, else an empty one, else, with `may_mix`, one that
+/// runs others; among these the one where the fewest hosts are left over that no replica could use.
+domain_supply* best_domain(formation_input& input, const model_profile& model, bool may_mix)
 {
     domain_supply* best = nullptr;
-    std::size_t least_waste = std::numeric_limits<std::size_t>::max();
+    auto lowest = std::tuple{true, true, std::numeric_limits<std::size_t>::max()};
     for (auto& domain : input.domains) {
-        if (!fits(domain, model, input.only_staged)) {
+        const bool is_mixed = runs_others(domain, model.name);
+        if (!fits(domain, model, input.only_staged) || (is_mixed && !may_mix)) {
             continue;
         }
         const auto left = domain.free - model.hosts_per_replica;
         const auto waste = left - usable_hosts(left, input.models);
-        if (waste < least_waste) {
+        const auto rank = std::tuple{is_mixed, count_at(domain.running, model.name) == 0, waste};
+        if (best == nullptr || rank < lowest) {
             best = &domain;
-            least_waste = waste;
+            lowest = rank;
         }
     }
     return best;
@@ -71,6 +81,7 @@
     domain.free -= model.hosts_per_replica;
     auto& own = domain.staged[model.name];
     own -= std::min<std::size_t>(own, model.hosts_per_replica);
+    ++domain.running[model.name];
 }
 
 } // namespace
@@ -99,7 +110,9 @@
     for (bool has_formed = true; has_formed;) {
         has_formed = false;
         for (const auto* model : by_shortage(input, existing)) {
-            auto* domain = best_domain(input, *model);
+            const bool is_short = static_cast<double>(count_at(existing, model->name)) <
+                                  value_at(*input.needed, model->name);
+            auto* domain = best_domain(input, *model, is_short);
             if (domain != nullptr) {
                 take_hosts(*domain, *model);
                 plan[domain->domain].push_back(model->name);
@@ -153,16 +166,18 @@
                      [&](const spare_host& a, const spare_host& b) { return rank(a) < rank(b); });
 }
 
-/// The model with the fewest replacements for its replicas in the domain; empty without replicas.
-std::string least_covered(const std::map<std::string, std::size_t>& counts,
+/// The model with the fewest replacements for the hosts of its replicas in the domain; empty without replicas.
+std::string least_covered(std::span<const model_profile> models,
+                          const std::map<std::string, std::size_t>& counts,
                           const std::map<std::string, std::size_t>& spares)
 {
     std::string least;
     double lowest = std::numeric_limits<double>::max();
-    for (const auto& [model, count] : counts) {
-        const double cover = static_cast<double>(count_at(spares, model)) / static_cast<double>(count);
-        if (count > 0 && cover < lowest) {
-            least = model;
+    for (const auto& model : models) {
+        const double hosts = static_cast<double>(count_at(counts, model.name)) * model.hosts_per_replica;
+        const double cover = static_cast<double>(count_at(spares, model.name)) / std::max(1.0, hosts);
+        if (hosts > 0.0 && cover < lowest) {
+            least = model.name;
             lowest = cover;
         }
     }
@@ -193,11 +208,15 @@
         spares[host.model] += host.model.empty() ? 0 : 1;
     }
     for (const auto& host : left) {
+        const auto model = least_covered(input.models, running, spares);
         const bool is_useful = !host.model.empty() && count_at(running, host.model) > 0;
-        const auto model = least_covered(running, spares);
-        if (!is_useful && !model.empty()) {
+        const bool is_second = count_at(spares, host.model) > 1;
+        if (!model.empty() && (!is_useful || (is_second && count_at(spares, model) == 0))) {
             plan[host.id] = model;
             ++spares[model];
+            if (!host.model.empty()) {
+                --spares[host.model];
+            }
         }
     }
     return plan;
--- a/src/replicas/replica_demand.cpp
+++ b/src/replicas/replica_demand.cpp
@@ -7,6 +7,8 @@
 
 /// Replicas can't be kept at full batches without making requests wait.
 constexpr double usable_slots = 0.8;
+/// A declared load leaves hosts to spare, or the fleet could bear no loss.
+constexpr double declared_use = 0.85;
 constexpr double ms_per_s = 1000.0;
 
 double step_ms(const engine_profile& engine, double running, double context_tokens)
@@ -43,9 +45,15 @@
 }
 
 std::map<std::string, double> needed_replicas(const engine_profile& engine,
-                                              const std::map<std::string, model_load>& load)
+                                              const std::map<std::string, model_load>& load,
+                                              std::size_t hosts)
 {
     std::map<std::string, double> needed;
+    double shares = 0.0;
+    for (const auto& model : engine.models) {
+        shares += model.initial_share;
+    }
+    const double declared = shares > 0.0 ? declared_use * static_cast<double>(hosts) / shares : 0.0;
     double measured = 0.0;
     for (const auto& model : engine.models) {
         const auto found = load.find(model.name);
@@ -58,7 +66,7 @@
     }
     for (const auto& model : engine.models) {
         if (measured <= 0.0) {
-            needed[model.name] = model.initial_share / std::max(1U, model.hosts_per_replica);
+            needed[model.name] = declared * model.initial_share / std::max(1U, model.hosts_per_replica);
         }
         else {
             needed.try_emplace(model.name, 0.0);
--- a/test/replicas/formation_plan_test.cpp
+++ b/test/replicas/formation_plan_test.cpp
@@ -42,17 +42,42 @@
 {
     plan_fixture plan;
     for (int i = 0; i < 6; ++i) {
-        plan.domains.push_back({"d" + std::to_string(i), 9, {}});
+        plan.domains.push_back({"d" + std::to_string(i), 9, {}, {}});
     }
     const auto counts = plan.formed();
     CHECK(counts.at("large") * 4 + counts.at("small") * 3 >= 50);
     CHECK(counts.at("large") >= counts.at("small"));
 }
 
+TEST_CASE("formation plan: a domain runs one model, so that survivors make up new replicas without a load")
+{
+    plan_fixture plan;
+    for (int i = 0; i < 6; ++i) {
+        plan.domains.push_back({"d" + std::to_string(i), 9, {}, {}});
+    }
+    for (const auto& [domain, models] : plan_formation(plan.input())) {
+        CAPTURE(domain);
+        CHECK(std::set<std::string>{models.begin(), models.end()}.size() == 1);
+    }
+    const auto counts = plan.formed();
+    CHECK(counts.at("large") >= 6);
+    CHECK(counts.at("small") >= 6);
+}
+
+TEST_CASE("formation plan: models share a domain while the load of one of them is not met")
+{
+    plan_fixture plan;
+    plan.domains = {{"d", 3, {}, {{"large", 1}}}};
+    plan.existing = {{"large", 6}, {"small", 5}};
+    CHECK(plan_formation(plan.input()).empty());
+    plan.existing = {{"large", 6}, {"small", 3}};
+    CHECK(plan_formation(plan.input()) == formation{{"d", {"small"}}});
+}
+
 TEST_CASE("formation plan: what is short of replicas comes first")
 {
     plan_fixture plan;
-    plan.domains = {{"d", 4, {}}};
+    plan.domains = {{"d", 4, {}, {}}};
     plan.existing = {{"large", 6}, {"small", 1}};
     CHECK(plan_formation(plan.input()) == formation{{"d", {"small"}}});
     plan.existing = {{"large", 1}, {"small", 6}};
@@ -63,9 +88,9 @@
 {
     plan_fixture plan;
     plan.only_staged = true;
-    plan.domains = {{"d", 9, {{"large", 3}, {"small", 2}}}};
+    plan.domains = {{"d", 9, {{"large", 3}, {"small", 2}}, {}}};
     CHECK(plan_formation(plan.input()).empty());
-    plan.domains = {{"d", 9, {{"large", 3}, {"small", 3}}}};
+    plan.domains = {{"d", 9, {{"large", 3}, {"small", 3}}, {}}};
     CHECK(plan_formation(plan.input()) == formation{{"d", {"small"}}});
 }
 
@@ -78,7 +103,7 @@
             const auto free = *rc::gen::inRange<std::size_t>(0, 20);
             const auto large = *rc::gen::inRange<std::size_t>(0, free + 1);
             plan.domains.push_back(
-                {"d" + std::to_string(i), free, {{"large", large}, {"small", free - large}}});
+                {"d" + std::to_string(i), free, {{"large", large}, {"small", free - large}}, {}});
         }
         plan.only_staged = *rc::gen::arbitrary<bool>();
         for (const auto& [name, formed] : plan_formation(plan.input())) {
@@ -133,6 +158,10 @@
           stagings{{"a", "large"}, {"b", "small"}});
     CHECK(plan_staging(plan.input(), spares{{"a", "large"}, {"b", ""}}, running) == stagings{{"b", "small"}});
     CHECK(plan_staging(plan.input(), spares{{"a", "other"}}, running) == stagings{{"a", "large"}});
+    CHECK(plan_staging(plan.input(), spares{{"a", "small"}, {"b", "small"}}, running) ==
+          stagings{{"a", "large"}});
+    CHECK(plan_staging(plan.input(), spares{{"a", "small"}, {"b", "large"}}, running).empty());
+    CHECK(plan_staging(plan.input(), spares{{"a", "small"}}, running).empty());
 }
 
 TEST_CASE("replica demand: a request's cost grows with its tokens and with the model's pace")
@@ -149,9 +178,9 @@
 TEST_CASE("replica demand: the declared shares count until a load was measured")
 {
     const auto service = samples::assistant();
-    const auto declared = needed_replicas(*service.engine, {});
-    CHECK(declared.at("large") == Approx(0.6 / 4)); // Its share of the hosts, in replicas of four.
-    const auto measured = needed_replicas(*service.engine, {{"small", {80.0, 700.0, 220.0}}});
+    const auto declared = needed_replicas(*service.engine, {}, 40);
+    CHECK(declared.at("large") == Approx(0.85 * 40 * 0.6 / 4)); // Its share of the hosts, in replicas of four.
+    const auto measured = needed_replicas(*service.engine, {{"small", {80.0, 700.0, 220.0}}}, 40);
     CHECK(measured.at("large") == 0.0);
     CHECK(measured.at("small") > 2.0);
     CHECK(measured.at("small") < 6.0);
@@ -161,7 +190,7 @@
 {
     engine_profile engine;
     engine.models = {{"large", 16, 1.0, 0.5, 16_s, 1600_ms}, {"small", 4, 0.6, 0.5, 12_s, 1100_ms}};
-    const auto needed = needed_replicas(engine, {});
+    const auto needed = needed_replicas(engine, {}, 222);
     CHECK(needed.at("small") == Approx(4.0 * needed.at("large")));
 }
 
