--- a/include/coriander/replicas/formation_plan.hpp
+++ b/include/coriander/replicas/formation_plan.hpp
@@ -25,6 +25,7 @@
     const std::map<std::string, std::size_t>* existing = nullptr; ///< Replicas open or being formed.
     std::vector<domain_supply> domains;
     bool only_staged = true; ///< Form only of hosts that hold the model.
+    bool may_mix = true;     ///< Models may share a domain; not while hosts of others still arrive.
 };
 
 /// The models to form a replica of, for each domain, in order.
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -107,6 +107,7 @@
             }
             const bool is_settled =
                 !this->loads_are_cheap || now - this->view.last_arrival(key) >= this->settings.arrival_pause;
+            input.may_mix = input.may_mix && is_settled;
             if (is_settled) {
                 input.domains.push_back(this->supply_of(key, record));
             }
@@ -120,7 +121,8 @@
         const auto hosts = this->view.hosts_of(key);
         domain_supply supply{key.domain, 0, {}, {}};
         for (const auto& replica : record.replicas) {
-            const bool counts = replica.phase == replica_phase::forming || replica.phase == replica_phase::open;
+            const bool counts =
+                replica.phase == replica_phase::forming || replica.phase == replica_phase::open;
             supply.running[replica.model] += counts ? 1 : 0;
         }
         for (const auto* host : free_hosts(this->view_of(record, hosts, this->work[key]))) {
--- a/src/replicas/formation_plan.cpp
+++ b/src/replicas/formation_plan.cpp
@@ -110,9 +110,9 @@
     for (bool has_formed = true; has_formed;) {
         has_formed = false;
         for (const auto* model : by_shortage(input, existing)) {
-            const bool is_short = static_cast<double>(count_at(existing, model->name)) <
-                                  value_at(*input.needed, model->name);
-            auto* domain = best_domain(input, *model, is_short);
+            const bool is_short =
+                static_cast<double>(count_at(existing, model->name)) < value_at(*input.needed, model->name);
+            auto* domain = best_domain(input, *model, input.may_mix && is_short);
             if (domain != nullptr) {
                 take_hosts(*domain, *model);
                 plan[domain->domain].push_back(model->name);
@@ -166,7 +166,8 @@
                      [&](const spare_host& a, const spare_host& b) { return rank(a) < rank(b); });
 }
 
-/// The model with the fewest replacements for the hosts of its replicas in the domain; empty without replicas.
+/// The model with the fewest replacements for the hosts of its replicas in the domain; empty without
+/// replicas.
 std::string least_covered(std::span<const model_profile> models,
                           const std::map<std::string, std::size_t>& counts,
                           const std::map<std::string, std::size_t>& spares)
--- a/test/replicas/formation_plan_test.cpp
+++ b/test/replicas/formation_plan_test.cpp
@@ -18,7 +18,7 @@
 
     [[nodiscard]] formation_input input() const
     {
-        return {this->models, &this->needed, &this->existing, this->domains, this->only_staged};
+        return {this->models, &this->needed, &this->existing, this->domains, this->only_staged, true};
     }
 
     [[nodiscard]] std::map<std::string, std::size_t> formed() const
@@ -72,6 +72,9 @@
     CHECK(plan_formation(plan.input()).empty());
     plan.existing = {{"large", 6}, {"small", 3}};
     CHECK(plan_formation(plan.input()) == formation{{"d", {"small"}}});
+    auto early = plan.input();
+    early.may_mix = false;
+    CHECK(plan_formation(early).empty());
 }
 
 TEST_CASE("formation plan: what is short of replicas comes first")
@@ -179,7 +182,8 @@
 {
     const auto service = samples::assistant();
     const auto declared = needed_replicas(*service.engine, {}, 40);
-    CHECK(declared.at("large") == Approx(0.85 * 40 * 0.6 / 4)); // Its share of the hosts, in replicas of four.
+    CHECK(declared.at("large") ==
+          Approx(0.85 * 40 * 0.6 / 4)); // Its share of the hosts, in replicas of four.
     const auto measured = needed_replicas(*service.engine, {{"small", {80.0, 700.0, 220.0}}}, 40);
     CHECK(measured.at("large") == 0.0);
     CHECK(measured.at("small") > 2.0);
