Answers of hosts make control go on at once, and an accepted leave counts

Cause: between a loss and the order to form anew lay 0.42 s: control waited for its next 100 ms round after each answer, a report lags 200 ms behind an order that the host had already accepted, and a host asked shortly before its replica was planned was not asked again for 100 ms. Ruled out: the commits themselves (3 to 10 ms each).

--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -9,11 +9,9 @@
 #include "coriander/time_ms.hpp"
 #include "gateway/controller_io.hpp"
 #include "gateway/controller_settings.hpp"
+#include "gateway/domain_work.hpp"
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
-#include "gateway/host_staging.hpp"
-#include "gateway/order_history.hpp"
-#include "gateway/replica_timing.hpp"
 #include "runtime/log.hpp"
 
 #include <algorithm>
@@ -47,6 +45,9 @@
         this->needed[service] = replicas;
     }
 
+    /// Sets what is called when an answer may have made something due. It must not call back at once.
+    void on_progress(std::function<void()> listener) { this->wake = std::move(listener); }
+
     /// Does what is due in all domains of the service. Returns when to call again at the latest.
     time_ms tick(const relay_service& service, time_ms now)
     {
@@ -61,19 +62,6 @@
 private:
     static constexpr time_ms idle_interval{500};
 
-    struct domain_work {
-        bool is_committing = false;
-        time_ms commit_again_at;
-        std::string due; ///< What was due when it was last looked at.
-        time_ms due_since;
-        order_history orders;
-        host_staging staging;
-        std::map<std::string, time_ms> asked;
-        std::map<std::string, time_ms> told; ///< When the question that a host answered last was sent.
-        replica_timing timing;
-        std::string free_state; ///< As it was logged last.
-    };
-
     domain_view view_of(const domain_record& record, const std::vector<listed_host>& hosts,
                         const domain_work& work) const
     {
@@ -279,8 +267,7 @@
     static bool has_told(const domain_work& work, const host_order& order)
     {
         const auto planned = work.timing.forming_since(order.replica);
-        const auto told = work.told.find(order.host);
-        return planned && told != work.told.end() && told->second >= *planned;
+        return planned && work.inquiries.has_told(order.host, *planned);
     }
 
     void send_order(const listed_host& host, const host_order& order)
@@ -293,6 +280,14 @@
             if (unanswered >= this->settings.silent_after) {
                 this->view.mark_silent(order.host, history.last_sent(order.host));
             }
+            if (answer == order_answer::accepted) {
+                if (order.kind == order_kind::leave) {
+                    const auto now = history.last_sent(order.host);
+                    this->work[key].inquiries.on_left(order.host, now);
+                    this->view.leave_host(order.host, order.replica, order.generation, now);
+                }
+                this->wake();
+            }
         });
     }
 
@@ -322,10 +317,11 @@
         for (const auto& replica : record.replicas) {
             for (const auto& member : replica.hosts) {
                 const auto* host = this->view.find_host(member.id);
-                auto& asked = work.asked[member.id];
                 const bool is_wanted = is_asked(replica, member.id, doubts);
-                if (host != nullptr && is_wanted && now - asked >= this->settings.ask_interval) {
-                    asked = now;
+                const auto planned = work.timing.forming_since(replica.name);
+                if (host != nullptr && is_wanted &&
+                    work.inquiries.is_due(member.id, planned, this->settings.ask_interval, now)) {
+                    work.inquiries.on_asked(member.id, now);
                     this->ask(*host, replica, now);
                 }
             }
@@ -341,8 +337,10 @@
             if (!status) {
                 return; // Orders find out whether the host is gone.
             }
-            this->work[key].told[id] = now;
-            this->view.update_host(id, *status, now);
+            if (this->work[key].inquiries.on_told(id, now)) {
+                this->view.update_host(id, *status, now);
+            }
+            this->wake();
             if (is_retiring && status->running == 0 && status->waiting == 0) {
                 this->work[key].timing.on_idle(name);
             }
@@ -384,6 +382,7 @@
         }
     }
 
+    std::function<void()> wake = [] {};
     Io& io;
     fleet_view& view;
     std::string self;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -64,6 +64,21 @@
     host.has_told = true;
 }
 
+void fleet_view::leave_host(const std::string& id, const std::string& replica, std::uint64_t generation,
+                            time_ms now)
+{
+    const auto found = this->known.find(id);
+    const bool is_there = found != this->known.end() && found->second.part &&
+                          found->second.part->replica == replica &&
+                          found->second.part->generation == generation;
+    if (is_there) {
+        found->second.part.reset();
+        found->second.has_told = true;
+        this->told_at[id] = now;
+        ++this->changes;
+    }
+}
+
 bool fleet_view::set_domain(const domain_key& key, domain_record record, std::uint64_t version)
 {
     auto& current = this->records[key];
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -59,6 +59,9 @@
     /// Takes a host's own word in; for a while it goes before the list, which lags.
     void update_host(const std::string& id, const host_status& status, time_ms now);
 
+    /// The host has carried out the order to leave the replica.
+    void leave_host(const std::string& id, const std::string& replica, std::uint64_t generation, time_ms now);
+
     /// Takes a domain's row in; an older version than known is ignored. Returns whether it was news.
     bool set_domain(const domain_key& key, domain_record record, std::uint64_t version);
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -46,6 +46,7 @@
           watch_timer{loop}, control_timer{loop}, peer_timer{loop}, chores_timer{loop}, stop_timer{loop}
     {
         this->relay.retry_bounds = this->values.retries;
+        this->control.on_progress([this] { this->run_control_soon(); });
     }
 
     /// Opens the listeners and begins. `peers` must outlive the gateway.
@@ -295,8 +296,17 @@
         }
     }
 
+    /// Runs control after the answers that are at hand, once for all of them.
+    void run_control_soon()
+    {
+        if (!std::exchange(this->is_control_due, true)) {
+            this->call_after(this->control_timer, control_pause, [this] { this->run_control(); });
+        }
+    }
+
     void run_control()
     {
+        this->is_control_due = false;
         auto delay = control_idle;
         if (this->fleet.change_count() != this->targets_as_of) {
             this->update_targets();
@@ -361,6 +371,8 @@
     }
 
     static constexpr time_ms control_idle{500};
+    /// Answers of a replica's hosts come within it.
+    static constexpr time_ms control_pause{5};
 
     asio::io_context& loop;
     Io& io;
@@ -382,6 +394,7 @@
     asio::steady_timer chores_timer;
     asio::steady_timer stop_timer;
     bool knows_fleet = false;
+    bool is_control_due = false;
     bool is_watching = false;
     bool is_stopping = false;
     time_ms stopped_at;
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -91,6 +91,18 @@
     CHECK(fleet.view.find_host("d-h0")->part);
 }
 
+TEST_CASE("fleet view: a host that was ordered out of a replica is free, unless it has joined another")
+{
+    view_fixture fleet;
+    fleet.view.leave_host("d-h3", "d-2", 2, start);
+    CHECK(fleet.view.find_host("d-h3")->part);
+    fleet.view.leave_host("d-h3", "d-1", 1, start);
+    CHECK_FALSE(fleet.view.find_host("d-h3")->part);
+    // The list lags behind.
+    fleet.view.set_host(fleet.hosts[3], start + 1_s);
+    CHECK_FALSE(fleet.view.find_host("d-h3")->part);
+}
+
 TEST_CASE("fleet view: the word of an earlier start of a host is ignored")
 {
     view_fixture fleet;
