Loads are planned for the fleet: as many at once as the store bears, the scarcest model first

Loads under way now stand in the domains' rows, so that every daemon counts them and goes on with them; models that are met get none. The planning half of the controller became fleet_planner.

Ruled out: the rate limit (34 loads in 30 s; 4.5 a second are allowed).

--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -39,6 +39,8 @@
     const std::map<std::string, std::uint64_t>* silent = nullptr;
     /// Retiring replicas whose work has ended or has had its time, and forming ones that took too long.
     const std::set<std::string>* finished = nullptr;
+    /// Hosts whose load took too long.
+    const std::set<std::string>* overdue_loads = nullptr;
 };
 
 /// What should be done in a domain. A changed record is committed first; the orders follow from it then.
@@ -47,6 +49,7 @@
     bool is_changed = false;
     bool has_loss = false; ///< A replica lost a host: its record should say so at once.
     std::vector<host_order> orders;
+    std::vector<host_order> load_orders; ///< Of loads under way; nobody waits for them.
     std::vector<std::string>
         doubts; ///< Hosts of open replicas of which the list tells otherwise: to be asked.
     std::vector<std::string> reasons; ///< A text for each change, for log lines.
--- a/include/coriander/replicas/domain_record.hpp
+++ b/include/coriander/replicas/domain_record.hpp
@@ -33,12 +33,19 @@
     std::vector<replica_host> hosts; ///< The first is the leader, which takes requests.
 };
 
+/// A model that a host was ordered to load into its own memory.
+struct begun_load {
+    std::string host;
+    std::string model;
+};
+
 /// All replicas of one service in one fabric domain: one row of the table, so that a host belongs to at most
 /// one replica and all changes of a domain are made one after the other.
 struct domain_record {
     std::string owner; ///< The daemon that gives orders; others step in when it doesn't.
     std::uint64_t last_generation = 0;
     std::vector<replica_entry> replicas;
+    std::vector<begun_load> loads; ///< Under way: all domains share the weight store.
 };
 
 [[nodiscard]] std::string encode_domain(const domain_record& record);
--- a/include/coriander/replicas/formation_plan.hpp
+++ b/include/coriander/replicas/formation_plan.hpp
@@ -40,19 +40,4 @@
 /// The most hosts out of `free` that replicas of these models can use.
 [[nodiscard]] std::size_t usable_hosts(std::size_t free, std::span<const model_profile> models);
 
-/// A free host of a domain, with the model that it holds or is loading; empty: none.
-struct spare_host {
-    std::string id;
-    std::string model;
-};
-
-/// Which model each of a domain's free hosts should hold, by host; hosts that need not change are left out.
-///
-/// `counts` are the domain's replicas by model. Hosts that suffice for a replica are prepared for the one
-/// that needs the fewest loads; the others hold models that the domain's replicas run, by the hosts that each
-/// has to lose, as replacements; each model has one before another has two.
-[[nodiscard]] std::map<std::string, std::string>
-plan_staging(const formation_input& input, std::span<const spare_host> free,
-             const std::map<std::string, std::size_t>& counts);
-
 } // namespace coriander
--- a/src/gateway/controller_settings.hpp
+++ b/src/gateway/controller_settings.hpp
@@ -22,8 +22,10 @@
     time_ms order_repeat{600};
     /// After a change that was not committed.
     time_ms commit_pause{1000};
-    /// Staging takes as long as a load.
+    /// An order to load is sent again: the host may have been started anew. Longer than a load takes.
     time_ms stage_repeat{20000};
+    /// A load that takes longer is given up: several times the usual one.
+    time_ms load_limit{60000};
     /// A replica that is not formed after its load time and this is given up.
     time_ms forming_margin{4000};
     /// A retiring replica's requests have at most this time; its leaving host waits about as long.
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -3,7 +3,7 @@
 #include "coriander/relay/relay_manifest.hpp"
 #include "coriander/replicas/domain_planner.hpp"
 #include "coriander/replicas/formation_plan.hpp"
-#include "coriander/replicas/replica_demand.hpp"
+#include "coriander/replicas/load_plan.hpp"
 #include "coriander/shard_choice.hpp"
 #include "coriander/table_store.hpp"
 #include "coriander/time_ms.hpp"
@@ -11,6 +11,7 @@
 #include "gateway/controller_settings.hpp"
 #include "gateway/domain_work.hpp"
 #include "gateway/fleet_events.hpp"
+#include "gateway/fleet_planner.hpp"
 #include "gateway/fleet_view.hpp"
 #include "runtime/log.hpp"
 
@@ -32,17 +33,17 @@
 class fleet_controller {
 public:
     fleet_controller(Io& io, fleet_view& view, std::string self, controller_settings settings = {})
-        : io{io}, view{view}, self{std::move(self)}, settings{settings}
+        : io{io}, view{view}, planner{view, settings}, self{std::move(self)}, settings{settings}
     {
     }
 
     /// Whether weights load quickly and without limit, as before the first request.
-    void set_cheap_loads(bool are_cheap) { this->loads_are_cheap = are_cheap; }
+    void set_cheap_loads(bool are_cheap) { this->planner.set_cheap_loads(are_cheap); }
 
     /// Replicas that each model of a service needs, by the load.
     void set_needed(const std::string& service, const std::map<std::string, double>& replicas)
     {
-        this->needed[service] = replicas;
+        this->planner.set_needed(service, replicas);
     }
 
     /// Sets what is called when an answer may have made something due. It must not call back at once.
@@ -52,9 +53,10 @@
     time_ms tick(const relay_service& service, time_ms now)
     {
         bool is_busy = false;
-        const auto formation = this->plan(service, now);
+        auto plan = this->planner.plan(service, now);
+        this->loads = std::move(plan.loads);
         for (const auto& key : this->view.domains_of(service.name)) {
-            is_busy = this->tick_domain(service, key, formation, now) || is_busy;
+            is_busy = this->tick_domain(service, key, plan.replicas, now) || is_busy;
         }
         return is_busy ? this->settings.ask_interval : idle_interval;
     }
@@ -65,61 +67,7 @@
     domain_view view_of(const domain_record& record, const std::vector<listed_host>& hosts,
                         const domain_work& work) const
     {
-        return {&record, hosts, &this->view.silent(), &work.timing.finished()};
-    }
-
-    /// Which models to form in each domain, were all domains this daemon's.
-    formation plan(const relay_service& service, time_ms now)
-    {
-        const auto input = this->formation_of(service, now);
-        return plan_formation(input);
-    }
-
-    formation_input formation_of(const relay_service& service, time_ms now)
-    {
-        this->existing.clear();
-        formation_input input;
-        input.models = service.engine->models;
-        auto& wanted = this->needed[service.name];
-        if (wanted.empty()) {
-            wanted = needed_replicas(*service.engine, {}, this->view.host_count(service.name));
-        }
-        input.needed = &wanted;
-        input.only_staged = !this->loads_are_cheap;
-        for (const auto& key : this->view.domains_of(service.name)) {
-            const auto& record = this->view.domain(key).record;
-            for (const auto& replica : record.replicas) {
-                const bool counts =
-                    replica.phase == replica_phase::forming || replica.phase == replica_phase::open;
-                this->existing[replica.model] += counts ? 1 : 0;
-            }
-            const bool is_settled =
-                !this->loads_are_cheap || now - this->view.last_arrival(key) >= this->settings.arrival_pause;
-            input.may_mix = input.may_mix && is_settled;
-            if (is_settled) {
-                input.domains.push_back(this->supply_of(key, record));
-            }
-        }
-        input.existing = &this->existing;
-        return input;
-    }
-
-    domain_supply supply_of(const domain_key& key, const domain_record& record)
-    {
-        const auto hosts = this->view.hosts_of(key);
-        domain_supply supply{key.domain, 0, {}, {}};
-        for (const auto& replica : record.replicas) {
-            const bool counts =
-                replica.phase == replica_phase::forming || replica.phase == replica_phase::open;
-            supply.running[replica.model] += counts ? 1 : 0;
-        }
-        for (const auto* host : free_hosts(this->view_of(record, hosts, this->work[key]))) {
-            ++supply.free;
-            for (const auto& model : host->staged) {
-                ++supply.staged[model];
-            }
-        }
-        return supply;
+        return {&record, hosts, &this->view.silent(), &work.timing.finished(), &work.staging.overdue()};
     }
 
     /// Returns whether something goes on in the domain.
@@ -129,18 +77,24 @@
         auto& work = this->work[key];
         const auto& current = this->view.domain(key);
         const auto hosts = this->view.hosts_of(key);
-        work.timing.update(current.record, *service.engine, this->settings, this->loads_are_cheap, now);
+        work.timing.update(current.record, *service.engine, this->settings, this->planner.loads_are_cheap(),
+                           now);
+        work.staging.update(current.record, this->settings.load_limit, now);
         const auto view = this->view_of(current.record, hosts, work);
         auto decision = follow_domain(view);
         if (!decision.is_changed) {
             this->add_formation(service, key, planned, view, decision);
         }
         const bool is_owner = current.record.owner == this->self;
+        const bool may_load = is_owner || (current.record.owner.empty() && this->rank_of(key) == 0);
+        if (!decision.is_due() && may_load) {
+            this->add_loads(service, key, view, work, decision, now);
+        }
+        if (is_owner) {
+            this->send_orders(decision.load_orders, work, now);
+        }
         if (!decision.is_due()) {
             work.due.clear();
-            if (is_owner || (current.record.owner.empty() && this->rank_of(key) == 0)) {
-                this->stage_free_hosts(service, view, work, now);
-            }
         }
         else if (this->is_my_turn(key, current, decision, work, now)) {
             this->act(key, current, decision, work, now);
@@ -163,7 +117,7 @@
             const auto& all = service.engine->models;
             const auto model = std::find_if(all.begin(), all.end(),
                                             [&](const model_profile& one) { return one.name == name; });
-            const bool only_staged = !this->loads_are_cheap;
+            const bool only_staged = !this->planner.loads_are_cheap();
             if (model != all.end() && form_replica(decision.next, view, *model, key.domain, only_staged)) {
                 decision.is_changed = true;
                 decision.reasons.push_back("form " + decision.next.replicas.back().name + " of " + name);
@@ -347,49 +301,42 @@
         });
     }
 
-    /// Has free hosts load the model that they will most likely be asked for.
-    void stage_free_hosts(const relay_service& service, const domain_view& view, domain_work& work,
-                          time_ms now)
+    /// Adds the loads that this domain should begin to its record.
+    void add_loads(const relay_service& service, const domain_key& key, const domain_view& view,
+                   domain_work& work, domain_decision& decision, time_ms now)
     {
-        const auto free = free_hosts(view);
-        if (free.empty()) {
-            return;
-        }
-        std::map<std::string, std::size_t> counts;
-        for (const auto& replica : view.record->replicas) {
-            ++counts[replica.model];
-        }
-        const auto input = this->formation_of(service, now);
-        std::vector<spare_host> spares;
-        spares.reserve(free.size());
-        for (const auto* host : free) {
-            spares.push_back({host->id, work.staging.held_model(*host, this->settings.stage_repeat, now)});
-        }
-        const auto plan = plan_staging(input, spares, counts);
-        const auto held = held_models_text(free);
-        if (std::exchange(work.free_state, held) != held) {
-            log_idle_hosts(service.name, free, held, plan.size(), work.staging.loading_count());
-        }
         const auto domains = std::max<std::size_t>(1, this->view.domains_of(service.name).size());
         const double loads_per_s =
             this->settings.load_rate_share * service.engine->loads_per_s / static_cast<double>(domains);
-        for (const auto& [id, model] : plan) {
-            if (!work.staging.may_load(loads_per_s, now) && !this->loads_are_cheap) {
-                return;
+        std::size_t begun = 0;
+        for (const auto& load : this->loads) {
+            if (load.domain != key.domain) {
+                continue;
+            }
+            if (!this->planner.loads_are_cheap() && !work.staging.take_load(loads_per_s, now)) {
+                break;
             }
-            work.staging.on_ordered(id, model, now);
-            this->send_orders({{order_kind::stage, id, {}, 0, model, {}}}, work, now);
+            decision.next.loads.push_back({load.host, load.model});
+            ++begun;
+        }
+        if (begun > 0) {
+            decision.is_changed = true;
+            decision.reasons.push_back(std::to_string(begun) + " hosts load");
+        }
+        const auto free = free_hosts(view);
+        const auto held = held_models_text(free);
+        if (!free.empty() && std::exchange(work.free_state, held) != held) {
+            log_idle_hosts(service.name, free, held, begun, decision.next.loads.size());
         }
     }
 
-    std::function<void()> wake = [] {};
     Io& io;
     fleet_view& view;
+    fleet_planner planner;
     std::string self;
     controller_settings settings;
-    bool loads_are_cheap = false;
-    std::map<std::string, std::map<std::string, double>> needed;
-    std::map<std::string, std::size_t> existing;
+    std::function<void()> wake = [] {};
+    std::vector<host_load> loads; ///< To be begun now, of the service at hand.
     std::map<domain_key, domain_work> work;
 };
 
--- /dev/null
+++ b/src/gateway/fleet_planner.cpp
@@ -0,0 +1,100 @@
+#include "gateway/fleet_planner.hpp"
+
+#include "coriander/replicas/domain_planner.hpp"
+#include "coriander/replicas/replica_demand.hpp"
+
+#include <algorithm>
+
+namespace coriander {
+namespace {
+
+bool counts(const replica_entry& replica)
+{
+    return replica.phase == replica_phase::forming || replica.phase == replica_phase::open;
+}
+
+} // namespace
+
+fleet_plan fleet_planner::plan(const relay_service& service, time_ms now)
+{
+    const auto input = this->input_of(service, now);
+    return {plan_formation(input), this->due_loads(service, input)};
+}
+
+formation_input fleet_planner::input_of(const relay_service& service, time_ms now)
+{
+    this->existing.clear();
+    formation_input input;
+    input.models = service.engine->models;
+    auto& wanted = this->needed[service.name];
+    if (wanted.empty()) {
+        wanted = needed_replicas(*service.engine, {}, this->view.host_count(service.name));
+    }
+    input.needed = &wanted;
+    input.only_staged = !this->are_cheap;
+    for (const auto& key : this->view.domains_of(service.name)) {
+        const auto& record = this->view.domain(key).record;
+        for (const auto& replica : record.replicas) {
+            this->existing[replica.model] += counts(replica) ? 1 : 0;
+        }
+        const bool is_settled =
+            !this->are_cheap || now - this->view.last_arrival(key) >= this->settings.arrival_pause;
+        input.may_mix = input.may_mix && is_settled;
+        if (is_settled) {
+            input.domains.push_back(this->supply_of(key, record));
+        }
+    }
+    input.existing = &this->existing;
+    return input;
+}
+
+domain_supply fleet_planner::supply_of(const domain_key& key, const domain_record& record) const
+{
+    const auto hosts = this->view.hosts_of(key);
+    domain_supply supply{key.domain, 0, {}, {}};
+    for (const auto& replica : record.replicas) {
+        supply.running[replica.model] += counts(replica) ? 1 : 0;
+    }
+    for (const auto* host : free_hosts(this->view_of(record, hosts))) {
+        ++supply.free;
+        for (const auto& model : host->staged) {
+            ++supply.staged[model];
+        }
+    }
+    return supply;
+}
+
+std::vector<host_load> fleet_planner::due_loads(const relay_service& service,
+                                                const formation_input& input) const
+{
+    std::vector<domain_spares> domains;
+    std::size_t under_way = 0;
+    for (const auto& supply : input.domains) {
+        const domain_key key{service.name, supply.domain};
+        const auto& record = this->view.domain(key).record;
+        under_way += record.loads.size();
+        domains.push_back({supply.domain, this->spares_of(key, record), supply.running});
+    }
+    auto planned = plan_loads(input, domains);
+    const std::size_t bound = service.engine->loads_at_once;
+    if (bound > 0 && !this->are_cheap) {
+        planned.resize(std::min(planned.size(), bound - std::min(bound, under_way)));
+    }
+    return planned;
+}
+
+std::vector<spare_host> fleet_planner::spares_of(const domain_key& key, const domain_record& record) const
+{
+    const auto hosts = this->view.hosts_of(key);
+    std::vector<spare_host> spares;
+    for (const auto* host : free_hosts(this->view_of(record, hosts))) {
+        const auto load = std::find_if(record.loads.begin(), record.loads.end(),
+                                       [&](const begun_load& one) { return one.host == host->id; });
+        const bool is_loading = load != record.loads.end();
+        const auto held = host->staged.empty() ? std::string{} : host->staged.back();
+        spares.push_back({host->id, is_loading ? load->model : held, is_loading});
+    }
+    return spares;
+}
+
+} // namespace coriander
--- /dev/null
+++ b/src/gateway/fleet_planner.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "coriander/relay/relay_manifest.hpp"
+#include "coriander/replicas/formation_plan.hpp"
+#include "coriander/replicas/load_plan.hpp"
+#include "coriander/time_ms.hpp"
+#include "gateway/controller_settings.hpp"
+#include "gateway/fleet_view.hpp"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace coriander {
+
+/// What should be done in all domains of a service.
+struct fleet_plan {
+    formation replicas;
+    std::vector<host_load> loads; ///< To be begun now.
+};
+
+/// Plans replicas and loads for the whole fleet out of what this daemon knows, as if all domains were its
+/// own: daemons that know the same plan the same, and each carries out the part of its domains. Not
+/// thread-safe.
+class fleet_planner {
+public:
+    fleet_planner(const fleet_view& view, controller_settings settings) : view{view}, settings{settings} {}
+
+    /// Whether weights load quickly and without limit, as before the first request.
+    void set_cheap_loads(bool are_cheap) { this->are_cheap = are_cheap; }
+    [[nodiscard]] bool loads_are_cheap() const noexcept { return this->are_cheap; }
+
+    /// Replicas that each model of a service needs, by the load.
+    void set_needed(const std::string& service, const std::map<std::string, double>& replicas)
+    {
+        this->needed[service] = replicas;
+    }
+
+    /// Preconditions: the service has an engine.
+    [[nodiscard]] fleet_plan plan(const relay_service& service, time_ms now);
+
+private:
+    [[nodiscard]] formation_input input_of(const relay_service& service, time_ms now);
+    [[nodiscard]] domain_supply supply_of(const domain_key& key, const domain_record& record) const;
+    [[nodiscard]] std::vector<host_load> due_loads(const relay_service& service,
+                                                   const formation_input& input) const;
+    [[nodiscard]] std::vector<spare_host> spares_of(const domain_key& key, const domain_record& record) const;
+    [[nodiscard]] domain_view view_of(const domain_record& record, std::span<const listed_host> hosts) const
+    {
+        return {&record, hosts, &this->view.silent(), nullptr, nullptr};
+    }
+
+    const fleet_view& view;
+    controller_settings settings;
+    bool are_cheap = false;
+    std::map<std::string, std::map<std::string, double>> needed; ///< By service and model.
+    std::map<std::string, std::size_t> existing;                 ///< Of the service at hand.
+};
+
+} // namespace coriander
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -191,6 +191,25 @@
     return std::find(host.staged.begin(), host.staged.end(), model) != host.staged.end();
 }
 
+/// Forgets loads that have ended or whose host does something else, and orders the others.
+void follow_loads(const domain_view& view, domain_decision& decision)
+{
+    const auto has_ended = [&](const begun_load& load) {
+        const auto* host = find_host(view, load.host);
+        return host == nullptr || host->part || host->is_leaving ||
+               is_silent(view, host->id, host->incarnation) || is_staged(*host, load.model) ||
+               is_member(decision.next, load.host) || view.overdue_loads->contains(load.host);
+    };
+    const auto ended = std::erase_if(decision.next.loads, has_ended);
+    if (ended > 0) {
+        decision.is_changed = true;
+        decision.reasons.push_back(std::to_string(ended) + " loads have ended");
+    }
+    for (const auto& load : decision.next.loads) {
+        decision.load_orders.push_back({order_kind::stage, load.host, {}, 0, load.model, {}});
+    }
+}
+
 } // namespace
 
 domain_decision follow_domain(const domain_view& view)
@@ -223,6 +242,7 @@
     }
     decision.next.replicas = std::move(kept);
     release_strays(view, decision);
+    follow_loads(view, decision);
     return decision;
 }
 
--- a/src/replicas/domain_record.cpp
+++ b/src/replicas/domain_record.cpp
@@ -68,9 +68,14 @@
                             {"phase", name_of(one.phase)},
                             {"hosts", std::move(hosts)}});
     }
+    auto loads = json_object::array();
+    for (const auto& one : record.loads) {
+        loads.push_back({{"host", one.host}, {"model", one.model}});
+    }
     return to_text({{"owner", record.owner},
                     {"last_generation", record.last_generation},
-                    {"replicas", std::move(replicas)}});
+                    {"replicas", std::move(replicas)},
+                    {"loads", std::move(loads)}});
 }
 
 std::optional<domain_record> decode_domain(std::string_view text)
@@ -81,6 +86,7 @@
     }
     domain_record record{text_member(*parsed, "owner"),
                          static_cast<std::uint64_t>(integer_member(*parsed, "last_generation")),
+                         {},
                          {}};
     for (const auto& one : array_member(*parsed, "replicas")) {
         auto entry = decode_replica_entry(one);
@@ -89,6 +95,9 @@
         }
         record.replicas.push_back(std::move(*entry));
     }
+    for (const auto& one : array_member(*parsed, "loads")) {
+        record.loads.push_back({text_member(one, "host"), text_member(one, "model")});
+    }
     return record;
 }
 
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -186,7 +186,7 @@
         host.part.reset();
         view.set_host(host, now);
     }
-    view.set_domain({"assistant", "d"}, {"edge-0", 1, {replica}}, 7);
+    view.set_domain({"assistant", "d"}, {"edge-0", 1, {replica}, {}}, 7);
     std::vector<std::function<void(std::optional<host_status>)>> answers;
     ALLOW_CALL(io, daemons()).RETURN(std::vector<std::string>{"edge-0"});
     const auto service = samples::assistant();
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -17,7 +17,7 @@
         for (const auto& host : this->hosts) {
             this->view.set_host(host, start);
         }
-        this->view.set_domain({"assistant", "d"}, {"edge", 1, {replica}}, 10);
+        this->view.set_domain({"assistant", "d"}, {"edge", 1, {replica}, {}}, 10);
     }
     [[nodiscard]] std::size_t targets() const { return this->view.targets_of(samples::assistant()).size(); }
 
--- a/test/replicas/domain_planner_test.cpp
+++ b/test/replicas/domain_planner_test.cpp
@@ -21,7 +21,7 @@
 
     [[nodiscard]] domain_view view() const
     {
-        return {&this->record, this->hosts, &this->silent, &this->finished};
+        return {&this->record, this->hosts, &this->silent, &this->finished, &this->overdue};
     }
     [[nodiscard]] domain_decision decide() const { return follow_domain(this->view()); }
 
@@ -41,12 +41,43 @@
     domain_record record;
     std::map<std::string, std::uint64_t> silent;
     std::set<std::string> finished;
+    std::set<std::string> overdue;
 };
 
 using names = std::vector<std::string>;
 
 } // namespace
 
+TEST_CASE("domain planner: a load under way is ordered, and forgotten when it has ended")
+{
+    domain_fixture domain;
+    domain.record.loads = {{"d-h5", "small"}};
+    const auto decision = domain.decide();
+    CHECK_FALSE(decision.is_due()); // Nobody steps in for it.
+    REQUIRE(decision.load_orders.size() == 1);
+    CHECK(decision.load_orders[0].host == "d-h5");
+    CHECK(decision.load_orders[0].model == "small");
+    SECTION("the host holds the model")
+    {
+        domain.hosts[5].staged = {"small"};
+    }
+    SECTION("the host is gone")
+    {
+        domain.hosts.erase(domain.hosts.begin() + 5);
+    }
+    SECTION("the host does not answer")
+    {
+        domain.silent["d-h5"] = domain.hosts[5].incarnation;
+    }
+    SECTION("it takes too long")
+    {
+        domain.overdue = {"d-h5"};
+    }
+    CHECK(domain.decide().is_changed);
+    CHECK(domain.decide().next.loads.empty());
+    CHECK(domain.decide().load_orders.empty());
+}
+
 TEST_CASE("domain planner: a sound open replica is left alone")
 {
     const domain_fixture domain;
--- a/test/replicas/domain_record_test.cpp
+++ b/test/replicas/domain_record_test.cpp
@@ -9,12 +9,16 @@
 TEST_CASE("domain record: what is written is read again")
 {
     auto hosts = samples::free_hosts_of("d", 4);
-    domain_record record{"edge-1", 12, {samples::replica_of(hosts, "d-12", 12, replica_phase::retiring)}};
+    domain_record record{
+        "edge-1", 12, {samples::replica_of(hosts, "d-12", 12, replica_phase::retiring)}, {{"d-h9", "small"}}};
     record.replicas[0].hosts[2].is_lost = true;
     const auto read = decode_domain(encode_domain(record));
     REQUIRE(read);
     CHECK(read->owner == "edge-1");
     CHECK(read->last_generation == 12);
+    REQUIRE(read->loads.size() == 1);
+    CHECK(read->loads[0].host == "d-h9");
+    CHECK(read->loads[0].model == "small");
     REQUIRE(read->replicas.size() == 1);
     const auto& replica = read->replicas[0];
     CHECK(replica.name == "d-12");
--- a/test/replicas/formation_plan_test.cpp
+++ b/test/replicas/formation_plan_test.cpp
@@ -33,9 +33,6 @@
     }
 };
 
-using spares = std::vector<spare_host>;
-using stagings = std::map<std::string, std::string>;
-
 } // namespace
 
 TEST_CASE("formation plan: domains are filled with few hosts left over, models by their need")
@@ -135,38 +132,6 @@
     CHECK(usable_hosts(9, models) == 9);
 }
 
-TEST_CASE(
-    "staging plan: a replica is completed with the fewest loads, and a left-over host replaces its hosts")
-{
-    plan_fixture plan;
-    const spares free{{"a", "large"}, {"b", "large"}, {"c", "large"}, {"d", "small"}, {"e", ""}};
-    CHECK(plan_staging(plan.input(), free, {}) == stagings{{"d", "large"}, {"e", "large"}});
-}
-
-TEST_CASE("staging plan: a plan that is being carried out does not change")
-{
-    plan_fixture plan;
-    const spares free{{"a", "small"}, {"b", ""}, {"c", ""}};
-    const auto first = plan_staging(plan.input(), free, {});
-    CHECK(first == stagings{{"b", "small"}, {"c", "small"}});
-    const spares loading{{"a", "small"}, {"b", "small"}, {"c", "small"}};
-    CHECK(plan_staging(plan.input(), loading, {}).empty());
-}
-
-TEST_CASE("staging plan: replacements are spread evenly over the models that the domain runs")
-{
-    plan_fixture plan;
-    const std::map<std::string, std::size_t> running{{"large", 1}, {"small", 1}};
-    CHECK(plan_staging(plan.input(), spares{{"a", ""}, {"b", ""}}, running) ==
-          stagings{{"a", "large"}, {"b", "small"}});
-    CHECK(plan_staging(plan.input(), spares{{"a", "large"}, {"b", ""}}, running) == stagings{{"b", "small"}});
-    CHECK(plan_staging(plan.input(), spares{{"a", "other"}}, running) == stagings{{"a", "large"}});
-    CHECK(plan_staging(plan.input(), spares{{"a", "small"}, {"b", "small"}}, running) ==
-          stagings{{"a", "large"}});
-    CHECK(plan_staging(plan.input(), spares{{"a", "small"}, {"b", "large"}}, running).empty());
-    CHECK(plan_staging(plan.input(), spares{{"a", "small"}}, running).empty());
-}
-
 TEST_CASE("replica demand: a request's cost grows with its tokens and with the model's pace")
 {
     const auto service = samples::assistant();
