Claims: a claim over a released one that lands late no longer blocks its key

Cause: a claim that was abandoned for want of the store was overtaken under the condition that its row does not exist; over a released row that write conflicts and was dropped, and the claim's own late write could still land. Ruled out: the order in which the test ends its faults.

--- a/include/coriander/claim_ledger.hpp
+++ b/include/coriander/claim_ledger.hpp
@@ -70,6 +70,7 @@
             may_land_later = may_land_later || outcome.state == commit_state::unknown;
         }
         if (may_land_later) {
+            grant.version = expected; // What a late write would replace.
             this->remember_abandoned(grant);
         }
         return {claim_verdict::store_down, {}, {}};
--- a/test/claim_ledger_test.cpp
+++ b/test/claim_ledger_test.cpp
@@ -339,6 +339,19 @@
     });
 }
 
+TEST_CASE("claim ledger: a claim over a released one that lands late does not block the key for good")
+{
+    // Found by the property below with its schedules 20 and 24978200.
+    using enum commit_fault;
+    two_routers routers;
+    routers.first.release(routers.first.begin(booking, "digest").grant);
+    routers.first_table.faults = {none, takes_effect_late, outage};
+    CHECK(routers.first.begin(booking, "digest").verdict == claim_verdict::store_down);
+    CHECK(routers.first.settle() == 0);
+    routers.first_table.land_late();
+    CHECK(routers.second.begin(booking, "digest").verdict == claim_verdict::granted);
+}
+
 TEST_CASE("claim ledger: once faults end, a key that never ran and whose routers lived is free")
 {
     rc::prop("no key is blocked for good", [](std::uint64_t seed) {
