Hosts that hold a scarce model are kept for it

A model is now met only with a replica to spare, and hosts of a model that is scarcer than another are not taken. Ruled out: late staging (no load of the large model was ordered at all).

--- a/src/replicas/load_plan.cpp
+++ b/src/replicas/load_plan.cpp
@@ -8,9 +8,10 @@
 
 using model_counts = std::map<std::string, std::size_t>;
 
-/// A model whose replicas exceed its need by less than this counts as not met: some will be lost while a load
-/// lasts.
-constexpr double ample_coverage = 1.1;
+/// A model whose replicas exceed its need by less than this part, or by less than one, counts as not met:
+/// some will be lost while a load lasts.
+constexpr double ample_part = 0.1;
+constexpr double ample_count = 1.0;
 /// What a missing load counts against coverage, so that nearly complete replicas come first.
 constexpr double load_weight = 0.15;
 constexpr double least_need = 1e-6;
@@ -27,6 +28,36 @@
     return found == input.needed->end() ? 0.0 : found->second;
 }
 
+/// How well the model's load is met.
+double coverage(const formation_input& input, const model_counts& existing, const std::string& model)
+{
+    const auto count = static_cast<double>(count_at(existing, model));
+    return count / std::max(least_need, need_of(input, model));
+}
+
+bool is_short(const formation_input& input, const model_counts& existing, const std::string& model)
+{
+    const auto need = need_of(input, model);
+    const auto count = static_cast<double>(count_at(existing, model));
+    return need > 0.0 && count < need + std::max(ample_count, ample_part * need);
+}
+
+/// The hosts that may be loaded for the model: not those that hold a scarcer one.
+std::vector<spare_host> usable_for(const formation_input& input, std::span<const spare_host> free,
+                                   const model_counts& existing, const std::string& model)
+{
+    std::vector<spare_host> usable;
+    for (const auto& host : free) {
+        const bool is_scarcer = host.model != model && !host.model.empty() &&
+                                is_short(input, existing, host.model) &&
+                                coverage(input, existing, host.model) <= coverage(input, existing, model);
+        if (!is_scarcer) {
+            usable.push_back(host);
+        }
+    }
+    return usable;
+}
+
 std::size_t held_by(std::span<const spare_host> free, const std::string& model)
 {
     return static_cast<std::size_t>(
@@ -62,13 +93,13 @@
     completion best;
     for (const auto& model : input.models) {
         const std::size_t size = model.hosts_per_replica;
-        const double need = std::max(least_need, need_of(input, model.name));
-        const auto count = static_cast<double>(count_at(existing, model.name));
-        if (size == 0 || size > free.size() || count >= ample_coverage * need) {
+        const bool is_wanted = size > 0 && is_short(input, existing, model.name);
+        if (!is_wanted || size > usable_for(input, free, existing, model.name).size()) {
             continue;
         }
         const auto missing = size - std::min(size, held_by(free, model.name));
-        const double cost = (count + 1.0) / need + load_weight * static_cast<double>(missing);
+        const double cost =
+            coverage(input, existing, model.name) + load_weight * static_cast<double>(missing);
         if (cost < best.cost) {
             best = {&model, cost};
         }
@@ -94,7 +125,7 @@
     return least;
 }
 
-void plan_replacements(const formation_input& input, const std::string& domain,
+void plan_replacements(const formation_input& input, const model_counts& existing, const std::string& domain,
                        std::span<const spare_host> left, const model_counts& running,
                        std::vector<host_load>& loads)
 {
@@ -104,6 +135,9 @@
     }
     for (const auto& host : left) {
         const auto model = least_covered(input.models, running, spares);
+        if (!host.model.empty() && is_short(input, existing, host.model)) {
+            continue; // Kept until enough of them make up a replica.
+        }
         const bool is_useful = !host.model.empty() && count_at(running, host.model) > 0;
         const bool is_second = count_at(spares, host.model) > 1;
         const bool is_wanted = !is_useful || (is_second && count_at(spares, model) == 0);
@@ -124,15 +158,17 @@
 
 /// Takes the hosts of the replica out of `free`, and returns the loads that it lacks.
 std::vector<host_load> complete(const std::string& domain, std::vector<spare_host>& free,
-                                const model_profile& model)
+                                std::vector<spare_host> usable, const model_profile& model)
 {
     std::vector<host_load> loads;
-    sort_for(free, model.name);
+    sort_for(usable, model.name);
     for (unsigned i = 0; i < model.hosts_per_replica; ++i) {
-        if (free.back().model != model.name && !free.back().is_loading) {
-            loads.push_back({domain, free.back().id, model.name});
+        const auto& host = usable.back();
+        if (host.model != model.name && !host.is_loading) {
+            loads.push_back({domain, host.id, model.name});
         }
-        free.pop_back();
+        std::erase_if(free, [&](const spare_host& one) { return one.id == host.id; });
+        usable.pop_back();
     }
     return loads;
 }
@@ -149,11 +185,12 @@
         auto running = domain.running;
         for (auto best = best_completion(input, left, existing); best.model != nullptr;
              best = best_completion(input, left, existing)) {
-            replicas.push_back({best.cost, complete(domain.domain, left, *best.model)});
+            auto usable = usable_for(input, left, existing, best.model->name);
+            replicas.push_back({best.cost, complete(domain.domain, left, std::move(usable), *best.model)});
             ++existing[best.model->name];
             ++running[best.model->name];
         }
-        plan_replacements(input, domain.domain, left, running, replacements);
+        plan_replacements(input, existing, domain.domain, left, running, replacements);
     }
     std::stable_sort(replicas.begin(), replicas.end(),
                      [](const replica_loads& a, const replica_loads& b) { return a.cost < b.cost; });
--- a/test/replicas/load_plan_test.cpp
+++ b/test/replicas/load_plan_test.cpp
@@ -28,6 +28,7 @@
     load_fixture fixture;
     const domain_spares domain{
         "d", {{"a", "large"}, {"b", "large"}, {"c", "large"}, {"d", "small"}, {"e", ""}}, {}};
+    fixture.existing = {{"large", 4}, {"small", 6}};
     CHECK(fixture.plan({domain}) == loads{{"d", "e", "large"}, {"d", "d", "large"}});
 }
 
@@ -48,6 +49,25 @@
     CHECK(fixture.plan({domain}).empty());
 }
 
+TEST_CASE("load plan: a model of which a single replica is more than its need is not met: it may be lost")
+{
+    load_fixture fixture;
+    fixture.needed = {{"large", 0.9}, {"small", 3.5}};
+    fixture.existing = {{"large", 1}, {"small", 4}};
+    const domain_spares one_missing{"d", {{"a", "large"}, {"b", "large"}, {"c", "large"}, {"d", ""}}, {}};
+    CHECK(fixture.plan({one_missing}) == loads{{"d", "d", "large"}});
+}
+
+TEST_CASE("load plan: survivors are kept for a scarce model although they don't make up a replica yet")
+{
+    load_fixture fixture;
+    fixture.existing = {{"large", 2}, {"small", 3}};
+    const domain_spares domain{"d", {{"a", "large"}, {"b", "large"}, {"c", "large"}}, {{"small", 1}}};
+    CHECK(fixture.plan({domain}).empty());
+    fixture.existing = {{"large", 4}, {"small", 1}};
+    CHECK(fixture.plan({domain}).size() == 3);
+}
+
 TEST_CASE("load plan: the scarcer model comes first, and nearly complete replicas before others")
 {
     load_fixture fixture;
