Where no host of a replica answers, the others are not told of losses

With no survivor there is nothing to re-form early; the daemon avoids the replica itself, and the platform's list tells of true losses. Seen failing first by its test.

--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -158,7 +158,13 @@
                    {"silence", silence},
                    {"moves", has_moved ? "yes" : "no"}});
         if (verdict == inquiry_verdict::lost) {
-            this->on_lost(silent, state, target, now);
+            // Where no host answers, this daemon may be the one that is cut off, and there is no survivor for
+            // whom the others' knowing would be urgent: the list will tell.
+            if (silent.size() < open->members.size()) {
+                this->mark_lost(silent, now);
+            }
+            state.board.suspend(target.id, suspension::silent, now + this->settings.avoidance);
+            leave(state, target.id);
             return;
         }
         state.board.restore(target.id);
@@ -168,14 +174,11 @@
         }
     }
 
-    void on_lost(const std::vector<std::string>& hosts, service_state& state, const relay_target& target,
-                 time_ms now)
+    void mark_lost(const std::vector<std::string>& hosts, time_ms now)
     {
         for (const auto& host : hosts) {
             this->view.mark_silent(host, now);
         }
-        state.board.suspend(target.id, suspension::silent, now + this->settings.avoidance);
-        leave(state, target.id);
         this->changed();
     }
 
--- a/test/gateway/stall_response_test.cpp
+++ b/test/gateway/stall_response_test.cpp
@@ -78,6 +78,20 @@
     CHECK(replica.changes == 1);
 }
 
+TEST_CASE("stall response: where no host answers this daemon may be cut off, and nobody is told of losses")
+{
+    stalled_replica replica;
+    replica.world.unreachable = {"a", "b"};
+    replica.stalls.check(service_name, replica.start);
+    for (unsigned round = 0; round < stall_response_settings{}.ask_rounds; ++round) {
+        replica.io.deliver();
+    }
+    CHECK(replica.view.silent().empty());
+    CHECK(replica.changes == 0);
+    // It is avoided here all the same.
+    CHECK(replica.board().count("m", replica.context.clock.now()) == 0);
+}
+
 TEST_CASE("stall response: a replica that goes on while its hosts are asked has lost none")
 {
     stalled_replica replica;
