--- a/include/coriander/relay/admission_forecast.hpp
+++ b/include/coriander/relay/admission_forecast.hpp
@@ -33,6 +33,9 @@
     /// When no target can take a request: the usual time until a lost replica is formed anew.
     time_ms outage_retry{800};
     time_ms least_retry{100};
+    /// Less time than this is not enough for a round trip and the shortest answers: what is sent then ends
+    /// with a time-out, of which nobody can tell whether it has run.
+    time_ms least_time{20};
     /// Callers that come back into the same shortage only add to it. A shortage passes when a lost replica is
     /// formed anew, which takes about this long; the more are refused, the longer callers are sent away.
     time_ms shortage_retry{2000};
@@ -51,7 +54,7 @@
     const time_ms wait{static_cast<std::int64_t>(ahead * turn_ms)};
     const time_ms bound{
         static_cast<std::int64_t>(settings.wait_share * static_cast<double>(input.objective.count()))};
-    if (wait <= bound && wait < input.time_left) {
+    if (wait <= bound && wait + settings.least_time <= input.time_left) {
         return {true, wait, {}};
     }
     const time_ms shortage{static_cast<std::int64_t>(input.refused_share *
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "gateway/fleet_controller.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/gateway_pages.hpp"
 #include "gateway/gateway_peers.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "gateway/relay_context.hpp"
@@ -23,15 +24,6 @@
 
 namespace coriander {
 
-/// Words of the pages that a deployment's callers and platform ask for.
-struct gateway_pages {
-    std::string readiness_path = "/readyz";
-    std::string directory_path = "/v1/entry-hosts";
-    std::string metrics_path = "/metrics";
-    /// Text of the directory's answer, out of the addresses of entry hosts and the time to keep them.
-    std::function<std::string(const std::vector<std::string>&, time_ms)> directory_text;
-};
-
 /// One entry host's program: takes callers' requests, relays them, forms and mends replicas. `Io` is the
 /// platform. Everything runs on one event loop.
 template <controller_io Io>
@@ -167,7 +159,10 @@
                 [] { return connection_limits{}; }, [this] { return this->is_stopping; }};
     }
 
-    [[nodiscard]] bool is_ready() const { return this->relay.routes != nullptr && !this->is_stopping; }
+    [[nodiscard]] bool is_ready() const
+    {
+        return this->relay.routes != nullptr && this->knows_fleet && !this->is_stopping;
+    }
 
     void serve_page(caller_connection& caller, const incoming_request& request)
     {
--- a/test/relay/admission_forecast_test.cpp
+++ b/test/relay/admission_forecast_test.cpp
@@ -55,6 +55,15 @@
     CHECK_FALSE(forecast_admission(input).is_admitted);
 }
 
+TEST_CASE("admission forecast: a request that has no time left for an answer is refused, not sent in vain")
+{
+    auto input = input_with(0, 0.0);
+    input.time_left = 5_ms;
+    CHECK_FALSE(forecast_admission(input).is_admitted);
+    input.time_left = admission_settings{}.least_time;
+    CHECK(forecast_admission(input).is_admitted);
+}
+
 TEST_CASE("admission forecast: the more are refused, the later they are told to come back")
 {
     auto input = input_with(10, 20.0);
