--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -47,7 +47,7 @@
     }
 
     /// Sets what is called when an answer may have made something due. It must not call back at once.
-    void on_progress(std::function<void()> listener) { this->wake = std::move(listener); }
+    void on_progress(const std::function<void()>& listener) { this->wake = listener; }
 
     /// Does what is due in all domains of the service. Returns when to call again at the latest.
     time_ms tick(const relay_service& service, time_ms now)
