Log a request's declared size, longest gap, and the expected and told load of its target

Callers saw the largest requests of a kind fail more often than others; neither log nor metric gave a request's size beside its outcome, nor what a gateway took a target's load for. E2006 tells prompt_tokens, answer_limit, longest_gap, expected_load and told_load; coriander_requests_by_size_total and the coriander_load_* counters sum them up. No decision changes.

--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -2,6 +2,9 @@
 
 #include "runtime/log.hpp"
 
+#include <cmath>
+#include <string>
+
 namespace coriander {
 
 void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
@@ -53,13 +56,18 @@
                {"route", request.route != nullptr ? request.route->name : std::string{}},
                {"customer", request.customer != nullptr ? request.customer->name : std::string{}},
                {"model", request.model},
+               {"prompt_tokens", request.prompt_tokens},
+               {"answer_limit", request.most_answer_tokens},
                {"outcome", report.outcome},
                {"status", report.status},
                {"target", report.target},
                {"attempts", report.attempts},
                {"events", report.events},
                {"first_event", report.first_event},
-               {"took", report.took}});
+               {"longest_gap", report.longest_gap},
+               {"took", report.took},
+               {"expected_load", report.expected_load},
+               {"told_load", report.told_load ? std::to_string(std::lround(*report.told_load)) : "unknown"}});
 }
 
 } // namespace coriander
--- a/src/gateway/relay_events.hpp
+++ b/src/gateway/relay_events.hpp
@@ -32,7 +32,10 @@
     unsigned attempts;
     std::size_t events;
     time_ms first_event;
+    time_ms longest_gap; ///< Between events.
     time_ms took;
+    double expected_load;            ///< Of the last target, when it was chosen.
+    std::optional<double> told_load; ///< What that target told in its answer.
 };
 
 /// One log line for each decision on a request. Thread-safe.
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -71,6 +71,9 @@
     auto& meter = this->state->meters[this->request.model];
     meter.on_request(this->request.prompt_tokens, now);
     const auto* service = this->request.routes->find_service(this->request.service);
+    if (service->engine) {
+        this->size = meter.classify(this->request.prompt_tokens + this->request.most_answer_tokens);
+    }
     const auto best = this->choose_target(this->tried);
     admission_input input{best, usual_duration_of(meter, *service, this->request.model),
                           this->request.route->latency_objective, this->request.give_up_at - now,
@@ -135,6 +138,11 @@
     if (const auto load = parse_load(head.header(this->context.dialect.host_load))) {
         this->state->board.on_load(this->current.choice.target.id, load->running, load->waiting,
                                    this->context.clock.now());
+        this->current.told_load = static_cast<double>(load->running) + load->waiting;
+        const auto labels = "service=\"" + this->request.service + "\"";
+        this->context.counters.add("coriander_load_reports_total", labels);
+        this->context.counters.add("coriander_load_told_total", labels, *this->current.told_load);
+        this->context.counters.add("coriander_load_expected_total", labels, this->current.choice.total());
     }
 }
 
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -51,6 +51,7 @@
         wire_head head;
         std::string body;                   ///< Of answers that are not streams.
         std::optional<attempt_end> verdict; ///< Known from the head.
+        std::optional<double> told_load;    ///< Requests on the target, by its answer.
         time_ms sent_at;
         time_ms begun_at;
     };
@@ -78,6 +79,7 @@
     std::shared_ptr<caller_connection> caller;
     relay_request request;
     service_state* state = nullptr;
+    const char* size = nullptr; ///< Of an engine's request: its size class.
     asio::steady_timer limit_timer;
     std::shared_ptr<relay_session> self; ///< Until the request has ended.
     attempt current;
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -153,8 +153,14 @@
                                        "route=\"" + this->request.route->name + "\"", first.seconds());
     }
     log_request_end(this->request, {outcome, status, this->current.choice.target.id, this->attempts_sent,
-                                    this->stream.events(), first, took});
+                                    this->stream.events(), first, this->stream.longest_gap(), took,
+                                    this->current.choice.total(), this->current.told_load});
     this->context.counters.add("coriander_requests_total", "outcome=\"" + std::string{outcome} + "\"");
+    if (this->size != nullptr) {
+        this->context.counters.add("coriander_requests_by_size_total",
+                                   "route=\"" + this->request.route->name + "\",size=\"" + this->size +
+                                       "\",outcome=\"" + outcome + "\"");
+    }
     this->context.counters.observe("coriander_request_seconds", {}, took.seconds());
     this->self.reset();
 }
--- a/src/gateway/service_state.cpp
+++ b/src/gateway/service_state.cpp
@@ -41,6 +41,16 @@
     return all > 0.0 ? std::min(1.0, faded(this->refusal_rate, now - this->refusal_at) / all) : 0.0;
 }
 
+const char* model_meter::classify(double declared_tokens)
+{
+    constexpr double large = 2.0;
+    average(this->declared, declared_tokens);
+    if (declared_tokens < this->declared) {
+        return "below_mean";
+    }
+    return declared_tokens < large * this->declared ? "above_mean" : "above_double";
+}
+
 void model_meter::on_answer(double answer_tokens, time_ms duration)
 {
     average(this->answer, answer_tokens);
--- a/src/gateway/service_state.hpp
+++ b/src/gateway/service_state.hpp
@@ -26,6 +26,9 @@
     /// An answer ended well.
     void on_answer(double answer_tokens, time_ms duration);
 
+    /// The size class of a request with so many declared tokens, against the mean of those before it.
+    [[nodiscard]] const char* classify(double declared_tokens);
+
     /// Requests a second, and their mean sizes.
     [[nodiscard]] model_load load(time_ms now) const;
     /// The usual time from dispatch to the end; zero before any was measured.
@@ -41,6 +44,7 @@
     time_ms refusal_at;
     double prompt = 0.0;
     double answer = 0.0;
+    double declared = 0.0;
     double duration_ms = 0.0;
 };
 
--- a/src/gateway/stream_answer.cpp
+++ b/src/gateway/stream_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/target_answer.hpp"
 
+#include <algorithm>
 #include <string>
 
 namespace coriander {
@@ -19,6 +20,8 @@
     });
     if (!passed.empty()) {
         this->begin(head, now);
+        this->max_gap = std::max(this->max_gap, now - std::max(this->last_at, this->first_at));
+        this->last_at = now;
         this->caller->append(passed);
     }
 }
--- a/src/gateway/stream_answer.hpp
+++ b/src/gateway/stream_answer.hpp
@@ -38,6 +38,8 @@
     [[nodiscard]] std::size_t events() const noexcept { return this->count; }
     /// When the first of them was; meaningful once the stream has begun.
     [[nodiscard]] time_ms begun_at() const noexcept { return this->first_at; }
+    /// The longest time between events that were passed on.
+    [[nodiscard]] time_ms longest_gap() const noexcept { return this->max_gap; }
 
 private:
     void begin(const wire_head& head, time_ms now);
@@ -48,6 +50,8 @@
     std::size_t count = 0;
     bool begun = false;
     time_ms first_at;
+    time_ms last_at; ///< When an event was last passed on.
+    time_ms max_gap;
 };
 
 } // namespace coriander
--- a/test/gateway/service_state_test.cpp
+++ b/test/gateway/service_state_test.cpp
@@ -40,6 +40,17 @@
     CHECK(model_meter{}.refused_share(end) == 0.0);
 }
 
+TEST_CASE("model meter: a request's size class is against the mean of the requests before it")
+{
+    model_meter meter;
+    for (int i = 0; i < 100; ++i) {
+        (void)meter.classify(1000.0);
+    }
+    CHECK(std::string{meter.classify(500.0)} == "below_mean");
+    CHECK(std::string{meter.classify(1500.0)} == "above_mean");
+    CHECK(std::string{meter.classify(3000.0)} == "above_double");
+}
+
 TEST_CASE("model meter: the usual duration is known after the first answer")
 {
     model_meter meter;
