Gateways tell each other the loads that targets told them

Callers' large requests were sent to replicas with twice their slots open while others stood empty.

Now each round passes the newest sixteen reports on to peers, a target of which nothing is known is taken to be as loaded as the others of its model, and the choice among targets is weighted by load rather than the least, so that gateways that know the same don't all choose the same. The test stays red: admission still lets too much in, which is the next fault.

--- a/include/coriander/load_estimate.hpp
+++ b/include/coriander/load_estimate.hpp
@@ -18,9 +18,13 @@
     /// `averaging_time` must be longer than reports lag.
     explicit load_estimate(time_ms averaging_time = 3_s) : averaging_time{averaging_time} {}
 
-    /// Takes a report in. `own` is this router's count on the target when the report arrived.
+    /// Takes a report in. `own` is this router's count on the target when the report arrived. One that is
+    /// older than the last is ignored.
     void on_report(std::uint32_t running, std::uint32_t queued, std::uint32_t own, time_ms now)
     {
+        if (this->is_known && now < this->updated) {
+            return;
+        }
         const double reported = static_cast<double>(running) + queued;
         if (!this->is_known) {
             this->reported_mean = reported;
@@ -30,7 +34,8 @@
         const double gain = this->is_known ? 1.0 - std::exp(-age / this->averaging_time.seconds()) : 1.0;
         this->reported_mean += gain * (reported - this->reported_mean);
         this->own_mean += gain * (own - this->own_mean);
-        this->last_reported = reported;
+        this->last_running = running;
+        this->last_queued = queued;
         this->updated = now;
         this->is_known = true;
     }
@@ -51,13 +56,23 @@
     }
 
     /// Whether the last report told of any request.
-    [[nodiscard]] bool was_busy() const noexcept { return this->is_known && this->last_reported > 0.0; }
+    [[nodiscard]] bool was_busy() const noexcept
+    {
+        return this->is_known && this->last_running + this->last_queued > 0;
+    }
+
+    /// The last report, and when it came; meaningful when `has_report`.
+    [[nodiscard]] std::uint32_t running() const noexcept { return this->last_running; }
+    [[nodiscard]] std::uint32_t queued() const noexcept { return this->last_queued; }
+    [[nodiscard]] time_ms reported_at() const noexcept { return this->updated; }
+    [[nodiscard]] bool has_report() const noexcept { return this->is_known; }
 
 private:
     time_ms averaging_time;
     double reported_mean = 0.0;
     double own_mean = 0.0;
-    double last_reported = 0.0;
+    std::uint32_t last_running = 0;
+    std::uint32_t last_queued = 0;
     time_ms updated;
     bool is_known = false;
 };
--- a/include/coriander/relay/load_report.hpp
+++ b/include/coriander/relay/load_report.hpp
@@ -8,7 +8,7 @@
 
 /// The load that a target told in an answer, as daemons pass it on to each other.
 struct load_report {
-    std::uint64_t target = 0;  ///< Hash of the target's id.
+    std::uint64_t target = 0;  ///< Hash of the target's id and generation.
     std::uint32_t running = 0; ///< Requests that it works on.
     std::uint32_t waiting = 0; ///< Requests in its queue.
     time_ms age;               ///< Since it was told.
--- a/include/coriander/relay/target_board.hpp
+++ b/include/coriander/relay/target_board.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coriander/load_estimate.hpp"
+#include "coriander/relay/load_report.hpp"
 #include "coriander/relay/stall_watch.hpp"
 #include "coriander/time_ms.hpp"
 
@@ -79,6 +80,11 @@
     /// The target told its load in an answer.
     void on_load(const std::string& id, std::uint32_t running, std::uint32_t waiting, time_ms now);
 
+    /// A target told another daemon its load. Unknown targets are ignored.
+    void on_peer_report(const load_report& report, time_ms now);
+    /// The newest loads that are known, by own answers or from others, newest first and at most `limit`.
+    [[nodiscard]] std::vector<load_report> reports(std::size_t limit, time_ms now) const;
+
     /// Takes the target out of rotation until `until`.
     void suspend(const std::string& id, suspension reason, time_ms until);
     /// Puts it back.
@@ -101,10 +107,12 @@
     [[nodiscard]] bool is_listed(const std::string& id) const;
 
 private:
-    /// Answers tell the load several times a second from each busy target.
-    static constexpr time_ms load_averaging{300};
+    /// Reports that come within this time are averaged; a longer time would only add to their lag.
+    static constexpr time_ms load_averaging{50};
     /// Of others' requests that a report told of: an answer takes about a second.
     static constexpr time_ms load_half_life{500};
+    /// Older reports say nothing of the present: most answers of then have ended.
+    static constexpr time_ms load_horizon{1000};
     /// Failures in a row that take a target out of rotation, and for how long the first time.
     static constexpr std::uint32_t failure_limit = 3;
     static constexpr time_ms failure_pause{1000};
@@ -112,9 +120,13 @@
     /// A request's cost of going to another failure domain, as part of a target's slots.
     static constexpr double distance_cost = 0.04;
     static constexpr double noise_cost = 0.02;
+    /// Daemons that know the same would all choose the same target until the next reports. A difference of so
+    /// great a part of the slots makes one target chosen e times as often as another.
+    static constexpr double spread_cost = 0.3;
 
     struct target_state {
         relay_target info;
+        std::uint64_t key = 0; ///< Hash of the id and the generation.
         bool is_serving = false;
         std::uint32_t own = 0;
         load_estimate load{load_averaging};
@@ -124,8 +136,11 @@
         std::uint32_t failures = 0;
     };
 
-    /// Others' requests there: as reported, or, the older the report, as if all daemons sent alike.
-    [[nodiscard]] static double others_on(const target_state& one, std::size_t daemons, time_ms now);
+    /// Others' requests on a target of the model of which nothing is known: the mean of the targets that told
+    /// their load lately, or, without any, as if all daemons sent as much as this one.
+    [[nodiscard]] double usual_others(const target_wish& wish, time_ms now) const;
+    /// Others' requests there: as reported, or, the older the report, the usual ones.
+    [[nodiscard]] static double others_on(const target_state& one, double usual, time_ms now);
     [[nodiscard]] static bool is_usable(const target_state& one, std::string_view model, time_ms now);
     [[nodiscard]] target_state* find(const std::string& id);
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -45,6 +46,7 @@
     void start(gateway_peers& others)
     {
         this->peers = &others;
+        this->peers->listen_loads([this](std::span<const load_report> loads) { this->take_loads(loads); });
         this->listen(this->values.readiness_address, this->page_handlers());
         if (!this->values.directory_address.empty()) {
             this->listen(this->values.directory_address, this->page_handlers());
@@ -331,10 +333,33 @@
         return needed_replicas(engine, load, this->fleet.host_count(service));
     }
 
+    void take_loads(std::span<const load_report> loads)
+    {
+        const auto now = this->relay.clock.now();
+        for (auto& [name, state] : this->relay.services) {
+            for (const auto& one : loads) {
+                state.board.on_peer_report(one, now);
+            }
+        }
+    }
+
+    /// The newest loads of all services' targets.
+    std::vector<load_report> known_loads()
+    {
+        std::vector<load_report> all;
+        for (const auto& [name, state] : this->relay.services) {
+            const auto reports =
+                state.board.reports(gateway_peers::loads_per_message, this->relay.clock.now());
+            all.insert(all.end(), reports.begin(), reports.end());
+        }
+        std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
+        return all;
+    }
+
     void run_peers()
     {
         this->peers->round(this->manifest_version(), this->manifest_text, this->is_stopping,
-                           this->io.reaches_table());
+                           this->io.reaches_table(), this->known_loads());
         this->relay.daemons = this->peers->count();
         this->call_after(this->peer_timer, gateway_peers::round_length, [this] { this->run_peers(); });
     }
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -2,6 +2,9 @@
 
 #include "peer/generated/peer_generated.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace coriander {
 namespace {
 
@@ -18,6 +21,13 @@
     return (beat.stopping ? stopping_flag : 0) | (beat.table_reachable ? table_reachable_flag : 0);
 }
 
+/// Counts on the wire have 16 bits; larger ones are sent as the largest.
+std::uint16_t short_count(std::int64_t count)
+{
+    return static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint16_t>::max()));
+}
+
 /// Builds the parts of one message.
 class message_writer {
 public:
@@ -43,10 +53,15 @@
             demands.push_back(
                 wire::CreateDemandDirect(this->builder, one.customer.c_str(), one.requests_per_second));
         }
+        std::vector<wire::TargetLoad> loads;
+        for (const auto& one : message.loads) {
+            loads.emplace_back(one.target, short_count(one.running), short_count(one.waiting),
+                               short_count(one.age.count()));
+        }
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(this->builder, &identities, &beats, &strikes,
-                                                           &demands, config, news));
+                                                           &demands, config, news, &loads));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -116,6 +131,15 @@
     }
 }
 
+void read_loads(const wire::PeerMessage& root, peer_message& message)
+{
+    if (const auto* loads = root.loads()) {
+        for (const auto* one : *loads) {
+            message.loads.push_back({one->target(), one->running(), one->waiting(), time_ms{one->age_ms()}});
+        }
+    }
+}
+
 void read_news(const wire::PeerMessage& root, peer_message& message)
 {
     const auto* news = root.news();
@@ -150,6 +174,7 @@
     read_members(root, message);
     read_rest(root, message);
     read_news(root, message);
+    read_loads(root, message);
     return message;
 }
 
--- a/src/relay/target_board.cpp
+++ b/src/relay/target_board.cpp
@@ -2,6 +2,8 @@
 
 #include "coriander/digest.hpp"
 
+#include <cmath>
+
 namespace coriander {
 
 void target_board::set_targets(std::span<const relay_target> serving)
@@ -17,6 +19,7 @@
             one.own = own;
         }
         one.info = info;
+        one.key = stable_hash(info.id, info.generation);
         one.is_serving = true;
     }
     std::erase_if(this->targets,
@@ -28,16 +31,42 @@
     return one.is_serving && one.info.model == model && now >= one.suspended_until;
 }
 
-double target_board::others_on(const target_state& one, std::size_t daemons, time_ms now)
+double target_board::usual_others(const target_wish& wish, time_ms now) const
+{
+    double told = 0.0;
+    double tellers = 0.0;
+    double own = 0.0;
+    double known = 0.0;
+    for (const auto& [id, one] : this->targets) {
+        if (!one.is_serving || one.info.model != wish.model) {
+            continue;
+        }
+        own += one.own;
+        known += 1.0;
+        if (one.load.has_report() && now - one.load.reported_at() <= load_horizon) {
+            told += one.load.others();
+            tellers += 1.0;
+        }
+    }
+    const auto daemons = static_cast<double>(wish.daemons);
+    if (tellers > 0.0) {
+        return told / tellers * (daemons - 1.0) / daemons;
+    }
+    return own * (daemons - 1.0) / std::max(1.0, known);
+}
+
+double target_board::others_on(const target_state& one, double usual, time_ms now)
 {
-    const double expected = static_cast<double>(one.own) * static_cast<double>(daemons - 1);
-    return one.load.others_at(now, load_half_life, expected);
+    return one.load.others_at(now, load_half_life, usual);
 }
 
 std::optional<target_choice> target_board::choose(const target_wish& wish, double noise, time_ms now) const
 {
     const target_state* best = nullptr;
     double best_score = 0.0;
+    double best_others = 0.0;
+    const double usual = this->usual_others(wish, now);
+    const double spread = spread_cost * (1.0 - 1.0 / static_cast<double>(wish.daemons));
     const auto salt = static_cast<std::uint64_t>(noise * 1e9);
     for (const auto& [id, one] : this->targets) {
         const bool was_tried = std::find(wish.tried.begin(), wish.tried.end(), id) != wish.tried.end();
@@ -45,20 +74,23 @@
             continue;
         }
         constexpr std::uint64_t noise_steps = 1024;
-        const double drawn = static_cast<double>(stable_hash(id, salt) % noise_steps) / noise_steps;
-        const double others = others_on(one, wish.daemons, now);
+        const double drawn = (0.5 + static_cast<double>(stable_hash(id, salt) % noise_steps)) / noise_steps;
+        const double others = others_on(one, usual, now);
         const double share = (one.own + others) / std::max(1U, one.info.slots);
         const double far = one.info.failure_domain == wish.near ? 0.0 : distance_cost;
-        const double score = share + far + noise_cost * drawn;
+        // The least of costs with Gumbel noise: a choice with weights that fall exponentially with the cost.
+        const double noise = noise_cost * drawn + spread * std::log(-std::log(drawn));
+        const double score = share + far + noise;
         if (best == nullptr || score < best_score) {
             best = &one;
             best_score = score;
+            best_others = others;
         }
     }
     if (best == nullptr) {
         return std::nullopt;
     }
-    return target_choice{best->info, best->own, others_on(*best, wish.daemons, now)};
+    return target_choice{best->info, best->own, best_others};
 }
 
 std::size_t target_board::count(std::string_view model, time_ms now) const
@@ -123,6 +155,30 @@
     }
 }
 
+void target_board::on_peer_report(const load_report& report, time_ms now)
+{
+    const auto found = std::find_if(this->targets.begin(), this->targets.end(),
+                                    [&](const auto& item) { return item.second.key == report.target; });
+    if (found != this->targets.end()) {
+        auto& one = found->second;
+        one.load.on_report(report.running, report.waiting, one.own, now - report.age);
+    }
+}
+
+std::vector<load_report> target_board::reports(std::size_t limit, time_ms now) const
+{
+    std::vector<load_report> all;
+    for (const auto& [id, one] : this->targets) {
+        const auto age = now - one.load.reported_at();
+        if (one.is_serving && one.load.has_report() && age <= load_horizon) {
+            all.push_back({one.key, one.load.running(), one.load.queued(), age});
+        }
+    }
+    std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
+    all.resize(std::min(all.size(), limit));
+    return all;
+}
+
 void target_board::suspend(const std::string& id, suspension reason, time_ms until)
 {
     if (auto* one = this->find(id)) {
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -55,6 +55,20 @@
     CHECK(threads[0] == std::this_thread::get_id());
 }
 
+TEST_CASE("peer message: loads arrive as they were told, those beyond the wire's range as the largest")
+{
+    peer_message message;
+    message.loads = {{7, 20, 3, 150_ms}, {8, 100000, 0, 0_ms}};
+    const auto read = decode_peer_message(encode_peer_message(message));
+    REQUIRE(read);
+    REQUIRE(read.value().loads.size() == 2);
+    CHECK(read.value().loads[0].target == 7);
+    CHECK(read.value().loads[0].running == 20);
+    CHECK(read.value().loads[0].waiting == 3);
+    CHECK(read.value().loads[0].age == 150_ms);
+    CHECK(read.value().loads[1].running == 65535);
+}
+
 TEST_CASE("peer link: messages sent at the same moment all arrive, in order")
 {
     event_loop loop;
--- a/test/relay/shared_replicas_test.cpp
+++ b/test/relay/shared_replicas_test.cpp
@@ -65,6 +65,7 @@
             }
             this->give_up_late_ones();
             this->lose_and_mend();
+            this->exchange_loads(at);
             for (auto& [name, replica] : this->replicas) {
                 replica.work_until(this->now, [this, &name = name](std::size_t id, bool is_last) {
                     this->on_event(name, id, is_last);
@@ -96,6 +97,7 @@
 private:
     static constexpr time_ms never = start + 100000_s;
     static constexpr std::size_t gateway_count = 60;
+    static constexpr time_ms round_length = 400_ms;
     static constexpr time_ms time_limit = 5_s;
     static constexpr time_ms objective = 300_ms;
     static constexpr time_ms usual_duration = 2_s;
@@ -180,6 +182,22 @@
         }
     }
 
+    /// Each gateway tells some others what it knows of loads, in turn, once in a round.
+    void exchange_loads(time_ms at)
+    {
+        constexpr std::size_t peers = 8;
+        constexpr std::size_t loads_told = 16;
+        const auto turns = static_cast<std::size_t>(round_length.count() / tick.count());
+        const auto turn = static_cast<std::size_t>(at.count() / tick.count()) % turns;
+        for (std::size_t i = turn; i < gateway_count; i += turns) {
+            for (const auto& report : this->boards[i].reports(loads_told, this->now)) {
+                for (std::size_t k = 0; k < peers; ++k) {
+                    this->boards[this->random() % gateway_count].on_peer_report(report, this->now);
+                }
+            }
+        }
+    }
+
     void lose_and_mend()
     {
         if (this->now >= this->next_mending) {
--- a/test/relay/target_board_test.cpp
+++ b/test/relay/target_board_test.cpp
@@ -80,6 +80,78 @@
     CHECK(choice->total() == Approx(28.0));
 }
 
+TEST_CASE("target board: a load that a target told another daemon is known")
+{
+    auto teller = board_of({target_named("a"), target_named("b")});
+    auto other = board_of({target_named("a"), target_named("b")});
+    teller.on_load("a", 20, 3, start);
+    for (const auto& report : teller.reports(10, start)) {
+        other.on_peer_report(report, start);
+    }
+    const auto choice = other.choose({"m", "gent", std::vector<std::string>{"b"}, 1}, 0.5, start);
+    REQUIRE(choice);
+    CHECK(choice->others == Approx(23.0));
+}
+
+TEST_CASE("target board: an older report of a peer does not replace a newer one")
+{
+    auto board = board_of({target_named("a")});
+    board.on_load("a", 20, 3, start);
+    auto report = board.reports(1, start).front();
+    report.running = 0;
+    report.waiting = 0;
+    report.age = 200_ms;
+    board.on_peer_report(report, start + 100_ms);
+    CHECK(board.choose({"m", "gent", {}, 1}, 0.5, start)->others == Approx(23.0));
+}
+
+TEST_CASE("target board: a report of a former generation is ignored")
+{
+    auto former = board_of({target_named("a")});
+    former.on_load("a", 20, 3, start);
+    auto renewed = target_named("a");
+    renewed.generation = 2;
+    auto board = board_of({renewed});
+    board.on_peer_report(former.reports(1, start).front(), start);
+    CHECK(board.reports(1, start).empty());
+}
+
+TEST_CASE("target board: the newest reports are told, and none that says nothing of the present")
+{
+    auto board = board_of({target_named("a"), target_named("b"), target_named("c")});
+    board.on_load("a", 1, 0, start);
+    board.on_load("b", 2, 0, start + 2_s);
+    board.on_load("c", 3, 0, start + 2100_ms);
+    const auto reports = board.reports(2, start + 2200_ms);
+    REQUIRE(reports.size() == 2);
+    CHECK(reports[0].running == 3);
+    CHECK(reports[0].age == 100_ms);
+    CHECK(reports[1].running == 2);
+}
+
+TEST_CASE("target board: a target without a report is taken to be as loaded as those that told theirs")
+{
+    auto board = board_of({target_named("a"), target_named("b")});
+    board.on_load("a", 20, 3, start);
+    const auto choice = board.choose({"m", "gent", std::vector<std::string>{"a"}, 60}, 0.5, start);
+    REQUIRE(choice);
+    CHECK(choice->others == Approx(23.0).epsilon(0.05));
+}
+
+TEST_CASE("target board: many daemons that know the same do not all choose the emptiest target")
+{
+    auto board = board_of({target_named("a"), target_named("b")});
+    board.on_load("a", 0, 0, start);
+    board.on_load("b", 5, 0, start);
+    int emptiest = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto choice = board.choose({"m", "gent", {}, 60}, i / 100.0, start);
+        emptiest += choice->target.id == "a" ? 1 : 0;
+    }
+    CHECK(emptiest > 50);
+    CHECK(emptiest < 90);
+}
+
 TEST_CASE("target board: failures in a row take a target out of rotation for a while")
 {
     auto board = board_of({target_named("a")});
