Admission and placement go by the demand that all gateways measure together

Callers' large requests still met full replicas: each gateway measured the demand on a model from the one request a second that it saw itself, so that the plan of replicas and the usual duration differed between gateways by chance, and the forecast refused only by a target's queue, which reports tell of too late.

Gateways now tell each other the rate, sizes and durations that they measure; plans and forecasts use the mean. Where the fleet's replicas bear less than the demand, that part is refused at once, at random over all sizes, on targets that are at least half full.

--- a/include/coriander/relay/admission_forecast.hpp
+++ b/include/coriander/relay/admission_forecast.hpp
@@ -11,11 +11,13 @@
 
 /// What a request is worth waiting for, and what it meets.
 struct admission_input {
-    std::optional<target_choice> best; ///< The least loaded target; absent: none may take the request.
+    std::optional<target_choice> best; ///< The chosen target; absent: none may take the request.
     time_ms usual_duration{};          ///< From dispatch to the end of an answer of this kind.
     time_ms objective{};               ///< For the first event, or the whole answer.
     time_ms time_left{};               ///< Until the caller or the route gives up.
     double refused_share = 0.0;        ///< Of the requests of the last seconds.
+    double supply = 1.0;               ///< Capacity of all targets, as a multiple of the fleet's demand.
+    double draw = 0.0;                 ///< Uniform in [0, 1).
 };
 
 /// Whether a request is sent now, and if not, when its caller should come back.
@@ -39,9 +41,13 @@
     /// Callers that come back into the same shortage only add to it. A shortage passes when a lost replica is
     /// formed anew, which takes about this long; the more are refused, the longer callers are sent away.
     time_ms shortage_retry{2000};
+    /// From this part of the target's slots on, the part of the demand that exceeds the supply is refused:
+    /// reports of load come too late to keep the targets' queues short by themselves.
+    double busy_share = 0.5;
 };
 
-/// Forecasts the wait in the least loaded target's queue and refuses what would come too late. Pure.
+/// Forecasts the wait in the chosen target's queue and refuses what would come too late, and, at random, what
+/// exceeds the supply. Pure.
 [[nodiscard]] inline admission_advice forecast_admission(const admission_input& input,
                                                          const admission_settings& settings = {})
 {
@@ -54,7 +60,8 @@
     const time_ms wait{static_cast<std::int64_t>(ahead * turn_ms)};
     const time_ms bound{
         static_cast<std::int64_t>(settings.wait_share * static_cast<double>(input.objective.count()))};
-    if (wait <= bound && wait + settings.least_time <= input.time_left) {
+    const bool is_excess = input.best->total() >= settings.busy_share * slots && input.draw >= input.supply;
+    if (!is_excess && wait <= bound && wait + settings.least_time <= input.time_left) {
         return {true, wait, {}};
     }
     const time_ms shortage{static_cast<std::int64_t>(input.refused_share *
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -19,7 +19,6 @@
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <span>
 #include <string>
 #include <utility>
 
@@ -46,7 +45,8 @@
     void start(gateway_peers& others)
     {
         this->peers = &others;
-        this->peers->listen_loads([this](std::span<const load_report> loads) { this->take_loads(loads); });
+        this->peers->listen_loads(
+            [this](std::uint64_t sender, const load_news& news) { this->take_loads(sender, news); });
         this->listen(this->values.readiness_address, this->page_handlers());
         if (!this->values.directory_address.empty()) {
             this->listen(this->values.directory_address, this->page_handlers());
@@ -313,7 +313,7 @@
             this->control.set_cheap_loads(this->values.is_first_start && !this->relay.has_traffic);
             for (const auto& [name, service] : this->relay.routes->manifest().services) {
                 if (service.engine) {
-                    this->control.set_needed(name, this->measured_need(name, *service.engine, now));
+                    this->control.set_needed(name, this->measured_need(name, *service.engine));
                     delay = std::min(delay, this->control.tick(service, now));
                 }
             }
@@ -321,39 +321,41 @@
         this->call_after(this->control_timer, delay, [this] { this->run_control(); });
     }
 
-    std::map<std::string, double> measured_need(const std::string& service, const engine_profile& engine,
-                                                time_ms now)
+    std::map<std::string, double> measured_need(const std::string& service, const engine_profile& engine)
     {
         std::map<std::string, model_load> load;
         for (const auto& [model, meter] : this->relay.service(service).meters) {
-            load[model] = meter.load(now);
-            // Callers spread over all daemons alike: each sees its part of the whole.
-            load[model].requests_per_s *= static_cast<double>(this->relay.daemons);
+            load[model] = this->relay.fleet_load(service, model, meter);
         }
         return needed_replicas(engine, load, this->fleet.host_count(service));
     }
 
-    void take_loads(std::span<const load_report> loads)
+    void take_loads(std::uint64_t sender, const load_news& news)
     {
         const auto now = this->relay.clock.now();
+        this->relay.demand.on_told(sender, news.demands, now);
         for (auto& [name, state] : this->relay.services) {
-            for (const auto& one : loads) {
+            for (const auto& one : news.targets) {
                 state.board.on_peer_report(one, now);
             }
         }
     }
 
-    /// The newest loads of all services' targets.
-    std::vector<load_report> known_loads()
+    /// The newest loads of all services' targets, and the demand measured here.
+    load_news known_loads()
     {
-        std::vector<load_report> all;
+        load_news news;
+        const auto now = this->relay.clock.now();
         for (const auto& [name, state] : this->relay.services) {
-            const auto reports =
-                state.board.reports(gateway_peers::loads_per_message, this->relay.clock.now());
-            all.insert(all.end(), reports.begin(), reports.end());
+            const auto reports = state.board.reports(gateway_peers::loads_per_message, now);
+            news.targets.insert(news.targets.end(), reports.begin(), reports.end());
+            for (const auto& [model, meter] : state.meters) {
+                news.demands.push_back({model_key(name, model), meter.load(now)});
+            }
         }
-        std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
-        return all;
+        std::sort(news.targets.begin(), news.targets.end(),
+                  [](const auto& a, const auto& b) { return a.age < b.age; });
+        return news;
     }
 
     void run_peers()
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -51,11 +51,13 @@
     if (message.news) {
         this->news(*message.news);
     }
-    this->loads(message.loads);
+    if (!message.beats.empty()) {
+        this->loads(message.beats.front().id, message.loads);
+    }
 }
 
 void gateway_peers::round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping,
-                          bool reaches_table, std::span<const load_report> known_loads)
+                          bool reaches_table, load_news known_loads)
 {
     const auto now = this->clock.now();
     if (std::exchange(this->manifest_version, manifest_version) != manifest_version) {
@@ -65,8 +67,8 @@
     peer_message message;
     message.identities = this->members.identities_to_send();
     message.beats = this->members.beats_to_send(now);
-    const auto told = known_loads.first(std::min(known_loads.size(), loads_per_message));
-    message.loads.assign(told.begin(), told.end());
+    message.loads = std::move(known_loads);
+    message.loads.targets.resize(std::min(message.loads.targets.size(), loads_per_message));
     const auto targets = this->members.choose_targets(targets_per_round, now, this->random);
     for (const auto& view : this->members.alive(now)) {
         if (view.beat.config_number < manifest_version && !manifest_text.empty() &&
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -11,7 +11,6 @@
 #include <functional>
 #include <memory>
 #include <random>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,8 +29,8 @@
     /// What a peer has read from a table for others.
     using on_news = std::function<void(const table_news&)>;
 
-    /// Loads of targets that a peer knows.
-    using on_loads = std::function<void(std::span<const load_report>)>;
+    /// What the daemon with the id `sender` tells of load.
+    using on_loads = std::function<void(std::uint64_t sender, const load_news&)>;
 
     /// Listens on the identity's address and `port`. Throws `std::system_error` when it can't be bound.
     gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
@@ -40,13 +39,13 @@
     /// Learns of another gateway from the table.
     void introduce(const member_identity& identity);
 
-    /// Sets who learns what peers know of targets' loads.
+    /// Sets who learns what peers tell of load.
     void listen_loads(on_loads listener) { this->loads = std::move(listener); }
 
-    /// Tells some of the others how things are: call every `round_length`. Of `known_loads` the first
-    /// `loads_per_message` are told.
+    /// Tells some of the others how things are: call every `round_length`. Of the targets in `known_loads`
+    /// the first `loads_per_message` are told.
     void round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping,
-               bool reaches_table, std::span<const load_report> known_loads);
+               bool reaches_table, load_news known_loads);
     /// 16 bytes each, 20 messages a second: 5 KB/s of the 8 KB/s that control may take on each daemon.
     static constexpr std::size_t loads_per_message = 16;
     static constexpr time_ms round_length{400};
@@ -80,7 +79,7 @@
     std::vector<std::string> seeds;
     on_manifest manifest;
     on_news news;
-    on_loads loads = [](std::span<const load_report>) {};
+    on_loads loads = [](std::uint64_t, const load_news&) {};
     std::uint64_t manifest_version = 0;
     time_ms manifest_since; ///< When this daemon had it.
     monotonic_clock clock;
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -2,6 +2,7 @@
 
 #include "coriander/clock.hpp"
 #include "coriander/relay/admission_forecast.hpp"
+#include "coriander/relay/fleet_demand.hpp"
 #include "coriander/relay/route_table.hpp"
 #include "gateway/relay_dialect.hpp"
 #include "gateway/service_state.hpp"
@@ -15,6 +16,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace coriander {
 
@@ -36,7 +38,8 @@
     std::shared_ptr<const route_table> routes; ///< Null until the first manifest is known.
     std::map<std::string, service_state> services;
     retry_window_settings retry_bounds;
-    std::size_t daemons = 1; ///< That share the retry budget.
+    fleet_demand demand;
+    std::size_t daemons = 1; ///< That take callers' requests, this one included.
     std::size_t open_requests = 0;
     bool has_traffic = false; ///< A request has come since the start.
     bool refuses_new = false; ///< A planned stop: what comes now would be cut.
@@ -44,6 +47,14 @@
     /// Uniform in [0, 1).
     [[nodiscard]] double draw() { return std::uniform_real_distribution<double>{0.0, 1.0}(this->random); }
 
+    /// The load of a service's model over all daemons; `meter` is this daemon's own.
+    [[nodiscard]] model_load fleet_load(std::string_view service, std::string_view model,
+                                        const model_meter& meter)
+    {
+        const auto now = this->clock.now();
+        return this->demand.total(model_key(service, model), meter.load(now), this->daemons, now);
+    }
+
     /// The state of a service; made when it is first asked for.
     [[nodiscard]] service_state& service(const std::string& name)
     {
--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -8,7 +8,7 @@
 namespace coriander {
 
 void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
-                 const admission_advice& advice, std::size_t targets)
+                 const admission_advice& advice, std::size_t targets, double supply)
 {
     log_event(event::request_refused, {{"request", request.attempt_id},
                                        {"why", best ? "overloaded" : "no_target"},
@@ -16,6 +16,7 @@
                                        {"targets", targets},
                                        {"load", best ? best->total() : 0.0},
                                        {"slots", best ? best->target.slots : 0},
+                                       {"supply", supply},
                                        {"wait", advice.predicted_wait},
                                        {"retry_after", advice.retry_after}});
 }
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -75,13 +75,21 @@
         this->size = meter.classify(this->request.prompt_tokens + this->request.most_answer_tokens);
     }
     const auto best = this->choose_target(this->tried);
-    admission_input input{best, usual_duration_of(meter, *service, this->request.model),
+    const auto load = this->context.fleet_load(this->request.service, this->request.model, meter);
+    const auto* model = find_model(*service, this->request.model);
+    const auto targets = this->state->board.count(model == nullptr ? std::string_view{} : model->name, now);
+    admission_input input{best, usual_duration_of(load, *service, model),
                           this->request.route->latency_objective, this->request.give_up_at - now,
                           meter.refused_share(now)};
+    if (model != nullptr) {
+        input.supply =
+            static_cast<double>(targets) / std::max(1e-6, replicas_for(*service->engine, *model, load));
+        input.draw = this->context.draw();
+    }
     const auto advice = forecast_admission(input);
     if (!advice.is_admitted) {
         meter.on_refused(now);
-        log_refusal(this->request, best, advice, this->state->board.count(this->request.model, now));
+        log_refusal(this->request, best, advice, targets, input.supply);
         this->answer(best ? own_answer::overloaded : own_answer::no_target, advice.retry_after);
         return;
     }
--- a/src/gateway/service_state.cpp
+++ b/src/gateway/service_state.cpp
@@ -59,22 +59,28 @@
 
 model_load model_meter::load(time_ms now) const
 {
-    return {faded(this->rate, now - this->rate_at), this->prompt, this->answer};
+    return {faded(this->rate, now - this->rate_at), this->prompt, this->answer, this->duration_ms};
 }
 
-time_ms usual_duration_of(const model_meter& meter, const relay_service& service, const std::string& model)
+time_ms usual_duration_of(const model_load& load, const relay_service& service, const model_profile* model)
 {
-    if (meter.usual_duration() > time_ms{} || !service.engine) {
-        return meter.usual_duration();
+    if (load.duration_ms > 0.0 || model == nullptr) {
+        return time_ms{static_cast<std::int64_t>(load.duration_ms)};
     }
     const auto& engine = *service.engine;
-    for (const auto& one : engine.models) {
-        if (one.name == model) {
-            return time_ms{static_cast<std::int64_t>(answer_time_ms(
-                engine, one, engine.usual_prompt_tokens, engine.usual_answer_tokens, engine.slots))};
-        }
+    return time_ms{static_cast<std::int64_t>(answer_time_ms(engine, *model, engine.usual_prompt_tokens,
+                                                            engine.usual_answer_tokens, engine.slots))};
+}
+
+const model_profile* find_model(const relay_service& service, std::string_view name)
+{
+    if (!service.engine) {
+        return nullptr;
     }
-    return {};
+    const auto& all = service.engine->models;
+    const auto found =
+        std::find_if(all.begin(), all.end(), [&](const model_profile& one) { return one.name == name; });
+    return found == all.end() ? nullptr : &*found;
 }
 
 } // namespace coriander
--- a/src/gateway/service_state.hpp
+++ b/src/gateway/service_state.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace coriander {
 
@@ -29,13 +30,8 @@
     /// The size class of a request with so many declared tokens, against the mean of those before it.
     [[nodiscard]] const char* classify(double declared_tokens);
 
-    /// Requests a second, and their mean sizes.
+    /// Requests a second, their mean sizes and the mean time of an answer.
     [[nodiscard]] model_load load(time_ms now) const;
-    /// The usual time from dispatch to the end; zero before any was measured.
-    [[nodiscard]] time_ms usual_duration() const noexcept
-    {
-        return time_ms{static_cast<std::int64_t>(this->duration_ms)};
-    }
 
 private:
     double rate = 0.0;
@@ -48,10 +44,13 @@
     double duration_ms = 0.0;
 };
 
-/// The usual time that a request of the model takes, without its wait: as measured, or, before any was, by
-/// the engine's profile; zero when neither is known.
-[[nodiscard]] time_ms usual_duration_of(const model_meter& meter, const relay_service& service,
-                                        const std::string& model);
+/// The usual time that a request takes, without its wait: as measured, or, before any was, by the engine's
+/// profile of the model, null for plain services; zero when neither is known.
+[[nodiscard]] time_ms usual_duration_of(const model_load& load, const relay_service& service,
+                                        const model_profile* model);
+
+/// The profile of a service's model; null when there is none.
+[[nodiscard]] const model_profile* find_model(const relay_service& service, std::string_view name);
 
 /// What a daemon keeps of one service for routing.
 struct service_state {
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -54,14 +54,20 @@
                 wire::CreateDemandDirect(this->builder, one.customer.c_str(), one.requests_per_second));
         }
         std::vector<wire::TargetLoad> loads;
-        for (const auto& one : message.loads) {
+        for (const auto& one : message.loads.targets) {
             loads.emplace_back(one.target, short_count(one.running), short_count(one.waiting),
                                short_count(one.age.count()));
         }
+        std::vector<wire::ModelDemand> model_demands;
+        for (const auto& [model, load] : message.loads.demands) {
+            model_demands.emplace_back(
+                model, static_cast<float>(load.requests_per_s), static_cast<float>(load.prompt_tokens),
+                static_cast<float>(load.answer_tokens), static_cast<float>(load.duration_ms));
+        }
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(this->builder, &identities, &beats, &strikes,
-                                                           &demands, config, news, &loads));
+                                                           &demands, config, news, &loads, &model_demands));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -135,7 +141,15 @@
 {
     if (const auto* loads = root.loads()) {
         for (const auto* one : *loads) {
-            message.loads.push_back({one->target(), one->running(), one->waiting(), time_ms{one->age_ms()}});
+            message.loads.targets.push_back(
+                {one->target(), one->running(), one->waiting(), time_ms{one->age_ms()}});
+        }
+    }
+    if (const auto* demands = root.model_demands()) {
+        for (const auto* one : *demands) {
+            message.loads.demands.push_back(
+                {one->model(),
+                 {one->requests_per_s(), one->prompt_tokens(), one->answer_tokens(), one->duration_ms()}});
         }
     }
 }
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -3,7 +3,7 @@
 #include "coriander/config_record.hpp"
 #include "coriander/error.hpp"
 #include "coriander/membership.hpp"
-#include "coriander/relay/load_report.hpp"
+#include "coriander/relay/load_news.hpp"
 #include "coriander/strike_table.hpp"
 #include "coriander/table_news.hpp"
 
@@ -29,7 +29,7 @@
     std::vector<customer_demand> demands;
     std::optional<config_record> config; ///< Only for a peer that has an older one.
     std::optional<table_news> news;
-    std::vector<load_report> loads; ///< Of targets, the newest that the sender knows.
+    load_news loads;
 };
 
 /// The message as bytes for the wire.
--- a/src/replicas/replica_demand.cpp
+++ b/src/replicas/replica_demand.cpp
@@ -44,6 +44,12 @@
     return model.time_factor * (reading * std::max(1.0, running) + answer_tokens * step);
 }
 
+double replicas_for(const engine_profile& engine, const model_profile& model, const model_load& load)
+{
+    const double cost = request_cost_ms(engine, model, load.prompt_tokens, load.answer_tokens);
+    return load.requests_per_s * cost / ms_per_s;
+}
+
 std::map<std::string, double> needed_replicas(const engine_profile& engine,
                                               const std::map<std::string, model_load>& load,
                                               std::size_t hosts)
@@ -58,9 +64,7 @@
     for (const auto& model : engine.models) {
         const auto found = load.find(model.name);
         if (found != load.end()) {
-            const auto& one = found->second;
-            const double cost = request_cost_ms(engine, model, one.prompt_tokens, one.answer_tokens);
-            needed[model.name] = one.requests_per_s * cost / ms_per_s;
+            needed[model.name] = replicas_for(engine, model, found->second);
             measured += needed[model.name];
         }
     }
--- a/test/relay/admission_forecast_test.cpp
+++ b/test/relay/admission_forecast_test.cpp
@@ -37,6 +37,26 @@
     CHECK(advice.retry_after < 250_ms);
 }
 
+TEST_CASE("admission forecast: with too few targets for the demand the excess is refused before queues form")
+{
+    auto input = input_with(2, 20.0);
+    input.supply = 0.75;
+    input.draw = 0.7;
+    CHECK(forecast_admission(input).is_admitted);
+    input.draw = 0.8;
+    const auto advice = forecast_admission(input);
+    CHECK_FALSE(advice.is_admitted);
+    CHECK(advice.retry_after >= 100_ms);
+}
+
+TEST_CASE("admission forecast: a target with half of its slots free takes requests whatever the supply")
+{
+    auto input = input_with(2, 10.0);
+    input.supply = 0.5;
+    input.draw = 0.9;
+    CHECK(forecast_admission(input).is_admitted);
+}
+
 TEST_CASE("admission forecast: a longer objective bears a longer wait")
 {
     auto input = input_with(2, 24.0);
--- /dev/null
+++ b/test/relay/fleet_demand_test.cpp
@@ -0,0 +1,50 @@
+#include "coriander/relay/fleet_demand.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+constexpr time_ms start = 1'000'000_ms;
+constexpr std::uint64_t model = 5;
+
+} // namespace
+
+TEST_CASE("fleet demand: what others tell corrects what one daemon sees by chance")
+{
+    fleet_demand demand;
+    for (std::uint64_t sender = 1; sender < 10; ++sender) {
+        demand.on_told(sender, std::vector<model_demand>{{model, {1.0, 1000.0, 100.0, 2000.0}}}, start);
+    }
+    const auto load = demand.total(model, {0.0, 0.0, 0.0, 0.0}, 60, start);
+    CHECK(load.requests_per_s == Approx(0.9 * 60));
+    CHECK(load.prompt_tokens == Approx(1000.0));
+    CHECK(load.duration_ms == Approx(2000.0));
+}
+
+TEST_CASE(
+    "fleet demand: sizes are weighted by the rates, and daemons without an answer say nothing of answers")
+{
+    fleet_demand demand;
+    demand.on_told(1, std::vector<model_demand>{{model, {3.0, 2000.0, 0.0, 0.0}}}, start);
+    const auto load = demand.total(model, {1.0, 1000.0, 100.0, 800.0}, 2, start);
+    CHECK(load.requests_per_s == Approx(4.0));
+    CHECK(load.prompt_tokens == Approx(1750.0));
+    CHECK(load.answer_tokens == Approx(100.0));
+    CHECK(load.duration_ms == Approx(800.0));
+}
+
+TEST_CASE("fleet demand: what a daemon told is dropped once it is old")
+{
+    fleet_demand demand;
+    demand.on_told(1, std::vector<model_demand>{{model, {9.0, 1000.0, 100.0, 2000.0}}}, start);
+    CHECK(demand.total(model, {1.0, 1000.0, 100.0, 2000.0}, 2, start + 11_s).requests_per_s == Approx(2.0));
+}
+
+TEST_CASE("fleet demand: the same model of two services is told apart")
+{
+    CHECK(model_key("a", "m") != model_key("b", "m"));
+    CHECK(model_key("a", "m") == model_key("a", "m"));
+}
+
+} // namespace coriander
