Answers without end are given up: heads, bodies and events are bounded

A target in trouble may send bytes that are no answer without end. Callers then waited for the whole time limit and got a time-out, and the gateway kept up to a second's link capacity a second in memory: answers that are passed on whole, unfinished events and the bodies of calls to engines and the store had no bound, interim responses weren't counted into the head, and a foreign answer was read to its end.

Heads are bounded at 64 KB with the interim responses before them, answers that are held back at 8 MB each and 32 MB together, an event at 1 MB, answers of calls at 8 MB; a foreign answer ends its attempt at its head. The connection is closed and the attempt ends as lost, so that repeatable requests and streams go on elsewhere and others are told that the end is unknown. The same bounds hold in the client of the router and the controller.

--- a/include/coriander/relay/event_framer.hpp
+++ b/include/coriander/relay/event_framer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -21,6 +22,8 @@
 
     /// Whether bytes of an unfinished event are held.
     [[nodiscard]] bool has_partial() const noexcept { return !this->partial.empty(); }
+    /// Whether the unfinished event is longer than any event may be.
+    [[nodiscard]] bool is_too_long() const noexcept { return this->partial.size() > max_event_bytes; }
 
     /// Drops an unfinished event, before the stream goes on elsewhere.
     void reset() { this->partial.clear(); }
@@ -29,6 +32,9 @@
     [[nodiscard]] std::string take_partial() { return std::exchange(this->partial, {}); }
 
 private:
+    /// An event holds some tokens; more than this is no event.
+    static constexpr std::size_t max_event_bytes = 1U << 20U;
+
     std::string partial;
 };
 
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -41,6 +41,11 @@
     fleet_demand demand;
     std::size_t daemons = 1; ///< That take callers' requests, this one included.
     std::size_t open_requests = 0;
+    std::size_t held_bytes = 0; ///< Of answers that are passed on only when they are whole.
+    /// Part of an entry host's memory: the smallest have 160 MB.
+    static constexpr std::size_t max_held_bytes = 32U << 20U;
+    /// The most that one answer may take of it.
+    static constexpr std::size_t max_answer_bytes = 8U << 20U;
     bool has_traffic = false; ///< A request has come since the start.
     bool refuses_new = false; ///< A planned stop: what comes now would be cut.
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -27,6 +27,7 @@
 
 relay_session::~relay_session()
 {
+    this->drop_held();
     if (this->counts_as_open) {
         --this->context.open_requests;
     }
@@ -108,6 +109,7 @@
 void relay_session::dispatch(const target_choice& choice)
 {
     const auto now = this->context.clock.now();
+    this->drop_held();
     this->current = {};
     this->current.choice = choice;
     this->current.is_open = true;
@@ -162,20 +164,42 @@
     this->read_load(head);
     this->current.verdict = judge_answer(head, this->context.dialect, this->request.attempt_id);
     this->current.head = std::move(head);
+    if (this->current.verdict == attempt_end::lost) {
+        this->end_attempt(attempt_end::lost, "not this request's answer");
+    }
 }
 
 void relay_session::on_response_body(std::string_view bytes)
 {
     this->state->board.on_progress(this->current.choice.target.id, this->context.clock.now());
-    if (this->current.verdict == attempt_end::lost) {
-        return; // Somebody else's bytes; the end of the exchange closes the connection.
+    if (this->current.verdict || !this->is_event_stream()) {
+        this->hold(bytes);
+        return;
     }
-    if (!this->current.verdict && this->is_event_stream()) {
-        this->pass_events(bytes);
+    this->pass_events(bytes);
+    if (this->stream.is_too_long()) {
+        this->end_attempt(attempt_end::lost, "an event without end");
     }
-    else {
+}
+
+void relay_session::hold(std::string_view bytes)
+{
+    const auto size = this->current.body.size() + bytes.size();
+    if (size <= relay_context::max_answer_bytes &&
+        this->context.held_bytes + bytes.size() <= relay_context::max_held_bytes) {
         this->current.body.append(bytes);
+        this->context.held_bytes += bytes.size();
+        return;
     }
+    const bool is_declined = this->current.verdict == attempt_end::declined;
+    this->current.channel->close();
+    this->end_attempt(is_declined ? attempt_end::declined : attempt_end::lost, "the answer is too large");
+}
+
+void relay_session::drop_held()
+{
+    this->context.held_bytes -= this->current.body.size();
+    this->current.body.clear();
 }
 
 bool relay_session::is_event_stream() const
@@ -200,7 +224,7 @@
 {
     const auto keep = this->shared_from_this();
     const auto& address = this->current.choice.target.address;
-    if (end == exchange_end::complete && this->current.verdict != attempt_end::lost) {
+    if (end == exchange_end::complete) {
         this->context.channels.release(address, this->current.channel);
     }
     switch (end) {
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -62,6 +62,8 @@
     /// The best target but for those named.
     [[nodiscard]] std::optional<target_choice> choose_target(std::span<const std::string> without);
     void read_load(const wire_head& head);
+    void hold(std::string_view bytes);
+    void drop_held();
     void pass_events(std::string_view bytes);
     [[nodiscard]] bool is_event_stream() const;
     void complete();
--- a/src/gateway/stream_answer.hpp
+++ b/src/gateway/stream_answer.hpp
@@ -31,6 +31,8 @@
     /// Drops an unfinished event: the attempt is over.
     void end_attempt() { this->framer.reset(); }
 
+    /// Whether the target writes an event that is longer than any may be.
+    [[nodiscard]] bool is_too_long() const noexcept { return this->framer.is_too_long(); }
     [[nodiscard]] bool has_begun() const noexcept { return this->begun; }
     /// The last event that the caller has.
     [[nodiscard]] std::optional<std::uint64_t> last_event() const noexcept { return this->last; }
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -40,8 +40,15 @@
     CURL* easy = nullptr;
     curl_slist* headers = nullptr;
     http_result result;
+    std::size_t head_bytes = 0;
 };
 
+/// More is no answer of any party here: the table's longest ones hold a megabyte of rows.
+constexpr std::size_t max_kept_body = 8U << 20U;
+constexpr std::size_t max_head = 65536;
+/// Makes the library end the transfer with an error.
+constexpr std::size_t give_up = 0;
+
 std::size_t receive_body(char* bytes, std::size_t size, std::size_t count, void* user)
 {
     auto& one = *static_cast<transfer*>(user);
@@ -49,6 +56,9 @@
     if (one.data) {
         one.data(chunk);
     }
+    else if (one.result.body.size() + chunk.size() > max_kept_body) {
+        return give_up;
+    }
     else {
         one.result.body.append(chunk);
     }
@@ -59,6 +69,10 @@
 {
     auto& one = *static_cast<transfer*>(user);
     const std::string_view line{bytes, size * count};
+    one.head_bytes += line.size();
+    if (one.head_bytes > max_head) {
+        return give_up;
+    }
     const auto colon = line.find(": ");
     if (colon != std::string_view::npos) {
         auto value = line.substr(colon + 2);
--- a/src/net/http_call_runner.cpp
+++ b/src/net/http_call_runner.cpp
@@ -21,6 +21,7 @@
     {
         this->self = this->shared_from_this();
         this->channel = std::move(on);
+        this->max_answer_bytes = call.max_answer_bytes;
         this->timer.expires_after(std::chrono::milliseconds{call.limit.count()});
         this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code& cancelled) {
             if (const auto one = weak.lock(); one && !cancelled) {
@@ -41,7 +42,15 @@
         this->result.headers = std::move(head.headers);
     }
 
-    void on_response_body(std::string_view bytes) override { this->result.body.append(bytes); }
+    void on_response_body(std::string_view bytes) override
+    {
+        if (this->result.body.size() + bytes.size() <= this->max_answer_bytes) {
+            this->result.body.append(bytes);
+            return;
+        }
+        this->channel->close();
+        this->finish(http_outcome::lost, "the answer is too large");
+    }
 
     void on_exchange_end(exchange_end end) override
     {
@@ -78,6 +87,7 @@
     http_call_runner::on_done done;
     std::shared_ptr<http_channel> channel;
     std::shared_ptr<running_call> self;
+    std::size_t max_answer_bytes = 0;
     http_result result;
 };
 
--- a/src/net/message_parser.cpp
+++ b/src/net/message_parser.cpp
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr int first_final_status = 200;
+/// Of a response, interim ones before it included. Requests are bounded by their connection's settings.
+constexpr std::size_t max_response_head_bytes = 65536;
 
 /// The bytes that the head takes on the wire.
 std::size_t length_of(const wire_head& head)
@@ -122,6 +124,8 @@
     }
     if (!this->head_done) {
         this->head_size += used;
+        this->broken =
+            this->broken || (this->parsed == side::responses && this->head_size > max_response_head_bytes);
     }
     return used;
 }
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -125,6 +125,32 @@
     CHECK(end.refused);
 }
 
+TEST_CASE("http client: an answer without end is given up before its time is over")
+{
+    const auto* const head = GENERATE("HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n");
+    const std::string more = "X-More: " + std::string(1024, 'x') + "\r\n";
+    CAPTURE(head);
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    std::thread server{[&] {
+        auto socket = acceptor.accept();
+        asio::error_code ended;
+        asio::write(socket, asio::buffer(std::string{head}), ended);
+        while (!ended) {
+            asio::write(socket, asio::buffer(more), ended);
+        }
+    }};
+    http_client client;
+    http_call call;
+    call.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/";
+    call.total_limit = 60_s;
+    const auto end = client.perform(call);
+    server.join();
+    CHECK(end.outcome == http_outcome::lost);
+    CHECK(end.body.size() <= 8U << 20U);
+    CHECK(end.message.find("Timeout") == std::string::npos);
+}
+
 TEST_CASE("http client: a cancelled call ends as cancelled")
 {
     asio::io_context context;
