Streams are not cut when the entry of a host that still serves is removed

Played again with logs: a host's entry was removed (E3001 'host i-f0e47c0ef7 is gone' at 12.513 s, silent=0), its replica was dissolved at once, and all streams on it were cut 20 ms later although it still wrote events; two of them used their last attempt on a replica that met the same fate 0.1 s later. Some hosts never announce that they leave: their entry is removed, and they serve on as long as those that do.

A host that only left the list now makes its replica retire as a leaving one does: nothing new is sent there, streams end in their own time, and silence of the host, asked or noticed by its streams, still dissolves it. The case 'the host left the list' of the test on losses is replaced by a test of its own, which failed before. Ruled out: the two seconds of silence that the entry named; the streams were cut while events came.

--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -101,7 +101,7 @@
         }
         const bool goes_on = this->has_unsettled(current.record);
         if (is_owner && (goes_on || !decision.doubts.empty())) {
-            this->ask_hosts(current.record, decision.doubts, work, now);
+            this->ask_hosts(key, current.record, decision.doubts, work, now);
         }
         return goes_on || !work.due.empty() || work.is_committing;
     }
@@ -265,13 +265,30 @@
         }
     }
 
-    void ask_hosts(const domain_record& record, const std::vector<std::string>& doubts, domain_work& work,
-                   time_ms now)
+    /// A host as its replica's record names it.
+    static listed_host host_of(const domain_key& key, const replica_host& member)
+    {
+        listed_host host;
+        host.id = member.id;
+        host.address = member.address;
+        host.incarnation = member.incarnation;
+        host.service = key.service;
+        host.fabric_domain = key.domain;
+        return host;
+    }
+
+    void ask_hosts(const domain_key& key, const domain_record& record, const std::vector<std::string>& doubts,
+                   domain_work& work, time_ms now)
     {
         for (const auto& replica : record.replicas) {
             for (const auto& member : replica.hosts) {
                 const auto* host = this->view.find_host(member.id);
                 const bool is_wanted = is_asked(replica, member.id, doubts);
+                // A leader that left the list may still have work.
+                const auto former = host_of(key, member);
+                if (host == nullptr && replica.phase == replica_phase::retiring) {
+                    host = &former;
+                }
                 const auto planned = work.timing.forming_since(replica.name);
                 if (host != nullptr && is_wanted &&
                     work.inquiries.is_due(member.id, planned, this->settings.ask_interval, now)) {
@@ -289,7 +306,10 @@
         this->io.ask(host, [this, key, now, id = host.id, name = replica.name,
                             is_retiring](std::optional<host_status> status) {
             if (!status) {
-                return; // Orders find out whether the host is gone.
+                if (is_retiring && this->view.find_host(id) == nullptr) {
+                    this->work[key].timing.on_idle(name); // It has left the list and ended.
+                }
+                return; // Otherwise orders find out whether the host is gone.
             }
             if (this->work[key].inquiries.on_told(id, now)) {
                 this->view.update_host(id, *status, now);
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -32,12 +32,16 @@
     return is_present ? host : nullptr;
 }
 
-/// Marks the hosts that are gone. Returns a text on the first one, or an empty text.
+/// Marks the hosts that are gone: silent, or started anew. One that only left the list is not: it serves on
+/// for a while after its entry was removed. Returns a text on the first one, or an empty text.
 std::string mark_lost(replica_entry& replica, const domain_view& view)
 {
     std::string reason;
     for (auto& member : replica.hosts) {
-        if (!member.is_lost && present_host(view, member) == nullptr) {
+        const auto* host = find_host(view, member.id);
+        const bool is_gone = is_silent(view, member.id, member.incarnation) ||
+                             (host != nullptr && host->incarnation != member.incarnation);
+        if (!member.is_lost && is_gone) {
             member.is_lost = true;
             reason = reason.empty() ? "host " + member.id + " is gone" : reason;
         }
@@ -53,7 +57,7 @@
     for (const auto& member : replica.hosts) {
         const auto* host = present_host(view, member);
         if (host == nullptr) {
-            continue; // Marked as lost before.
+            continue; // It left the list: nothing can be said of it.
         }
         const bool is_broken = has_part(*host, replica) && host->part->phase == host_phase::broken;
         if ((is_broken || !has_part(*host, replica)) && !host->has_told) {
@@ -70,11 +74,13 @@
     return {};
 }
 
+/// Whether a host will end, by its own word or since the list doesn't name it any more.
+/// Precondition: no host is lost.
 bool any_leaving(const replica_entry& replica, const domain_view& view)
 {
     return std::any_of(replica.hosts.begin(), replica.hosts.end(), [&](const replica_host& member) {
         const auto* host = present_host(view, member);
-        return host != nullptr && host->is_leaving;
+        return host == nullptr || host->is_leaving;
     });
 }
 
