In an outage of the store two gateways send a manifest to a peer, not all

Those who send are ranked among the gateways that reach the store, each itself included: while the store is away from all, each ranked itself first and sent to each other, 69 x 68 times, which filled links of 20 Mbit/s (0.713 GB between failure domains), and the change that came next stood behind it.

All that live are ranked now, those that reach the store first; one more steps in each second, for the case that the first ones don't reach the peer. Ruled out as the cause: sending again in each round (the pause of two seconds left 0.713 GB).

--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_peers.hpp"
 
 #include "coriander/shard_choice.hpp"
+#include "gateway/manifest_teller.hpp"
 #include "peer/peer_message.hpp"
 #include "runtime/log.hpp"
 
@@ -71,9 +72,12 @@
     message.loads = std::move(known_loads);
     message.loads.targets.resize(std::min(message.loads.targets.size(), loads_per_message));
     const auto targets = this->members.choose_targets(targets_per_round, now, this->random);
-    for (const auto& view : this->members.alive(now)) {
+    const auto others = this->members.alive(now);
+    for (const auto& view : others) {
         if (view.beat.config_number < manifest_version && !manifest_text.empty() &&
-            this->should_tell(view, now) && this->sent.take(view.identity.name, manifest_version, now)) {
+            should_tell_manifest(this->members.self().name, reaches_table, view, others,
+                                 now - this->manifest_since) &&
+            this->sent.take(view.identity.name, manifest_version, now)) {
             log_event(event::config_told, {{"peer", view.identity.name},
                                            {"version", manifest_version},
                                            {"peer_version", view.beat.config_number},
@@ -94,15 +98,6 @@
     this->link.send_all(targets.empty() ? this->seeds : std::move(addresses), message);
 }
 
-/// Whoever reaches the table learns of manifests there; a few tell those that don't, or that are late.
-bool gateway_peers::should_tell(const member_view& other, time_ms now) const
-{
-    constexpr std::size_t tellers = 2;
-    const bool is_late = now - this->manifest_since > manifest_lag;
-    return (is_late || !other.beat.table_reachable) &&
-           shard_rank(other.identity.name, this->members.self().name, this->controllers()) < tellers;
-}
-
 std::size_t gateway_peers::circle_of(const std::string& name, std::size_t daemons)
 {
     return member_id(name) % ((daemons + circle_size - 1) / circle_size);
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -70,11 +70,8 @@
     static constexpr std::size_t targets_per_round = 8;
     /// Daemons that one reads a table for: what it sends stays the same however many there are.
     static constexpr std::size_t circle_size = 64;
-    /// A manifest that a peer still lacks after so long has not reached it through the table.
-    static constexpr time_ms manifest_lag{1000};
 
     void receive(const peer_message& message);
-    [[nodiscard]] bool should_tell(const member_view& other, time_ms now) const;
     [[nodiscard]] static std::size_t circle_of(const std::string& name, std::size_t daemons);
 
     std::vector<std::string> seeds;
