Among many gateways nobody sends a manifest before word of the peer's own can have come

Links of 20 Mbit/s were full, the store's answers timed out on them (E6001 'no answer in time', 'no connection'), and two gateways had the routes in force 4 to 6 s after the change.

With more gateways than one round tells, the first sending waits two rounds, in which beats come through; on small sites it goes out at once as before.

--- a/src/gateway/manifest_teller.hpp
+++ b/src/gateway/manifest_teller.hpp
@@ -24,7 +24,11 @@
     constexpr time_ms manifest_lag{1000};
     // Whether the first tellers have reached the peer shows in its beat after some rounds of 0.4 s.
     constexpr time_ms next_teller{1000};
-    if (peer.beat.table_reachable && had_for <= manifest_lag) {
+    // With more daemons than a round tells, word that a peer has the manifest or the table again takes two
+    // rounds.
+    constexpr std::size_t told_per_round = 8;
+    const time_ms beat_lag = others.size() > told_per_round ? 800_ms : 0_ms;
+    if (had_for < beat_lag || (peer.beat.table_reachable && had_for <= manifest_lag)) {
         return false;
     }
     std::vector<std::string> alike;
