Gateways tell each other the demand of declared models only

A caller may name any model in a request's header, and each name had a meter that was told to eight peers in each round: messages between gateways would have grown with names that no engine knows.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -349,8 +349,12 @@
         for (const auto& [name, state] : this->relay.services) {
             const auto reports = state.board.reports(gateway_peers::loads_per_message, now);
             news.targets.insert(news.targets.end(), reports.begin(), reports.end());
+            const auto* service = this->relay.routes ? this->relay.routes->find_service(name) : nullptr;
             for (const auto& [model, meter] : state.meters) {
-                news.demands.push_back({model_key(name, model), meter.load(now)});
+                // Callers may name any model; only those that are declared are told.
+                if (service != nullptr && (model.empty() || find_model(*service, model) != nullptr)) {
+                    news.demands.push_back({model_key(name, model), meter.load(now)});
+                }
             }
         }
         std::sort(news.targets.begin(), news.targets.end(),
