The usual duration of a plain service's answers is known again

Since demand is shared, the mean duration left out loads without answer tokens, which plain services never have: the forecast took their queues for free and refused nothing that would come too late. The supply of a model without any measured demand is 1.

--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -83,8 +83,8 @@
                           this->request.route->latency_objective, this->request.give_up_at - now,
                           meter.refused_share(now)};
     if (model != nullptr) {
-        input.supply =
-            static_cast<double>(targets) / std::max(1e-6, replicas_for(*service->engine, *model, load));
+        const double needed = replicas_for(*service->engine, *model, load);
+        input.supply = needed > 0.0 ? static_cast<double>(targets) / needed : 1.0;
         input.draw = this->context.draw();
     }
     const auto advice = forecast_admission(input);
--- a/src/relay/fleet_demand.cpp
+++ b/src/relay/fleet_demand.cpp
@@ -13,7 +13,7 @@
         this->rate += load.requests_per_s;
         this->prompt += load.requests_per_s * load.prompt_tokens;
         ++this->count;
-        if (load.answer_tokens > 0.0) {
+        if (load.duration_ms > 0.0) {
             this->answered += load.requests_per_s;
             this->answer += load.requests_per_s * load.answer_tokens;
             this->duration += load.requests_per_s * load.duration_ms;
--- a/test/relay/fleet_demand_test.cpp
+++ b/test/relay/fleet_demand_test.cpp
@@ -34,6 +34,13 @@
     CHECK(load.duration_ms == Approx(800.0));
 }
 
+TEST_CASE("fleet demand: answers of plain services, which hold no tokens, have a duration too")
+{
+    fleet_demand demand;
+    demand.on_told(1, std::vector<model_demand>{{model, {1.0, 0.0, 0.0, 30.0}}}, start);
+    CHECK(demand.total(model, {1.0, 0.0, 0.0, 10.0}, 2, start).duration_ms == Approx(20.0));
+}
+
 TEST_CASE("fleet demand: what a daemon told is dropped once it is old")
 {
     fleet_demand demand;
