Log what a belief about a host rests on

An on-call engineer could see that a replica was dissolved because a host "left", or that a host is gone, but not on what the gateway believed so. placement_decided now tells the owner of the record, what is believed of the host, and the age of the host's own word and of the list's; host_silent and host_answers tell when a host is taken as lost, by what, and when it is used again. No decision changes.

--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -43,6 +43,12 @@
     const std::set<std::string>* overdue_loads = nullptr;
 };
 
+/// Why a domain's record changes, for log lines.
+struct domain_reason {
+    std::string text;
+    std::string host{}; ///< On whose state it rests; empty when on none's.
+};
+
 /// What should be done in a domain. A changed record is committed first; the orders follow from it then.
 struct domain_decision {
     domain_record next;
@@ -52,7 +58,7 @@
     std::vector<host_order> load_orders; ///< Of loads under way; nobody waits for them.
     std::vector<std::string>
         doubts; ///< Hosts of open replicas of which the list tells otherwise: to be asked.
-    std::vector<std::string> reasons; ///< A text for each change, for log lines.
+    std::vector<domain_reason> reasons; ///< One for each change.
 
     /// Whether there is anything to do.
     [[nodiscard]] bool is_due() const noexcept { return this->is_changed || !this->orders.empty(); }
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -120,7 +120,7 @@
             const bool only_staged = !this->planner.loads_are_cheap();
             if (model != all.end() && form_replica(decision.next, view, *model, key.domain, only_staged)) {
                 decision.is_changed = true;
-                decision.reasons.push_back("form " + decision.next.replicas.back().name + " of " + name);
+                decision.reasons.push_back({"form " + decision.next.replicas.back().name + " of " + name});
             }
         }
     }
@@ -131,7 +131,7 @@
     {
         auto due = std::to_string(current.version);
         for (const auto& reason : decision.reasons) {
-            due += "|" + reason;
+            due += "|" + reason.text;
         }
         for (const auto& order : decision.orders) {
             due += "|" + std::string{name_of(order.kind)} + order.host + std::to_string(order.generation);
@@ -175,7 +175,7 @@
             return;
         }
         if (!decision.is_changed) {
-            decision.reasons.push_back("take over from " + current.record.owner);
+            decision.reasons.push_back({"take over from " + current.record.owner});
         }
         decision.next.owner = this->self;
         this->commit(key, current.version, std::move(decision), work, now);
@@ -186,7 +186,7 @@
     {
         work.is_committing = true;
         for (const auto& reason : decision.reasons) {
-            log_placement(key, reason, version, this->view);
+            log_placement(key, reason, version, this->view, now);
         }
         this->io.commit(key, decision.next, version, [this, key, now](commit_state state) {
             auto& done = this->work[key];
@@ -232,6 +232,8 @@
             const auto unanswered = history.on_answer(order, answer);
             log_order(order, answer);
             if (unanswered >= this->settings.silent_after) {
+                log_silent_host(order.host, "unanswered orders", unanswered, this->view,
+                                this->work[key].orders.last_sent(order.host));
                 this->view.mark_silent(order.host);
             }
             if (answer == order_answer::accepted) {
@@ -341,7 +343,7 @@
         }
         if (begun > 0) {
             decision.is_changed = true;
-            decision.reasons.push_back(std::to_string(begun) + " hosts load");
+            decision.reasons.push_back({std::to_string(begun) + " hosts load"});
         }
         const auto free = free_hosts(view);
         const auto held = held_models_text(free);
--- a/src/gateway/fleet_events.cpp
+++ b/src/gateway/fleet_events.cpp
@@ -3,17 +3,56 @@
 #include "runtime/log.hpp"
 
 #include <map>
+#include <optional>
 
 namespace coriander {
+namespace {
 
-void log_placement(const domain_key& key, const std::string& reason, std::uint64_t row_version,
-                   const fleet_view& view)
+/// How old the news of `at` is; "never" without any.
+std::string age_text(std::optional<time_ms> at, time_ms now)
 {
-    log_event(event::placement_decided, {{"domain", key.row_key()},
-                                         {"decision", reason},
-                                         {"row_version", row_version},
-                                         {"hosts", view.hosts_of(key).size()},
-                                         {"silent", view.silent().size()}});
+    return at ? std::to_string((now - *at).count()) + "ms" : "never";
+}
+
+/// What a host is believed to do.
+std::string state_text(const listed_host* host)
+{
+    if (host == nullptr) {
+        return "unlisted";
+    }
+    if (!host->part) {
+        return "free";
+    }
+    return host->part->replica + "/" + std::to_string(host->part->generation);
+}
+
+} // namespace
+
+void log_placement(const domain_key& key, const domain_reason& reason, std::uint64_t row_version,
+                   const fleet_view& view, time_ms now)
+{
+    const bool has_host = !reason.host.empty();
+    log_event(event::placement_decided,
+              {{"domain", key.row_key()},
+               {"decision", reason.text},
+               {"row_version", row_version},
+               {"owner", view.domain(key).record.owner},
+               {"hosts", view.hosts_of(key).size()},
+               {"silent", view.silent().size()},
+               {"host_state", has_host ? state_text(view.find_host(reason.host)) : std::string{}},
+               {"word_age", has_host ? age_text(view.told_at(reason.host), now) : std::string{}},
+               {"list_age", has_host ? age_text(view.listed_at(reason.host), now) : std::string{}}});
+}
+
+void log_silent_host(const std::string& host, const char* why, unsigned unanswered, const fleet_view& view,
+                     time_ms now)
+{
+    log_event(event::host_silent, {{"host", host},
+                                   {"why", why},
+                                   {"unanswered", unanswered},
+                                   {"host_state", state_text(view.find_host(host))},
+                                   {"word_age", age_text(view.told_at(host), now)},
+                                   {"list_age", age_text(view.listed_at(host), now)}});
 }
 
 void log_order(const host_order& order, order_answer answer)
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -22,6 +22,7 @@
 void fleet_view::set_host(const listed_host& host, time_ms now)
 {
     ++this->changes;
+    this->listings[host.id] = now;
     auto [entry, is_new] = this->known.try_emplace(host.id, host);
     if (is_new || entry->second.incarnation != host.incarnation) {
         this->arrivals[{host.service, host.fabric_domain}] = now;
@@ -30,8 +31,8 @@
         return;
     }
     auto& current = entry->second;
-    const auto told = this->told_at.find(host.id);
-    const bool is_older = told != this->told_at.end() && now - told->second < list_lag;
+    const auto told = this->told_at(host.id);
+    const bool is_older = told && now - *told < list_lag;
     const auto status = current;
     current = host;
     if (is_older) {
@@ -46,7 +47,8 @@
 {
     this->changes += this->known.erase(id);
     this->silent_hosts.erase(id);
-    this->told_at.erase(id);
+    this->words.erase(id);
+    this->listings.erase(id);
 }
 
 void fleet_view::update_host(const std::string& id, const host_status& status, time_ms now)
@@ -57,7 +59,7 @@
     }
     auto& host = found->second;
     ++this->changes;
-    this->told_at[id] = now;
+    this->words[id] = now;
     host.is_ordered = status.is_ordered;
     host.staged = status.staged;
     host.part = status.part;
@@ -74,7 +76,7 @@
     if (is_there) {
         found->second.part.reset();
         found->second.has_told = true;
-        this->told_at[id] = now;
+        this->words[id] = now;
         ++this->changes;
     }
 }
@@ -117,6 +119,18 @@
     return found == this->known.end() ? nullptr : &found->second;
 }
 
+std::optional<time_ms> fleet_view::told_at(const std::string& id) const
+{
+    const auto found = this->words.find(id);
+    return found == this->words.end() ? std::nullopt : std::optional{found->second};
+}
+
+std::optional<time_ms> fleet_view::listed_at(const std::string& id) const
+{
+    const auto found = this->listings.find(id);
+    return found == this->listings.end() ? std::nullopt : std::optional{found->second};
+}
+
 const versioned_domain& fleet_view::domain(const domain_key& key) const
 {
     static const versioned_domain empty;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -77,6 +77,10 @@
         return this->silent_hosts;
     }
 
+    /// When the host last spoke for itself, and when the list last told of it; nothing when never.
+    [[nodiscard]] std::optional<time_ms> told_at(const std::string& id) const;
+    [[nodiscard]] std::optional<time_ms> listed_at(const std::string& id) const;
+
     /// The record of a domain; an empty one without a row.
     [[nodiscard]] const versioned_domain& domain(const domain_key& key) const;
     /// All domains of a service: of its hosts and of its rows.
@@ -104,7 +108,8 @@
     std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that fell silent.
     std::map<domain_key, versioned_domain> records;
     std::map<domain_key, time_ms> arrivals;
-    std::map<std::string, time_ms> told_at; ///< When each host last spoke for itself.
+    std::map<std::string, time_ms> words;    ///< When each host last spoke for itself.
+    std::map<std::string, time_ms> listings; ///< When the list last told of each host.
     std::uint64_t changes = 0;
 };
 
--- a/src/gateway/silent_host_watch.hpp
+++ b/src/gateway/silent_host_watch.hpp
@@ -3,6 +3,7 @@
 #include "coriander/time_ms.hpp"
 #include "gateway/controller_io.hpp"
 #include "gateway/fleet_view.hpp"
+#include "runtime/log.hpp"
 
 #include <optional>
 
@@ -27,6 +28,7 @@
             this->io.ask_now(*host, ask_limit, [this, id = id, now](std::optional<host_status> status) {
                 const auto* known = this->view.find_host(id);
                 if (status && known != nullptr && known->incarnation == status->incarnation) {
+                    log_event(event::host_answers, {{"host", id}, {"domain", known->fabric_domain}});
                     this->view.clear_silent(id);
                     this->view.update_host(id, *status, now);
                 }
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -3,6 +3,7 @@
 #include "coriander/clock.hpp"
 #include "coriander/relay/loss_inquiry.hpp"
 #include "gateway/fleet_controller.hpp"
+#include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
@@ -161,7 +162,7 @@
             // Where no host answers, this daemon may be the one that is cut off, and there is no survivor for
             // whom the others' knowing would be urgent: the list will tell.
             if (silent.size() < open->members.size()) {
-                this->mark_lost(silent);
+                this->mark_lost(silent, now);
             }
             state.board.suspend(target.id, suspension::silent, now + this->settings.avoidance);
             leave(state, target.id);
@@ -174,9 +175,10 @@
         }
     }
 
-    void mark_lost(const std::vector<std::string>& hosts)
+    void mark_lost(const std::vector<std::string>& hosts, time_ms now)
     {
         for (const auto& host : hosts) {
+            log_silent_host(host, "unanswered questions", this->settings.ask_rounds, this->view, now);
             this->view.mark_silent(host);
         }
         this->changed();
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -1,6 +1,7 @@
 #include "coriander/replicas/domain_planner.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace coriander {
 namespace {
@@ -33,26 +34,28 @@
 }
 
 /// Marks the hosts that are gone: silent, or started anew. One that only left the list is not: it serves on
-/// for a while after its entry was removed. Returns a text on the first one, or an empty text.
-std::string mark_lost(replica_entry& replica, const domain_view& view)
+/// for a while after its entry was removed. Returns the reason by the first one; nothing when none is.
+std::optional<domain_reason> mark_lost(replica_entry& replica, const domain_view& view)
 {
-    std::string reason;
+    std::optional<domain_reason> reason;
     for (auto& member : replica.hosts) {
         const auto* host = find_host(view, member.id);
         const bool is_gone = is_silent(view, member.id, member.incarnation) ||
                              (host != nullptr && host->incarnation != member.incarnation);
         if (!member.is_lost && is_gone) {
             member.is_lost = true;
-            reason = reason.empty() ? "host " + member.id + " is gone" : reason;
+            if (!reason) {
+                reason = domain_reason{replica.name + ": host " + member.id + " is gone", member.id};
+            }
         }
     }
     return reason;
 }
 
-/// Why an open replica can't be used any more; empty when it can. Hosts of which only the list tells so are
+/// Why an open replica can't be used any more; nothing when it can. Hosts of which only the list tells so are
 /// added to `doubts`.
-std::string fault_of_open(const replica_entry& replica, const domain_view& view,
-                          std::vector<std::string>& doubts)
+std::optional<domain_reason> fault_of_open(const replica_entry& replica, const domain_view& view,
+                                           std::vector<std::string>& doubts)
 {
     for (const auto& member : replica.hosts) {
         const auto* host = present_host(view, member);
@@ -65,13 +68,14 @@
             continue;
         }
         if (!has_part(*host, replica)) {
-            return "host " + member.id + " left";
+            return domain_reason{replica.name + ": host " + member.id + " left", member.id};
         }
         if (is_broken) {
-            return "host " + member.id + " reports a broken replica";
+            return domain_reason{replica.name + ": host " + member.id + " reports a broken replica",
+                                 member.id};
         }
     }
-    return {};
+    return std::nullopt;
 }
 
 /// Whether a host will end, by its own word or since the list doesn't name it any more.
@@ -107,7 +111,7 @@
     host_phase leader = host_phase::joining;
     if (any_leaving(replica, view) || view.finished->contains(replica.name)) {
         replica.phase = replica_phase::dissolving;
-        decision.reasons.push_back(replica.name + " can't be formed");
+        decision.reasons.push_back({replica.name + " can't be formed"});
     }
     else if (!all_ready(replica, view, leader)) {
         std::vector<std::string> ids;
@@ -128,7 +132,7 @@
     }
     else if (leader == host_phase::open) {
         replica.phase = replica_phase::open;
-        decision.reasons.push_back(replica.name + " is open");
+        decision.reasons.push_back({replica.name + " is open"});
     }
     else {
         decision.orders.push_back({order_kind::open,
@@ -143,17 +147,17 @@
 void follow_open(replica_entry& replica, const domain_view& view, domain_decision& decision)
 {
     const auto fault = fault_of_open(replica, view, decision.doubts);
-    if (!fault.empty()) {
+    if (fault) {
         replica.phase = replica_phase::dissolving;
-        decision.reasons.push_back(replica.name + ": " + fault);
+        decision.reasons.push_back(*fault);
     }
     else if (replica.phase == replica_phase::open && any_leaving(replica, view)) {
         replica.phase = replica_phase::retiring;
-        decision.reasons.push_back(replica.name + ": a host will leave");
+        decision.reasons.push_back({replica.name + ": a host will leave"});
     }
     else if (replica.phase == replica_phase::retiring && view.finished->contains(replica.name)) {
         replica.phase = replica_phase::dissolving;
-        decision.reasons.push_back(replica.name + " has ended its work");
+        decision.reasons.push_back({replica.name + " has ended its work"});
     }
 }
 
@@ -209,7 +213,7 @@
     const auto ended = std::erase_if(decision.next.loads, has_ended);
     if (ended > 0) {
         decision.is_changed = true;
-        decision.reasons.push_back(std::to_string(ended) + " loads have ended");
+        decision.reasons.push_back({std::to_string(ended) + " loads have ended"});
     }
     for (const auto& load : decision.next.loads) {
         decision.load_orders.push_back({order_kind::stage, load.host, {}, 0, load.model, {}});
@@ -226,11 +230,11 @@
     for (auto& replica : decision.next.replicas) {
         const auto before = replica.phase;
         const auto loss = mark_lost(replica, view);
-        if (!loss.empty()) {
+        if (loss) {
             decision.is_changed = true;
             decision.has_loss = true;
             replica.phase = replica_phase::dissolving;
-            decision.reasons.push_back(replica.name + ": " + loss);
+            decision.reasons.push_back(*loss);
         }
         else if (replica.phase == replica_phase::forming) {
             follow_forming(replica, view, decision);
@@ -240,7 +244,7 @@
         }
         else if (follow_dissolving(replica, view, decision)) {
             decision.is_changed = true;
-            decision.reasons.push_back(replica.name + " is dissolved");
+            decision.reasons.push_back({replica.name + " is dissolved"});
             continue;
         }
         decision.is_changed = decision.is_changed || replica.phase != before;
