--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -24,6 +24,7 @@
         fleet_view view;
         fleet_controller<fake_controller_io> control;
         bool is_alive = true;
+        std::map<std::string, listed_host> told; ///< By the list, up to now.
     };
 
     explicit fleet_fixture(std::size_t daemon_count, std::size_t host_count = 9)
@@ -39,18 +40,36 @@
         }
     }
 
-    /// What the platform's list and the table's feed tell a daemon.
+    /// Whether the list would tell of a change between the two.
+    static bool differs(const listed_host& a, const listed_host& b)
+    {
+        const auto text = [](const listed_host& host) {
+            const auto part = host.part ? host.part->replica + std::to_string(host.part->generation) +
+                                              std::to_string(static_cast<int>(host.part->phase))
+                                        : std::string{};
+            return part + "|" + std::to_string(host.incarnation) + (host.is_leaving ? "|leaving" : "") + "|" +
+                   (host.staged.empty() ? std::string{} : host.staged.back());
+        };
+        return text(a) != text(b);
+    }
+
+    /// What the platform's list and the table's feed tell a daemon: each change once.
     void feed(daemon& one)
     {
         for (const auto& [id, host] : std::map{one.view.hosts()}) {
             if (!this->world.hosts.contains(id)) {
                 one.view.remove_host(id);
+                one.told.erase(id);
             }
         }
         for (const auto& [id, host] : this->world.hosts) {
-            auto listed = host;
-            listed.has_told = false;
-            one.view.set_host(listed, this->now);
+            const auto known = one.told.find(id);
+            if (known == one.told.end() || differs(known->second, host)) {
+                auto listed = host;
+                listed.has_told = false;
+                one.view.set_host(listed, this->now);
+                one.told[id] = listed;
+            }
         }
         for (const auto& [key, row] : this->world.rows) {
             one.view.set_domain(*parse_domain_key(key), row.record, row.version);
@@ -274,6 +293,40 @@
     CHECK(fleet.open_replicas() >= before - 1);
 }
 
+TEST_CASE("fleet controller: a host's outdated word does not dissolve a sound replica that it joined since")
+{
+    fleet_fixture fleet{2};
+    fleet.run_until_planned();
+    const auto planned = fleet.record().replicas;
+    auto& other = fleet.daemons[0].get() == &fleet.owner() ? *fleet.daemons[1] : *fleet.daemons[0];
+    for (const auto& [id, host] : fleet.world.hosts) {
+        host_status free;
+        free.incarnation = host.incarnation;
+        other.view.update_host(id, free, fleet.now);
+    }
+    fleet.run(10_s);
+    CAPTURE(fleet.open_replicas());
+    const auto dissolved =
+        std::count_if(fleet.world.orders.begin(), fleet.world.orders.end(),
+                      [](const host_order& order) { return order.kind == order_kind::leave; });
+    CHECK(dissolved == 0);
+    CHECK(fleet.record().replicas.front().name == planned.front().name);
+}
+
+TEST_CASE("fleet controller: a host that answers questions is not taken as lost for an unanswered order")
+{
+    fleet_fixture fleet{2};
+    fleet.run_until_planned();
+    const auto planned = fleet.record().replicas.front();
+    fleet.world.ignores_orders = {planned.hosts.back().id};
+    fleet.run(2500_ms);
+    CHECK_FALSE(fleet.owner().view.is_silent(planned.hosts.back().id));
+    fleet.world.ignores_orders.clear();
+    fleet.run(3_s);
+    CHECK(fleet.record().replicas.front().name == planned.name);
+    CHECK(fleet.record().replicas.front().phase == replica_phase::open);
+}
+
 TEST_CASE("fleet controller: over random losses and kills hosts never belong to two replicas")
 {
     rc::prop("random schedules of three daemons", []() {
--- a/test/support/fake_controller_io.hpp
+++ b/test/support/fake_controller_io.hpp
@@ -30,8 +30,9 @@
         std::vector<std::string> daemons;
         std::vector<host_order> orders; ///< As they were carried out.
         std::uint64_t last_version = 0;
-        std::vector<std::string> unreachable; ///< Hosts that don't answer.
-        unsigned joined_twice = 0;            ///< Joins of hosts that still belonged to another replica.
+        std::vector<std::string> unreachable;    ///< Hosts that don't answer.
+        std::vector<std::string> ignores_orders; ///< Hosts that answer questions but no orders.
+        unsigned joined_twice = 0;               ///< Joins of hosts that still belonged to another replica.
     };
 
     explicit fake_controller_io(world& shared) : shared{shared} {}
@@ -110,7 +111,8 @@
 
     order_answer carry_out(const std::string& id, const host_order& order)
     {
-        if (!this->answers(id)) {
+        const auto& deaf = this->shared.ignores_orders;
+        if (!this->answers(id) || std::find(deaf.begin(), deaf.end(), id) != deaf.end()) {
             return order_answer::unanswered;
         }
         auto& host = this->shared.hosts.at(id);
