A host's own word no longer outlasts what the list told after it

Cause: fleet_view kept a host's own word and dropped what the list told within two seconds after it, since the list lags. But the list tells a change once. Whoever had asked a host, or had ordered it to leave, shortly before it joined its next replica held the old word for good, as a recent one (has_told). Daemons other than the owner then stepped in after 2.5 s and dissolved a replica that was sound.

Why it works: what the list tells beside a fresh word is kept, and takes its place once the word is too old to go before the list; a later generation counts at once, as generations only rise; a word counts as the host's own only as long as it goes before the list, and never replaces a newer one.

--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -53,6 +53,7 @@
     time_ms tick(const relay_service& service, time_ms now)
     {
         bool is_busy = false;
+        this->view.settle(now);
         auto plan = this->planner.plan(service, now);
         this->loads = std::move(plan.loads);
         for (const auto& key : this->view.domains_of(service.name)) {
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "gateway/fleet_view.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace coriander {
 namespace {
@@ -23,24 +24,31 @@
 {
     ++this->changes;
     this->listings[host.id] = now;
+    this->settle(now);
     auto [entry, is_new] = this->known.try_emplace(host.id, host);
-    if (is_new || entry->second.incarnation != host.incarnation) {
+    auto& current = entry->second;
+    if (is_new || current.incarnation != host.incarnation) {
         this->arrivals[{host.service, host.fabric_domain}] = now;
         this->silent_hosts.erase(host.id);
-        entry->second = host;
+        this->fresh_words.erase(host.id);
+        this->words.erase(host.id);
+        current = host;
         return;
     }
-    auto& current = entry->second;
-    const auto told = this->told_at(host.id);
-    const bool is_older = told && now - *told < list_lag;
-    const auto status = current;
-    current = host;
-    if (is_older) {
-        current.is_ordered = status.is_ordered;
-        current.staged = status.staged;
-        current.part = status.part;
-        current.has_told = true;
+    const auto word = this->fresh_words.find(host.id);
+    const bool is_later =
+        host.part && word != this->fresh_words.end() && host.part->generation > word->second.generation;
+    if (word == this->fresh_words.end() || is_later) {
+        this->fresh_words.erase(host.id);
+        current = host;
+        return;
     }
+    word->second.next = host;
+    const auto status = std::exchange(current, host);
+    current.is_ordered = status.is_ordered;
+    current.staged = status.staged;
+    current.part = status.part;
+    current.has_told = true;
 }
 
 void fleet_view::remove_host(const std::string& id)
@@ -48,18 +56,20 @@
     this->changes += this->known.erase(id);
     this->silent_hosts.erase(id);
     this->words.erase(id);
+    this->fresh_words.erase(id);
     this->listings.erase(id);
 }
 
-void fleet_view::update_host(const std::string& id, const host_status& status, time_ms now)
+void fleet_view::update_host(const std::string& id, const host_status& status, time_ms asked)
 {
     const auto found = this->known.find(id);
-    if (found == this->known.end() || found->second.incarnation != status.incarnation) {
+    const auto last = this->told_at(id);
+    const bool is_other = found == this->known.end() || found->second.incarnation != status.incarnation;
+    if (is_other || (last && asked < *last)) {
         return; // The list will tell of a new start with all that belongs to it.
     }
     auto& host = found->second;
-    ++this->changes;
-    this->words[id] = now;
+    this->note_word(host, asked);
     host.is_ordered = status.is_ordered;
     host.staged = status.staged;
     host.part = status.part;
@@ -74,13 +84,38 @@
                           found->second.part->replica == replica &&
                           found->second.part->generation == generation;
     if (is_there) {
+        this->note_word(found->second, now);
         found->second.part.reset();
         found->second.has_told = true;
-        this->words[id] = now;
-        ++this->changes;
     }
 }
 
+void fleet_view::note_word(const listed_host& host, time_ms at)
+{
+    ++this->changes;
+    this->words[host.id] = at;
+    auto& word = this->fresh_words[host.id];
+    word.next.reset();
+    word.generation = std::max(word.generation, host.part ? host.part->generation : 0);
+}
+
+void fleet_view::settle(time_ms now)
+{
+    std::erase_if(this->fresh_words, [&](const auto& item) {
+        const auto& [id, word] = item;
+        if (now - this->words.at(id) < list_lag) {
+            return false;
+        }
+        auto& host = this->known.at(id);
+        if (word.next) {
+            host = *word.next;
+            ++this->changes;
+        }
+        host.has_told = false;
+        return true;
+    });
+}
+
 bool fleet_view::set_domain(const domain_key& key, domain_record record, std::uint64_t version)
 {
     auto& current = this->records[key];
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -56,8 +56,12 @@
     void set_host(const listed_host& host, time_ms now);
     /// The list doesn't hold the host any more.
     void remove_host(const std::string& id);
-    /// Takes a host's own word in; for a while it goes before the list, which lags.
-    void update_host(const std::string& id, const host_status& status, time_ms now);
+    /// Takes a host's own word in, which it gave at `asked` or later; for a while it goes before the list,
+    /// which lags. A word that is older than the last one is ignored.
+    void update_host(const std::string& id, const host_status& status, time_ms asked);
+    /// Lets what the list told meanwhile take the place of hosts' own words that are too old to go before it.
+    /// Call before decisions.
+    void settle(time_ms now);
 
     /// The host has carried out the order to leave the replica.
     void leave_host(const std::string& id, const std::string& replica, std::uint64_t generation, time_ms now);
@@ -108,8 +112,17 @@
     std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that fell silent.
     std::map<domain_key, versioned_domain> records;
     std::map<domain_key, time_ms> arrivals;
-    std::map<std::string, time_ms> words;    ///< When each host last spoke for itself.
-    std::map<std::string, time_ms> listings; ///< When the list last told of each host.
+    /// A host's own word while it goes before the list.
+    struct fresh_word {
+        std::uint64_t generation = 0;    ///< The highest that the host was known to have joined.
+        std::optional<listed_host> next; ///< What the list has told since.
+    };
+
+    void note_word(const listed_host& host, time_ms at);
+
+    std::map<std::string, time_ms> words;          ///< When each host last spoke for itself.
+    std::map<std::string, fresh_word> fresh_words; ///< Those that the list may lag behind.
+    std::map<std::string, time_ms> listings;       ///< When the list last told of each host.
     std::uint64_t changes = 0;
 };
 
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -91,6 +91,44 @@
     CHECK(fleet.view.find_host("d-h0")->part);
 }
 
+TEST_CASE("fleet view: what the list told beside a host's own word counts once the word is too old")
+{
+    view_fixture fleet;
+    host_status status;
+    status.incarnation = 100;
+    fleet.view.update_host("d-h0", status, start);
+    fleet.view.set_host(fleet.hosts[0], start + 500_ms);
+    fleet.view.settle(start + 1500_ms);
+    CHECK_FALSE(fleet.view.find_host("d-h0")->part);
+    CHECK(fleet.view.find_host("d-h0")->has_told);
+    fleet.view.settle(start + 3_s);
+    CHECK(fleet.view.find_host("d-h0")->part);
+    CHECK_FALSE(fleet.view.find_host("d-h0")->has_told);
+}
+
+TEST_CASE("fleet view: a host of which the list tells a later replica than its own word has joined it")
+{
+    view_fixture fleet;
+    host_status status;
+    status.incarnation = 100;
+    fleet.view.update_host("d-h0", status, start);
+    fleet.hosts[0].part = replica_part{"d-2", 2, host_phase::joining};
+    fleet.view.set_host(fleet.hosts[0], start + 100_ms);
+    REQUIRE(fleet.view.find_host("d-h0")->part);
+    CHECK(fleet.view.find_host("d-h0")->part->replica == "d-2");
+}
+
+TEST_CASE("fleet view: an answer to an older question does not replace a host's last word")
+{
+    view_fixture fleet;
+    host_status status;
+    status.incarnation = 100;
+    fleet.view.update_host("d-h0", status, start + 100_ms);
+    status.part = replica_part{"d-1", 1, host_phase::open};
+    fleet.view.update_host("d-h0", status, start);
+    CHECK_FALSE(fleet.view.find_host("d-h0")->part);
+}
+
 TEST_CASE("fleet view: a host that was ordered out of a replica is free, unless it has joined another")
 {
     view_fixture fleet;
