A host that answers questions is not taken as lost for unanswered orders

While hosts leave orders unanswered and carry them out late, callers of the large model lost replicas that were being formed: each needs 16 answered orders, and two in a row without an answer marked a host as silent, so that the replica was given up 1.1 s after it was planned, and its hosts were left out for up to a second.

Cause: the absence of an answer to an order was taken as evidence of the host's state. The test of fleet_controller_test failed before.

After two unanswered orders the host is now asked over a new connection. Only one that doesn't answer the question either is taken as lost.

--- a/src/gateway/controller_settings.hpp
+++ b/src/gateway/controller_settings.hpp
@@ -32,8 +32,10 @@
     time_ms retiring_limit{9000};
     /// After a host appeared, others may follow: no replica is planned before.
     time_ms arrival_pause{1500};
-    /// Hosts that an order didn't reach so many times are taken as gone.
+    /// A host that left so many orders in a row unanswered is asked whether it lives.
     unsigned silent_after = 2;
+    /// It answers within this time, or is taken as gone: several round trips of the farthest failure domains.
+    time_ms life_limit{200};
     /// Part of the weight store's rate that daemons use together: they don't count each other's loads.
     double load_rate_share = 0.8;
 };
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -233,9 +233,7 @@
             const auto unanswered = history.on_answer(order, answer);
             log_order(order, answer);
             if (unanswered >= this->settings.silent_after) {
-                log_silent_host(order.host, "unanswered orders", unanswered, this->view,
-                                this->work[key].orders.last_sent(order.host));
-                this->view.mark_silent(order.host);
+                this->check_life(key, order.host, unanswered);
             }
             if (answer == order_answer::accepted) {
                 if (order.kind == order_kind::leave) {
@@ -248,6 +246,27 @@
         });
     }
 
+    /// Asks a host that left orders unanswered: one that answers lives, and may carry them out yet.
+    void check_life(const domain_key& key, const std::string& id, unsigned unanswered)
+    {
+        const auto* host = this->view.find_host(id);
+        if (host == nullptr) {
+            return;
+        }
+        const auto asked = this->work[key].orders.last_sent(id);
+        this->io.ask_now(*host, this->settings.life_limit,
+                         [this, key, id, asked, unanswered](std::optional<host_status> status) {
+                             if (!status) {
+                                 log_silent_host(id, "unanswered orders", unanswered, this->view, asked);
+                                 this->view.mark_silent(id);
+                             }
+                             else if (this->work[key].inquiries.on_told(id, asked)) {
+                                 this->view.update_host(id, *status, asked);
+                             }
+                             this->wake();
+                         });
+    }
+
     static bool has_unsettled(const domain_record& record)
     {
         return std::any_of(record.replicas.begin(), record.replicas.end(),
