That a host's earlier replica broke does not take its present one out of service

Callers were sent to fewer replicas than were open. Broken counts for the replica and the generation of which it was told. The test in fleet_view_test failed before (0 targets instead of 1).

--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -64,6 +64,9 @@
     [[nodiscard]] bool is_due() const noexcept { return this->is_changed || !this->orders.empty(); }
 };
 
+/// Whether the host belongs to the replica, in its generation, as far as is known.
+[[nodiscard]] bool has_part(const listed_host& host, const replica_entry& replica);
+
 /// Follows the replicas of a domain: notices lost hosts, opens what is ready, frees hosts. Pure.
 [[nodiscard]] domain_decision follow_domain(const domain_view& view);
 
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -220,7 +220,7 @@
                const auto* host = this->find_host(member.id);
                return host != nullptr && host->incarnation == member.incarnation && !host->is_leaving &&
                       !member.is_lost && !this->is_silent(member.id) &&
-                      !(host->part && host->part->phase == host_phase::broken);
+                      !(has_part(*host, replica) && host->part->phase == host_phase::broken);
            });
 }
 
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -19,11 +19,6 @@
     return found != view.silent->end() && found->second == incarnation;
 }
 
-bool has_part(const listed_host& host, const replica_entry& replica)
-{
-    return host.part && host.part->replica == replica.name && host.part->generation == replica.generation;
-}
-
 /// A host that can still be reached as it was when the replica was formed; null otherwise.
 const listed_host* present_host(const domain_view& view, const replica_host& member)
 {
@@ -222,6 +217,11 @@
 
 } // namespace
 
+bool has_part(const listed_host& host, const replica_entry& replica)
+{
+    return host.part && host.part->replica == replica.name && host.part->generation == replica.generation;
+}
+
 domain_decision follow_domain(const domain_view& view)
 {
     domain_decision decision;
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -69,6 +69,14 @@
     CHECK(fleet.targets() == 0);
 }
 
+TEST_CASE("fleet view: that a host's earlier replica broke does not take a sound one out of service")
+{
+    view_fixture fleet;
+    fleet.hosts[3].part = replica_part{"d-0", 0, host_phase::broken};
+    fleet.view.set_host(fleet.hosts[3], start);
+    CHECK(fleet.targets() == 1);
+}
+
 TEST_CASE("fleet view: an older row of a domain is ignored")
 {
     view_fixture fleet;
