Replicas of a model are spread over failure domains

Callers of the large model met a fleet that had lost two or three of its six replicas at once, where four of them stood in one failure domain: queues, late first events, refusals. Whether they did was chance.

Cause: among domains that fit, the plan took the first.

The plan now prefers the failure domain with the fewest replicas of the model. The test in formation_plan_test failed before (4 in one failure domain, none in another, after 30 random orders).

--- a/include/coriander/replicas/formation_plan.hpp
+++ b/include/coriander/replicas/formation_plan.hpp
@@ -16,6 +16,7 @@
     std::size_t free = 0;
     std::map<std::string, std::size_t> staged;  ///< Free hosts that hold each model.
     std::map<std::string, std::size_t> running; ///< Its replicas by model.
+    std::string failure_domain{};               ///< Of its hosts.
 };
 
 /// What the fleet needs and has.
--- a/src/gateway/fleet_planner.cpp
+++ b/src/gateway/fleet_planner.cpp
@@ -60,7 +60,7 @@
 domain_supply fleet_planner::supply_of(const domain_key& key, const domain_record& record) const
 {
     const auto hosts = this->view.hosts_of(key);
-    domain_supply supply{key.domain, 0, {}, {}};
+    domain_supply supply{key.domain, 0, {}, {}, hosts.empty() ? std::string{} : hosts.front().failure_domain};
     for (const auto& replica : record.replicas) {
         supply.running[replica.model] += counts(replica) ? 1 : 0;
     }
--- a/src/replicas/formation_plan.cpp
+++ b/src/replicas/formation_plan.cpp
@@ -44,12 +44,26 @@
                        [&](const auto& one) { return one.first != model && one.second > 0; });
 }
 
+/// The model's replicas in a failure domain.
+std::size_t count_in(const formation_input& input, const std::string& failure_domain,
+                     const std::string& model)
+{
+    std::size_t count = 0;
+    for (const auto& domain : input.domains) {
+        count += domain.failure_domain == failure_domain ? count_at(domain.running, model) : 0;
+    }
+    return count;
+}
+
 /// The domain to form the model in: one that runs it alone, else an empty one, else, with `may_mix`, one that
-/// runs others; among these the one where the fewest hosts are left over that no replica could use.
+/// runs others; among these one where the failure domain holds the fewest of the model's replicas, so that
+/// losses there do not take most of them; then the one where the fewest hosts are left over that no replica
+/// could use.
 domain_supply* best_domain(formation_input& input, const model_profile& model, bool may_mix)
 {
     domain_supply* best = nullptr;
-    auto lowest = std::tuple{true, true, std::numeric_limits<std::size_t>::max()};
+    constexpr auto none = std::numeric_limits<std::size_t>::max();
+    auto lowest = std::tuple{true, true, none, none};
     for (auto& domain : input.domains) {
         const bool is_mixed = runs_others(domain, model.name);
         if (!fits(domain, model, input.only_staged) || (is_mixed && !may_mix)) {
@@ -57,7 +71,8 @@
         }
         const auto left = domain.free - model.hosts_per_replica;
         const auto waste = left - usable_hosts(left, input.models);
-        const auto rank = std::tuple{is_mixed, count_at(domain.running, model.name) == 0, waste};
+        const auto crowd = count_in(input, domain.failure_domain, model.name);
+        const auto rank = std::tuple{is_mixed, count_at(domain.running, model.name) == 0, crowd, waste};
         if (best == nullptr || rank < lowest) {
             best = &domain;
             lowest = rank;
--- a/test/replicas/formation_plan_test.cpp
+++ b/test/replicas/formation_plan_test.cpp
@@ -61,6 +61,41 @@
     CHECK(counts.at("small") >= 6);
 }
 
+TEST_CASE("formation plan: losses in one failure domain do not take most replicas of a model")
+{
+    rc::prop("domains that fill up three at a time", []() {
+        plan_fixture plan;
+        std::vector<domain_supply> coming;
+        for (const std::string zone : {"gent", "antwerpen", "leuven"}) {
+            coming.push_back({zone + "-d0", 9, {}, {}, zone});
+            coming.push_back({zone + "-d1", 9, {}, {}, zone});
+        }
+        std::map<std::string, std::size_t> large{{"gent", 0}, {"antwerpen", 0}, {"leuven", 0}};
+        while (!coming.empty()) {
+            for (int i = 0; i < 3; ++i) {
+                const auto next = *rc::gen::inRange<std::size_t>(0, coming.size());
+                plan.domains.push_back(coming[next]);
+                coming.erase(coming.begin() + static_cast<std::ptrdiff_t>(next));
+            }
+            const auto formed = plan_formation(plan.input());
+            for (auto& domain : plan.domains) {
+                const auto found = formed.find(domain.domain);
+                if (found == formed.end()) {
+                    continue;
+                }
+                domain.free = 0;
+                for (const auto& model : found->second) {
+                    ++domain.running[model];
+                    ++plan.existing[model];
+                }
+                large[domain.failure_domain] += domain.running["large"];
+            }
+        }
+        const auto [fewest, most] = std::minmax({large["gent"], large["antwerpen"], large["leuven"]});
+        RC_ASSERT(most <= fewest + 2); // A domain holds two of them.
+    });
+}
+
 TEST_CASE("formation plan: models share a domain while the load of one of them is not met")
 {
     plan_fixture plan;
