Spare hosts are warmed, so that a replica that lost a host is formed anew without a load

Cause: a host that holds a model's weights in its own memory still needs warm_s (1.6 s) for its first join since its start, 0.2 s for each further one. Survivors were warm; the spare beside them was not, and a replica is as slow to form as its slowest host.

While nothing else is to be done in a domain, its owner lets free hosts that hold a model join a replica that never opens, in a phase of its own (warming), and leave it when they are ready. Hosts that are warm come first when a replica is formed, so that one that has just started anew comes last.

--- a/include/coriander/replicas/domain_record.hpp
+++ b/include/coriander/replicas/domain_record.hpp
@@ -14,6 +14,7 @@
     open,       ///< All hosts were seen ready, and the leader takes requests.
     retiring,   ///< Gets no new requests; a host of it will leave.
     dissolving, ///< Its hosts are ordered to leave it; it gets no requests.
+    warming,    ///< Spare hosts that join in order to have the weights at hand; it never opens.
 };
 
 /// A host of a replica, as it was when the replica was formed.
--- a/include/coriander/replicas/listed_host.hpp
+++ b/include/coriander/replicas/listed_host.hpp
@@ -36,7 +36,9 @@
     bool is_ordered = false;         ///< An order is in progress.
     std::vector<std::string> staged; ///< Models that it can load from its own memory.
     std::optional<replica_part> part;
-    bool has_told = false; ///< The host itself told this lately; otherwise it is from the list, which lags.
+    std::string warm_model; ///< Of the last replica that it was ready in since its start: it joins such a one
+                            ///< at once.
+    bool has_told = false;  ///< The host itself told this lately; otherwise it is from the list, which lags.
 };
 
 } // namespace coriander
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -91,6 +91,9 @@
         if (!decision.is_due() && may_load) {
             this->add_loads(service, key, view, work, decision, now);
         }
+        if (!decision.is_due() && is_owner) {
+            this->add_warming(service, key, view, decision, now);
+        }
         if (is_owner) {
             this->send_orders(decision.load_orders, work, now);
         }
@@ -126,6 +129,20 @@
         }
     }
 
+    /// Has spare hosts load the weights that they will be asked for, while nothing else is to be done.
+    void add_warming(const relay_service& service, const domain_key& key, const domain_view& view,
+                     domain_decision& decision, time_ms now)
+    {
+        const bool is_calm = now - this->view.last_arrival(key) >= this->settings.arrival_pause;
+        if (!is_calm || this->has_unsettled(decision.next)) {
+            return;
+        }
+        for (const auto& name : warm_spares(decision.next, view, service.engine->models, key.domain)) {
+            decision.is_changed = true;
+            decision.reasons.push_back({"warm " + name});
+        }
+    }
+
     /// The daemon's place among those that may act: the owner first, then an order that all agree on.
     bool is_my_turn(const domain_key& key, const versioned_domain& current, const domain_decision& decision,
                     domain_work& work, time_ms now)
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -33,14 +33,18 @@
         this->fresh_words.erase(host.id);
         this->words.erase(host.id);
         current = host;
+        this->note_warmth(current);
         return;
     }
+    const auto warm_model = current.warm_model;
     const auto word = this->fresh_words.find(host.id);
     const bool is_later =
         host.part && word != this->fresh_words.end() && host.part->generation > word->second.generation;
     if (word == this->fresh_words.end() || is_later) {
         this->fresh_words.erase(host.id);
         current = host;
+        current.warm_model = warm_model;
+        this->note_warmth(current);
         return;
     }
     word->second.next = host;
@@ -48,6 +52,7 @@
     current.is_ordered = status.is_ordered;
     current.staged = status.staged;
     current.part = status.part;
+    current.warm_model = warm_model;
     current.has_told = true;
 }
 
@@ -74,6 +79,7 @@
     host.staged = status.staged;
     host.part = status.part;
     host.has_told = true;
+    this->note_warmth(host);
 }
 
 void fleet_view::leave_host(const std::string& id, const std::string& replica, std::uint64_t generation,
@@ -99,6 +105,18 @@
     word.generation = std::max(word.generation, host.part ? host.part->generation : 0);
 }
 
+void fleet_view::note_warmth(listed_host& host)
+{
+    if (!host.part || host.part->phase == host_phase::joining) {
+        return;
+    }
+    for (const auto& replica : this->domain({host.service, host.fabric_domain}).record.replicas) {
+        if (has_part(host, replica)) {
+            host.warm_model = replica.model;
+        }
+    }
+}
+
 void fleet_view::settle(time_ms now)
 {
     std::erase_if(this->fresh_words, [&](const auto& item) {
@@ -108,7 +126,10 @@
         }
         auto& host = this->known.at(id);
         if (word.next) {
+            const auto warm_model = host.warm_model;
             host = *word.next;
+            host.warm_model = warm_model;
+            this->note_warmth(host);
             ++this->changes;
         }
         host.has_told = false;
@@ -124,6 +145,14 @@
     }
     ++this->changes;
     current = {std::move(record), version};
+    for (const auto& replica : current.record.replicas) {
+        for (const auto& member : replica.hosts) {
+            const auto host = this->known.find(member.id);
+            if (host != this->known.end()) {
+                this->note_warmth(host->second);
+            }
+        }
+    }
     return true;
 }
 
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -119,6 +119,8 @@
     };
 
     void note_word(const listed_host& host, time_ms at);
+    /// Remembers the model of the replica that the host is ready in, if it is.
+    void note_warmth(listed_host& host);
 
     std::map<std::string, time_ms> words;          ///< When each host last spoke for itself.
     std::map<std::string, fresh_word> fresh_words; ///< Those that the list may lag behind.
--- a/src/gateway/order_history.hpp
+++ b/src/gateway/order_history.hpp
@@ -73,7 +73,8 @@
         if (last.kind == order_kind::stage) {
             return settings.stage_repeat;
         }
-        // An order that came too early, or whose answer is lost, is tried again at once: it takes effect once.
+        // An order that came too early, or whose answer is lost, is tried again at once: it takes effect
+        // once.
         const bool is_open = last.was_unfitting || last.unanswered > 0;
         return is_open ? settings.ask_interval : settings.order_repeat;
     }
--- a/src/gateway/replica_timing.hpp
+++ b/src/gateway/replica_timing.hpp
@@ -22,11 +22,11 @@
     {
         std::set<std::string> seen;
         for (const auto& replica : record.replicas) {
-            const bool is_forming = replica.phase == replica_phase::forming;
+            const bool is_forming = joins_hosts(replica.phase);
             if (!is_forming && replica.phase != replica_phase::retiring) {
                 continue;
             }
-            const auto id = key_of(replica.name, replica.phase);
+            const auto id = key_of(replica.name, is_forming ? replica_phase::forming : replica.phase);
             seen.insert(id);
             const auto began = this->since.try_emplace(id, now).first->second;
             const auto limit = is_forming ? forming_limit(engine, replica.model, settings, loads_are_cheap)
@@ -56,6 +56,12 @@
     }
 
 private:
+    /// Whether hosts are ordered to join a replica in this phase.
+    static bool joins_hosts(replica_phase phase)
+    {
+        return phase == replica_phase::forming || phase == replica_phase::warming;
+    }
+
     static std::string key_of(const std::string& replica, replica_phase phase)
     {
         return replica + "/" + name_of(phase);
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace coriander {
 namespace {
@@ -101,6 +102,38 @@
     return true;
 }
 
+/// Orders the hosts that don't belong to the replica yet to join it, and those of another one to leave that.
+void order_joins(const replica_entry& replica, const domain_view& view, domain_decision& decision)
+{
+    std::vector<std::string> ids;
+    for (const auto& member : replica.hosts) {
+        ids.push_back(member.id);
+    }
+    for (const auto& member : replica.hosts) {
+        const auto* host = present_host(view, member);
+        if (host != nullptr && host->part && !has_part(*host, replica)) {
+            decision.orders.push_back(
+                {order_kind::leave, member.id, host->part->replica, host->part->generation, {}, {}});
+        }
+        else if (host != nullptr && !host->part) {
+            decision.orders.push_back(
+                {order_kind::join, member.id, replica.name, replica.generation, replica.model, ids});
+        }
+    }
+}
+
+void follow_warming(replica_entry& replica, const domain_view& view, domain_decision& decision)
+{
+    host_phase leader = host_phase::joining;
+    const bool has_ended = any_leaving(replica, view) || view.finished->contains(replica.name);
+    if (!has_ended && !all_ready(replica, view, leader)) {
+        order_joins(replica, view, decision);
+        return;
+    }
+    replica.phase = replica_phase::dissolving;
+    decision.reasons.push_back({replica.name + (has_ended ? " can't be warmed" : " is warm")});
+}
+
 void follow_forming(replica_entry& replica, const domain_view& view, domain_decision& decision)
 {
     host_phase leader = host_phase::joining;
@@ -109,21 +142,7 @@
         decision.reasons.push_back({replica.name + " can't be formed"});
     }
     else if (!all_ready(replica, view, leader)) {
-        std::vector<std::string> ids;
-        for (const auto& member : replica.hosts) {
-            ids.push_back(member.id);
-        }
-        for (const auto& member : replica.hosts) {
-            const auto* host = present_host(view, member);
-            if (host != nullptr && host->part && !has_part(*host, replica)) {
-                decision.orders.push_back(
-                    {order_kind::leave, member.id, host->part->replica, host->part->generation, {}, {}});
-            }
-            else if (host != nullptr && !host->part) {
-                decision.orders.push_back(
-                    {order_kind::join, member.id, replica.name, replica.generation, replica.model, ids});
-            }
-        }
+        order_joins(replica, view, decision);
     }
     else if (leader == host_phase::open) {
         replica.phase = replica_phase::open;
@@ -239,6 +258,9 @@
         else if (replica.phase == replica_phase::forming) {
             follow_forming(replica, view, decision);
         }
+        else if (replica.phase == replica_phase::warming) {
+            follow_warming(replica, view, decision);
+        }
         else if (replica.phase == replica_phase::open || replica.phase == replica_phase::retiring) {
             follow_open(replica, view, decision);
         }
@@ -268,6 +290,26 @@
     return found;
 }
 
+namespace {
+
+/// Adds a replica of these hosts to the record; returns its name.
+std::string add_replica(domain_record& record, std::span<const listed_host* const> hosts,
+                        const std::string& model, std::string_view name_stem, replica_phase phase)
+{
+    replica_entry entry;
+    entry.generation = ++record.last_generation;
+    entry.name = std::string{name_stem} + "-" + std::to_string(entry.generation);
+    entry.model = model;
+    entry.phase = phase;
+    for (const auto* host : hosts) {
+        entry.hosts.push_back({host->id, host->address, host->incarnation, false});
+    }
+    record.replicas.push_back(std::move(entry));
+    return record.replicas.back().name;
+}
+
+} // namespace
+
 bool form_replica(domain_record& record, const domain_view& view, const model_profile& model,
                   std::string_view name_stem, bool only_staged)
 {
@@ -280,20 +322,35 @@
     if (candidates.size() < model.hosts_per_replica || model.hosts_per_replica == 0) {
         return false;
     }
-    std::stable_sort(candidates.begin(), candidates.end(), [&](const listed_host* a, const listed_host* b) {
-        return is_staged(*a, model.name) > is_staged(*b, model.name);
-    });
-    replica_entry entry;
-    entry.generation = ++record.last_generation;
-    entry.name = std::string{name_stem} + "-" + std::to_string(entry.generation);
-    entry.model = model.name;
-    for (unsigned i = 0; i < model.hosts_per_replica; ++i) {
-        entry.hosts.push_back({candidates[i]->id, candidates[i]->address, candidates[i]->incarnation, false});
-    }
-    record.replicas.push_back(std::move(entry));
+    // The slowest host to join holds up the replica.
+    const auto nearness = [&](const listed_host* host) {
+        return std::pair{is_staged(*host, model.name), host->warm_model == model.name};
+    };
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [&](const listed_host* a, const listed_host* b) { return nearness(a) > nearness(b); });
+    candidates.resize(model.hosts_per_replica);
+    add_replica(record, candidates, model.name, name_stem, replica_phase::forming);
     return true;
 }
 
+std::vector<std::string> warm_spares(domain_record& record, const domain_view& view,
+                                     std::span<const model_profile> models, std::string_view name_stem)
+{
+    std::vector<std::string> added;
+    domain_view current = view;
+    current.record = &record;
+    for (const auto& model : models) {
+        auto cold = free_hosts(current);
+        std::erase_if(cold, [&](const listed_host* host) {
+            return !is_staged(*host, model.name) || host->warm_model == model.name;
+        });
+        if (!cold.empty()) {
+            added.push_back(add_replica(record, cold, model.name, name_stem, replica_phase::warming));
+        }
+    }
+    return added;
+}
+
 const char* name_of(order_kind kind) noexcept
 {
     switch (kind) {
--- a/src/replicas/domain_record.cpp
+++ b/src/replicas/domain_record.cpp
@@ -7,7 +7,7 @@
 namespace coriander {
 namespace {
 
-constexpr std::array phase_names{"forming", "open", "retiring", "dissolving"};
+constexpr std::array phase_names{"forming", "open", "retiring", "dissolving", "warming"};
 
 std::optional<replica_phase> phase_of(std::string_view name)
 {
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -137,6 +137,19 @@
     CHECK_FALSE(fleet.view.find_host("d-h0")->part);
 }
 
+TEST_CASE("fleet view: a host stays warm for its last replica's model until it starts anew")
+{
+    view_fixture fleet;
+    CHECK(fleet.view.find_host("d-h3")->warm_model == "large");
+    fleet.view.leave_host("d-h3", "d-1", 1, start);
+    fleet.hosts[3].part.reset();
+    fleet.view.set_host(fleet.hosts[3], start + 5_s);
+    CHECK(fleet.view.find_host("d-h3")->warm_model == "large");
+    fleet.hosts[3].incarnation = 9999;
+    fleet.view.set_host(fleet.hosts[3], start + 6_s);
+    CHECK(fleet.view.find_host("d-h3")->warm_model.empty());
+}
+
 TEST_CASE("fleet view: a host that was ordered out of a replica is free, unless it has joined another")
 {
     view_fixture fleet;
--- a/test/replicas/domain_planner_test.cpp
+++ b/test/replicas/domain_planner_test.cpp
@@ -48,6 +48,49 @@
 
 } // namespace
 
+TEST_CASE("domain planner: hosts that join at once come before those that have to load")
+{
+    domain_fixture domain;
+    domain.hosts[7].warm_model = "large";
+    domain.hosts[8].warm_model = "large";
+    domain.hosts[4].staged = {"small"};
+    REQUIRE(form_replica(domain.record, domain.view(), samples::two_models()[0], "d", true));
+    names ids;
+    for (const auto& host : domain.record.replicas.back().hosts) {
+        ids.push_back(host.id);
+    }
+    CHECK(ids == names{"d-h7", "d-h8", "d-h5", "d-h6"});
+}
+
+TEST_CASE("domain planner: spare hosts are warmed for the model that they hold, once")
+{
+    domain_fixture domain;
+    domain.hosts[4].warm_model = "large";
+    domain.hosts[5].staged = {"small"};
+    const auto added = warm_spares(domain.record, domain.view(), samples::two_models(), "d");
+    CHECK(added == names{"d-6", "d-7"});
+    REQUIRE(domain.record.replicas.size() == 3);
+    CHECK(domain.record.replicas[1].model == "large");
+    CHECK(domain.record.replicas[1].hosts.size() == 3);
+    CHECK(domain.record.replicas[2].model == "small");
+    CHECK(domain.record.replicas[2].hosts.size() == 1);
+    CHECK(warm_spares(domain.record, domain.view(), samples::two_models(), "d").empty());
+}
+
+TEST_CASE("domain planner: warming ends when all its hosts are ready, and its replica never opens")
+{
+    domain_fixture domain;
+    warm_spares(domain.record, domain.view(), samples::two_models(), "d");
+    CHECK(domain.ordered(order_kind::join).size() == 5);
+    for (std::size_t i = 4; i < domain.hosts.size(); ++i) {
+        domain.hosts[i].part = replica_part{"d-6", 6, host_phase::ready};
+    }
+    CHECK(domain.ordered(order_kind::open).empty());
+    domain.record = domain.decide().next;
+    CHECK(domain.record.replicas[1].phase == replica_phase::dissolving);
+    CHECK(domain.ordered(order_kind::leave).size() == 5);
+}
+
 TEST_CASE("domain planner: a load under way is ordered, and forgotten when it has ended")
 {
     domain_fixture domain;
