A host's progress in its replica counts as soon as the list or the host tells it

A host's report lags by some hundred ms; the list tells a change at once, but was held back for two seconds after each report.

Phases of one generation only advance, so that the further one is the newer one, whoever tells it. The test in fleet_view_test failed before (joining instead of ready).

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -9,6 +9,14 @@
 /// The list may lag behind a host's own word by this: its writing, the store and the pause between readings.
 constexpr time_ms list_lag = 2000_ms;
 
+/// Whether `later` is a further state than `earlier` in the same replica. Phases of one generation only
+/// advance.
+bool has_advanced(const std::optional<replica_part>& earlier, const std::optional<replica_part>& later)
+{
+    return earlier && later && earlier->replica == later->replica &&
+           earlier->generation == later->generation && earlier->phase < later->phase;
+}
+
 } // namespace
 
 std::optional<domain_key> parse_domain_key(std::string_view row_key)
@@ -40,7 +48,7 @@
     const auto word = this->fresh_words.find(host.id);
     const bool is_later =
         host.part && word != this->fresh_words.end() && host.part->generation > word->second.generation;
-    if (word == this->fresh_words.end() || is_later) {
+    if (word == this->fresh_words.end() || is_later || has_advanced(current.part, host.part)) {
         this->fresh_words.erase(host.id);
         current = host;
         current.warm_model = warm_model;
@@ -77,7 +85,9 @@
     this->note_word(host, asked);
     host.is_ordered = status.is_ordered;
     host.staged = status.staged;
-    host.part = status.part;
+    if (!has_advanced(status.part, host.part)) { // A report lags behind the host.
+        host.part = status.part;
+    }
     host.has_told = true;
     this->note_warmth(host);
 }
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -150,6 +150,22 @@
     CHECK(fleet.view.find_host("d-h3")->warm_model.empty());
 }
 
+TEST_CASE("fleet view: progress of a host in its replica is not held back by an earlier word of its own")
+{
+    view_fixture fleet;
+    host_status status;
+    status.incarnation = 100;
+    status.part = replica_part{"d-2", 2, host_phase::joining};
+    fleet.view.update_host("d-h0", status, start);
+    fleet.hosts[0].part = replica_part{"d-2", 2, host_phase::ready};
+    fleet.view.set_host(fleet.hosts[0], start + 100_ms);
+    REQUIRE(fleet.view.find_host("d-h0")->part);
+    CHECK(fleet.view.find_host("d-h0")->part->phase == host_phase::ready);
+    // A report lags behind the list.
+    fleet.view.update_host("d-h0", status, start + 150_ms);
+    CHECK(fleet.view.find_host("d-h0")->part->phase == host_phase::ready);
+}
+
 TEST_CASE("fleet view: a host that was ordered out of a replica is free, unless it has joined another")
 {
     view_fixture fleet;
