Spare hosts of a domain are kept for its own replicas

Cause: a domain that runs one model gives its spare hosts to another that is short of replicas. At the start this was chance: as long as only some domains have hosts, the model whose domains come later seems short.

Mixing now leaves the domain a spare host for each replica that it runs of other models, unless the model that asks has none, or, once loads are dear, under half of what it needs. The case that asked for mixing with three free hosts beside a large replica now has four, as the three leave no spare; that it is refused with three is a case of its own, which failed before.

--- a/src/replicas/formation_plan.cpp
+++ b/src/replicas/formation_plan.cpp
@@ -44,6 +44,28 @@
                        [&](const auto& one) { return one.first != model && one.second > 0; });
 }
 
+/// Whether the model's next replica would leave the domain's replicas of other models a spare host each:
+/// without one, a replica that loses a host lasts no longer than the load of another takes.
+bool leaves_spares(const domain_supply& domain, const model_profile& model)
+{
+    std::size_t kept = 0;
+    for (const auto& [name, count] : domain.running) {
+        kept += name == model.name ? 0 : count;
+    }
+    return domain.free >= model.hosts_per_replica + kept;
+}
+
+/// Whether the model has so few replicas that it goes before other models' spare hosts. While loads are
+/// cheap, as at the start, only one without any: more hosts may come.
+bool is_starved(const formation_input& input, const std::map<std::string, std::size_t>& existing,
+                const std::string& model)
+{
+    constexpr double starved_part = 0.5;
+    const auto count = count_at(existing, model);
+    return count == 0 ||
+           (input.only_staged && static_cast<double>(count) < starved_part * need_of(input, model));
+}
+
 /// The model's replicas in a failure domain.
 std::size_t count_in(const formation_input& input, const std::string& failure_domain,
                      const std::string& model)
@@ -58,15 +80,16 @@
 /// The domain to form the model in: one that runs it alone, else an empty one, else, with `may_mix`, one that
 /// runs others; among these one where the failure domain holds the fewest of the model's replicas, so that
 /// losses there do not take most of them; then the one where the fewest hosts are left over that no replica
-/// could use.
-domain_supply* best_domain(formation_input& input, const model_profile& model, bool may_mix)
+/// could use. One that runs others keeps their spare hosts unless the replica `is_needed`.
+domain_supply* best_domain(formation_input& input, const model_profile& model, bool may_mix, bool is_needed)
 {
     domain_supply* best = nullptr;
     constexpr auto none = std::numeric_limits<std::size_t>::max();
     auto lowest = std::tuple{true, true, none, none};
     for (auto& domain : input.domains) {
         const bool is_mixed = runs_others(domain, model.name);
-        if (!fits(domain, model, input.only_staged) || (is_mixed && !may_mix)) {
+        const bool is_allowed = !is_mixed || (may_mix && (is_needed || leaves_spares(domain, model)));
+        if (!fits(domain, model, input.only_staged) || !is_allowed) {
             continue;
         }
         const auto left = domain.free - model.hosts_per_replica;
@@ -117,7 +140,8 @@
         for (const auto* model : by_shortage(input, existing)) {
             const bool is_short =
                 static_cast<double>(count_at(existing, model->name)) < need_of(input, model->name);
-            auto* domain = best_domain(input, *model, input.may_mix && is_short);
+            auto* domain = best_domain(input, *model, input.may_mix && is_short,
+                                       is_starved(input, existing, model->name));
             if (domain != nullptr) {
                 take_hosts(*domain, *model);
                 plan[domain->domain].push_back(model->name);
--- a/test/replicas/formation_plan_test.cpp
+++ b/test/replicas/formation_plan_test.cpp
@@ -99,7 +99,8 @@
 TEST_CASE("formation plan: models share a domain while the load of one of them is not met")
 {
     plan_fixture plan;
-    plan.domains = {{"d", 3, {}, {{"large", 1}}}};
+    plan.only_staged = true;
+    plan.domains = {{"d", 4, {{"small", 4}}, {{"large", 1}}}};
     plan.existing = {{"large", 6}, {"small", 5}};
     CHECK(plan_formation(plan.input()).empty());
     plan.existing = {{"large", 6}, {"small", 3}};
@@ -109,6 +110,28 @@
     CHECK(plan_formation(early).empty());
 }
 
+TEST_CASE(
+    "formation plan: another model does not take the spare hosts that a domain's replicas need after a loss")
+{
+    plan_fixture plan;
+    plan.domains = {{"d", 3, {}, {{"large", 1}}}};
+    plan.existing = {{"large", 6}, {"small", 1}};
+    CHECK(plan_formation(plan.input()).empty());
+    SECTION("unless it has none")
+    {
+        plan.existing["small"] = 0;
+        CHECK(plan_formation(plan.input()) == formation{{"d", {"small"}}});
+    }
+    SECTION("unless it has less than half of what it needs and no hosts can be had soon")
+    {
+        plan.only_staged = true;
+        plan.domains[0].staged["small"] = 3;
+        CHECK(plan_formation(plan.input()) == formation{{"d", {"small"}}});
+        plan.existing["small"] = 3;
+        CHECK(plan_formation(plan.input()).empty());
+    }
+}
+
 TEST_CASE("formation plan: what is short of replicas comes first")
 {
     plan_fixture plan;
