--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/gateway_pages.hpp"
 #include "gateway/gateway_peers.hpp"
 #include "gateway/gateway_settings.hpp"
+#include "gateway/load_exchange.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
 #include "gateway/silent_host_watch.hpp"
@@ -46,7 +47,7 @@
     {
         this->peers = &others;
         this->peers->listen_loads(
-            [this](std::uint64_t sender, const load_news& news) { this->take_loads(sender, news); });
+            [this](std::uint64_t sender, const load_news& news) { this->loads.take(sender, news); });
         this->listen(this->values.readiness_address, this->page_handlers());
         if (!this->values.directory_address.empty()) {
             this->listen(this->values.directory_address, this->page_handlers());
@@ -313,7 +314,8 @@
             this->control.set_cheap_loads(this->values.is_first_start && !this->relay.has_traffic);
             for (const auto& [name, service] : this->relay.routes->manifest().services) {
                 if (service.engine) {
-                    this->control.set_needed(name, this->measured_need(name, *service.engine));
+                    this->control.set_needed(
+                        name, this->loads.needed(name, *service.engine, this->fleet.host_count(name)));
                     delay = std::min(delay, this->control.tick(service, now));
                 }
             }
@@ -321,51 +323,10 @@
         this->call_after(this->control_timer, delay, [this] { this->run_control(); });
     }
 
-    std::map<std::string, double> measured_need(const std::string& service, const engine_profile& engine)
-    {
-        std::map<std::string, model_load> load;
-        for (const auto& [model, meter] : this->relay.service(service).meters) {
-            load[model] = this->relay.fleet_load(service, model, meter);
-        }
-        return needed_replicas(engine, load, this->fleet.host_count(service));
-    }
-
-    void take_loads(std::uint64_t sender, const load_news& news)
-    {
-        const auto now = this->relay.clock.now();
-        this->relay.demand.on_told(sender, news.demands, now);
-        for (auto& [name, state] : this->relay.services) {
-            for (const auto& one : news.targets) {
-                state.board.on_peer_report(one, now);
-            }
-        }
-    }
-
-    /// The newest loads of all services' targets, and the demand measured here.
-    load_news known_loads()
-    {
-        load_news news;
-        const auto now = this->relay.clock.now();
-        for (const auto& [name, state] : this->relay.services) {
-            const auto reports = state.board.reports(gateway_peers::loads_per_message, now);
-            news.targets.insert(news.targets.end(), reports.begin(), reports.end());
-            const auto* service = this->relay.routes ? this->relay.routes->find_service(name) : nullptr;
-            for (const auto& [model, meter] : state.meters) {
-                // Callers may name any model; only those that are declared are told.
-                if (service != nullptr && (model.empty() || find_model(*service, model) != nullptr)) {
-                    news.demands.push_back({model_key(name, model), meter.load(now)});
-                }
-            }
-        }
-        std::sort(news.targets.begin(), news.targets.end(),
-                  [](const auto& a, const auto& b) { return a.age < b.age; });
-        return news;
-    }
-
     void run_peers()
     {
         this->peers->round(this->manifest_version(), this->manifest_text, this->is_stopping,
-                           this->io.reaches_table(), this->known_loads());
+                           this->io.reaches_table(), this->loads.known(gateway_peers::loads_per_message));
         this->relay.daemons = this->peers->count();
         this->call_after(this->peer_timer, gateway_peers::round_length, [this] { this->run_peers(); });
     }
@@ -405,6 +366,7 @@
     gateway_settings values;
     gateway_pages pages;
     relay_context relay;
+    load_exchange loads{this->relay};
     fleet_view fleet;
     fleet_controller<Io> control;
     stall_response<Io> stalls;
