--- a/include/coriander/relay/relay_manifest.hpp
+++ b/include/coriander/relay/relay_manifest.hpp
@@ -2,11 +2,13 @@
 
 #include "coriander/time_ms.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace coriander {
@@ -68,6 +70,14 @@
     std::vector<model_profile> models;
 };
 
+/// The profile of an engine's model; null when there is none.
+[[nodiscard]] inline const model_profile* find_model(const engine_profile& engine, std::string_view name)
+{
+    const auto found = std::find_if(engine.models.begin(), engine.models.end(),
+                                    [&](const model_profile& one) { return one.name == name; });
+    return found == engine.models.end() ? nullptr : &*found;
+}
+
 /// A service that routes lead to.
 struct relay_service {
     std::string name;
@@ -76,6 +86,12 @@
     std::optional<engine_profile> engine; ///< Absent: a plain service.
 };
 
+/// The profile of a service's model; null when there is none, as for all plain services.
+[[nodiscard]] inline const model_profile* find_model(const relay_service& service, std::string_view name)
+{
+    return service.engine ? find_model(*service.engine, name) : nullptr;
+}
+
 /// A customer with the keys that name it.
 struct relay_customer {
     std::string name;
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -118,11 +118,9 @@
             return;
         }
         for (const auto& name : models->second) {
-            const auto& all = service.engine->models;
-            const auto model = std::find_if(all.begin(), all.end(),
-                                            [&](const model_profile& one) { return one.name == name; });
+            const auto* model = find_model(service, name);
             const bool only_staged = !this->planner.loads_are_cheap();
-            if (model != all.end() && form_replica(decision.next, view, *model, key.domain, only_staged)) {
+            if (model != nullptr && form_replica(decision.next, view, *model, key.domain, only_staged)) {
                 decision.is_changed = true;
                 decision.reasons.push_back({"form " + decision.next.replicas.back().name + " of " + name});
             }
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -281,11 +281,8 @@
                 continue;
             }
             const auto* leader = this->find_host(replica.hosts.front().id);
-            const auto& models = service.engine->models;
-            const auto model = std::find_if(models.begin(), models.end(), [&](const model_profile& one) {
-                return one.name == replica.model;
-            });
-            const double factor = model == models.end() ? 1.0 : model->time_factor;
+            const auto* model = find_model(service, replica.model);
+            const double factor = model == nullptr ? 1.0 : model->time_factor;
             targets.push_back({replica.name, leader->id, leader->address, leader->failure_domain,
                                replica.model, replica.generation, service.engine->slots, factor});
         }
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "coriander/shard_choice.hpp"
 #include "gateway/manifest_teller.hpp"
+#include "gateway/peer_round.hpp"
 #include "peer/peer_message.hpp"
 #include "runtime/log.hpp"
 
@@ -71,7 +72,7 @@
     message.beats = this->members.beats_to_send(now);
     message.loads = std::move(known_loads);
     message.loads.targets.resize(std::min(message.loads.targets.size(), loads_per_message));
-    const auto targets = this->members.choose_targets(targets_per_round, now, this->random);
+    const auto targets = this->members.choose_targets(peers_per_round, now, this->random);
     const auto others = this->members.alive(now);
     for (const auto& view : others) {
         if (view.beat.config_number < manifest_version && !manifest_text.empty() &&
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -66,8 +66,6 @@
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
 
 private:
-    /// Messages a round. With more gateways the beats reach all through others.
-    static constexpr std::size_t targets_per_round = 8;
     /// Daemons that one reads a table for: what it sends stays the same however many there are.
     static constexpr std::size_t circle_size = 64;
 
--- a/src/gateway/manifest_teller.hpp
+++ b/src/gateway/manifest_teller.hpp
@@ -3,6 +3,7 @@
 #include "coriander/membership.hpp"
 #include "coriander/shard_choice.hpp"
 #include "coriander/time_ms.hpp"
+#include "gateway/peer_round.hpp"
 
 #include <cstddef>
 #include <span>
@@ -26,8 +27,7 @@
     constexpr time_ms next_teller{1000};
     // With more daemons than a round tells, word that a peer has the manifest or the table again takes two
     // rounds.
-    constexpr std::size_t told_per_round = 8;
-    const time_ms beat_lag = others.size() > told_per_round ? 800_ms : 0_ms;
+    const time_ms beat_lag = others.size() > peers_per_round ? 800_ms : 0_ms;
     if (had_for < beat_lag || (peer.beat.table_reachable && had_for <= manifest_lag)) {
         return false;
     }
--- a/src/gateway/replica_timing.hpp
+++ b/src/gateway/replica_timing.hpp
@@ -70,11 +70,9 @@
     static time_ms forming_limit(const engine_profile& engine, const std::string& model,
                                  const controller_settings& settings, bool loads_are_cheap)
     {
-        for (const auto& one : engine.models) {
-            if (one.name == model) {
-                const auto load = loads_are_cheap ? one.load_time : one.staged_load_time;
-                return load + engine.forming_time + settings.forming_margin;
-            }
+        if (const auto* profile = find_model(engine, model)) {
+            const auto load = loads_are_cheap ? profile->load_time : profile->staged_load_time;
+            return load + engine.forming_time + settings.forming_margin;
         }
         return settings.forming_margin;
     }
--- a/src/gateway/service_state.cpp
+++ b/src/gateway/service_state.cpp
@@ -72,15 +72,4 @@
                                                             engine.usual_answer_tokens, engine.slots))};
 }
 
-const model_profile* find_model(const relay_service& service, std::string_view name)
-{
-    if (!service.engine) {
-        return nullptr;
-    }
-    const auto& all = service.engine->models;
-    const auto found =
-        std::find_if(all.begin(), all.end(), [&](const model_profile& one) { return one.name == name; });
-    return found == all.end() ? nullptr : &*found;
-}
-
 } // namespace coriander
--- a/src/gateway/service_state.hpp
+++ b/src/gateway/service_state.hpp
@@ -49,9 +49,6 @@
 [[nodiscard]] time_ms usual_duration_of(const model_load& load, const relay_service& service,
                                         const model_profile* model);
 
-/// The profile of a service's model; null when there is none.
-[[nodiscard]] const model_profile* find_model(const relay_service& service, std::string_view name);
-
 /// What a daemon keeps of one service for routing.
 struct service_state {
     target_board board;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -43,8 +43,6 @@
     std::size_t head_bytes = 0;
 };
 
-/// More is no answer of any party here: the table's longest ones hold a megabyte of rows.
-constexpr std::size_t max_kept_body = 8U << 20U;
 constexpr std::size_t max_head = 65536;
 /// Makes the library end the transfer with an error.
 constexpr std::size_t give_up = 0;
@@ -56,7 +54,7 @@
     if (one.data) {
         one.data(chunk);
     }
-    else if (one.result.body.size() + chunk.size() > max_kept_body) {
+    else if (one.result.body.size() + chunk.size() > max_kept_answer) {
         return give_up;
     }
     else {
--- a/src/http/http_client.hpp
+++ b/src/http/http_client.hpp
@@ -3,6 +3,7 @@
 #include "coriander/time_ms.hpp"
 #include "http/http_message.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -12,6 +13,9 @@
 
 namespace coriander {
 
+/// An answer's longest body that is kept whole, in bytes: the table's longest ones hold a megabyte of rows.
+inline constexpr std::size_t max_kept_answer = 8U << 20U;
+
 /// A request to another process.
 struct http_call {
     std::string method = "GET";
--- a/src/net/http_call_runner.hpp
+++ b/src/net/http_call_runner.hpp
@@ -21,10 +21,9 @@
     std::string target = "/";
     std::string body;
     std::vector<http_header> headers;
-    time_ms limit{1000};   ///< For the whole call.
-    bool is_fresh = false; ///< A connection of its own: a kept one may be dead.
-    /// Of the answer's body; a longer one is given up. The store's longest answers hold 1 MB of rows.
-    std::size_t max_answer_bytes = 8U << 20U;
+    time_ms limit{1000};                            ///< For the whole call.
+    bool is_fresh = false;                          ///< A connection of its own: a kept one may be dead.
+    std::size_t max_answer_bytes = max_kept_answer; ///< Of the body; a longer one is given up.
 };
 
 /// Runs calls whose answers fit into memory. Used on the loop's thread only.
