Gateways that find a host lost tell those that can act on it

The finder now tells the owner of the domain and the first two that step in for it, over the link between gateways. Who is told asks the host itself, three times, before it believes it, so that one that is cut off convinces nobody.

--- a/include/coriander/relay/loss_inquiry.hpp
+++ b/include/coriander/relay/loss_inquiry.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coriander/time_ms.hpp"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -7,6 +9,15 @@
 
 namespace coriander {
 
+/// How a host is asked whether it is lost.
+struct loss_inquiry_settings {
+    /// A sound host answers within a round trip of a few milliseconds.
+    time_ms ask_limit{40};
+    /// A host that doesn't answer so many questions, each over a new connection, is taken as lost. With a
+    /// twelfth of the packets lost one question in four fails.
+    unsigned ask_rounds = 3;
+};
+
 /// What the answers of a replica's hosts say so far.
 enum class inquiry_verdict {
     all_answered, ///< No host is lost, though the replica may stand still.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "gateway/gateway_peers.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "gateway/load_exchange.hpp"
+#include "gateway/loss_exchange.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
 #include "gateway/silent_host_watch.hpp"
@@ -20,6 +21,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -33,9 +35,10 @@
     gateway(asio::io_context& loop, Io& io, gateway_settings values, relay_dialect dialect,
             gateway_pages pages)
         : loop{loop}, io{io}, values{std::move(values)}, pages{std::move(pages)},
-          relay{loop, std::move(dialect), this->values.failure_domain}, control{io, this->fleet,
-                                                                                this->values.name},
-          stalls{io, this->relay, this->fleet, [this] { this->refresh(); }}, silent_hosts{io, this->fleet},
+          relay{loop, std::move(dialect), this->values.failure_domain},
+          control{io, this->fleet, this->values.name}, stalls{io, this->relay, this->fleet,
+                                                              [this](auto hosts) { this->on_lost(hosts); }},
+          losses{io, this->fleet, [this] { this->refresh(); }}, silent_hosts{io, this->fleet},
           watch_timer{loop}, control_timer{loop}, peer_timer{loop}, chores_timer{loop}, stop_timer{loop}
     {
         this->relay.retry_bounds = this->values.retries;
@@ -48,6 +51,7 @@
         this->peers = &others;
         this->peers->listen_loads(
             [this](std::uint64_t sender, const load_news& news) { this->loads.take(sender, news); });
+        this->peers->listen_losses([this](auto hosts) { this->losses.take(hosts, this->relay.clock.now()); });
         this->listen(this->values.readiness_address, this->page_handlers());
         if (!this->values.directory_address.empty()) {
             this->listen(this->values.directory_address, this->page_handlers());
@@ -236,6 +240,20 @@
         }
     }
 
+    /// Requests on the host's replica showed that it is lost; daemons without any learn it from here.
+    void on_lost(std::span<const std::string> hosts)
+    {
+        for (const auto& id : hosts) {
+            const auto* host = this->fleet.find_host(id);
+            if (host != nullptr) {
+                this->peers->tell_loss(
+                    {id, host->incarnation},
+                    this->losses.listeners({host->service, host->fabric_domain}, this->values.name));
+            }
+        }
+        this->refresh();
+    }
+
     template <typename Next>
     void call_after(asio::steady_timer& timer, time_ms delay, Next next)
     {
@@ -370,6 +388,7 @@
     fleet_view fleet;
     fleet_controller<Io> control;
     stall_response<Io> stalls;
+    loss_exchange<Io> losses;
     silent_host_watch<Io> silent_hosts;
     gateway_peers* peers = nullptr;
     std::vector<std::shared_ptr<http_listener>> listeners;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -54,6 +54,9 @@
     if (message.news) {
         this->news(*message.news);
     }
+    if (!message.lost_hosts.empty()) {
+        this->losses(message.lost_hosts);
+    }
     if (!message.beats.empty()) {
         this->loads(message.beats.front().id, message.loads);
     }
@@ -99,6 +102,19 @@
     this->link.send_all(targets.empty() ? this->seeds : std::move(addresses), message);
 }
 
+void gateway_peers::tell_loss(const lost_host& host, std::span<const std::string> names)
+{
+    peer_message message;
+    message.lost_hosts.push_back(host);
+    std::vector<std::string> addresses;
+    for (const auto& view : this->members.alive(this->clock.now())) {
+        if (std::find(names.begin(), names.end(), view.identity.name) != names.end()) {
+            addresses.push_back(view.identity.peer_address);
+        }
+    }
+    this->link.send_all(std::move(addresses), message);
+}
+
 std::size_t gateway_peers::circle_of(const std::string& name, std::size_t daemons)
 {
     return member_id(name) % ((daemons + circle_size - 1) / circle_size);
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,9 @@
     /// What the daemon with the id `sender` tells of load.
     using on_loads = std::function<void(std::uint64_t sender, const load_news&)>;
 
+    /// Hosts that a peer has found lost.
+    using on_losses = std::function<void(std::span<const lost_host>)>;
+
     /// Listens on the identity's address and `port`. Throws `std::system_error` when it can't be bound.
     gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                   std::vector<std::string> seeds, on_manifest manifest, on_news news);
@@ -43,6 +47,11 @@
     /// Sets who learns what peers tell of load.
     void listen_loads(on_loads listener) { this->loads = std::move(listener); }
 
+    /// Sets who learns of hosts that peers have found lost.
+    void listen_losses(on_losses listener) { this->losses = std::move(listener); }
+    /// Tells the daemons of these names that a host is lost.
+    void tell_loss(const lost_host& host, std::span<const std::string> names);
+
     /// Tells some of the others how things are: call every `round_length`. Of the targets in `known_loads`
     /// the first `loads_per_message` are told.
     void round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping,
@@ -76,6 +85,7 @@
     on_manifest manifest;
     on_news news;
     on_loads loads = [](std::uint64_t, const load_news&) {};
+    on_losses losses = [](std::span<const lost_host>) {};
     std::uint64_t manifest_version = 0;
     time_ms manifest_since; ///< When this daemon had it.
     sent_manifests sent;
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,11 +24,7 @@
 
 /// Times of the response to a replica that stands still.
 struct stall_response_settings {
-    /// A sound host answers within a round trip of a few milliseconds.
-    time_ms ask_limit{40};
-    /// A host that doesn't answer so many questions, each over a new connection, is taken as lost. With a
-    /// twelfth of the packets lost one question in four fails.
-    unsigned ask_rounds = 3;
+    loss_inquiry_settings questions{};
     /// Least time between two inquiries about one replica.
     time_ms inquiry_pause{150};
     /// A replica that lost a host gets no new work for so long: its record tells of the loss by then.
@@ -43,10 +40,12 @@
 template <controller_io Io>
 class stall_response {
 public:
-    /// `changed` is called when a host was found to be lost.
-    stall_response(Io& io, relay_context& context, fleet_view& view, std::function<void()> changed,
+    /// Is called with the hosts that were found to be lost.
+    using on_lost = std::function<void(std::span<const std::string>)>;
+
+    stall_response(Io& io, relay_context& context, fleet_view& view, on_lost lost,
                    stall_response_settings settings = {})
-        : io{io}, context{context}, view{view}, changed{std::move(changed)}, settings{settings}
+        : io{io}, context{context}, view{view}, lost{std::move(lost)}, settings{settings}
     {
     }
 
@@ -102,15 +101,15 @@
         for (const auto& member : replica->hosts) {
             ids.push_back(member.id);
         }
-        this->ask_round(std::make_shared<inquiry>(
-            inquiry{service, target, replica->hosts, {std::move(ids), this->settings.ask_rounds}, now}));
+        this->ask_round(std::make_shared<inquiry>(inquiry{
+            service, target, replica->hosts, {std::move(ids), this->settings.questions.ask_rounds}, now}));
     }
 
     void ask_round(const std::shared_ptr<inquiry>& open)
     {
         const auto now = this->context.clock.now();
         this->context.service(open->service)
-            .board.suspend(open->target.id, suspension::silent, now + this->settings.ask_limit);
+            .board.suspend(open->target.id, suspension::silent, now + this->settings.questions.ask_limit);
         const auto hosts = open->asked.silent_hosts();
         for (const auto& member : open->members) {
             if (std::find(hosts.begin(), hosts.end(), member.id) != hosts.end()) {
@@ -128,7 +127,7 @@
         }
         host.id = member.id;
         host.address = member.address;
-        this->io.ask_now(host, this->settings.ask_limit,
+        this->io.ask_now(host, this->settings.questions.ask_limit,
                          [this, open, member](std::optional<host_status> status) {
                              const bool is_same = status && status->incarnation == member.incarnation;
                              if (open->asked.on_ended(member.id, is_same)) {
@@ -178,16 +177,17 @@
     void mark_lost(const std::vector<std::string>& hosts, time_ms now)
     {
         for (const auto& host : hosts) {
-            log_silent_host(host, "unanswered questions", this->settings.ask_rounds, this->view, now);
+            log_silent_host(host, "unanswered questions", this->settings.questions.ask_rounds, this->view,
+                            now);
             this->view.mark_silent(host);
         }
-        this->changed();
+        this->lost(hosts);
     }
 
     Io& io;
     relay_context& context;
     fleet_view& view;
-    std::function<void()> changed;
+    on_lost lost;
     stall_response_settings settings;
     std::map<std::string, time_ms> inquiries; ///< When each replica's hosts were last asked.
 };
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -64,10 +64,15 @@
                 model, static_cast<float>(load.requests_per_s), static_cast<float>(load.prompt_tokens),
                 static_cast<float>(load.answer_tokens), static_cast<float>(load.duration_ms));
         }
+        std::vector<flatbuffers::Offset<wire::LostHost>> lost_hosts;
+        for (const auto& one : message.lost_hosts) {
+            lost_hosts.push_back(wire::CreateLostHostDirect(this->builder, one.id.c_str(), one.incarnation));
+        }
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(this->builder, &identities, &beats, &strikes,
-                                                           &demands, config, news, &loads, &model_demands));
+                                                           &demands, config, news, &loads, &model_demands,
+                                                           &lost_hosts));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -154,6 +159,15 @@
     }
 }
 
+void read_losses(const wire::PeerMessage& root, peer_message& message)
+{
+    if (const auto* hosts = root.lost_hosts()) {
+        for (const auto* one : *hosts) {
+            message.lost_hosts.push_back({text_of(one->id()), one->incarnation()});
+        }
+    }
+}
+
 void read_news(const wire::PeerMessage& root, peer_message& message)
 {
     const auto* news = root.news();
@@ -189,6 +203,7 @@
     read_rest(root, message);
     read_news(root, message);
     read_loads(root, message);
+    read_losses(root, message);
     return message;
 }
 
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -2,6 +2,7 @@
 
 #include "coriander/config_record.hpp"
 #include "coriander/error.hpp"
+#include "coriander/lost_host.hpp"
 #include "coriander/membership.hpp"
 #include "coriander/relay/load_news.hpp"
 #include "coriander/strike_table.hpp"
@@ -30,6 +31,7 @@
     std::optional<config_record> config; ///< Only for a peer that has an older one.
     std::optional<table_news> news;
     load_news loads;
+    std::vector<lost_host> lost_hosts; ///< That the sender has found.
 };
 
 /// The message as bytes for the wire.
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -55,6 +55,17 @@
     CHECK(threads[0] == std::this_thread::get_id());
 }
 
+TEST_CASE("peer message: a lost host arrives as it was told")
+{
+    peer_message message;
+    message.lost_hosts = {{"host-1", 17}};
+    const auto read = decode_peer_message(encode_peer_message(message));
+    REQUIRE(read);
+    REQUIRE(read.value().lost_hosts.size() == 1);
+    CHECK(read.value().lost_hosts.front().id == "host-1");
+    CHECK(read.value().lost_hosts.front().incarnation == 17);
+}
+
 TEST_CASE("peer message: a daemon's demand arrives as it was told")
 {
     peer_message message;
