A request that is read only after its caller has left is not sent on

The session now looks whether the caller has left before it does anything, without waiting and without taking bytes. relay_session_test's case failed before (3 requests at the targets instead of 2).

--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -43,6 +43,10 @@
         this->answer(problem, short_retry);
         return;
     }
+    if (this->caller->has_caller_left()) {
+        this->on_caller_gone();
+        return;
+    }
     if (this->context.refuses_new) {
         this->answer(own_answer::stopping, short_retry);
         return;
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -64,6 +64,9 @@
     /// Who learns that the caller has left while its request is pending. Forgotten after the answer.
     void on_caller_gone(std::function<void()> listener) { this->caller_gone = std::move(listener); }
 
+    /// Whether the caller had left by the time its request was read.
+    [[nodiscard]] bool has_caller_left() { return this->link->has_peer_left(); }
+
     /// Bytes that the caller has not taken yet.
     [[nodiscard]] std::size_t unsent() const noexcept { return this->link->unsent(); }
     /// Is called when the caller has taken all.
--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -132,6 +132,14 @@
     this->wait_readable();
 }
 
+bool tcp_link::has_peer_left()
+{
+    char next = 0;
+    asio::error_code problem;
+    (void)this->socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, problem);
+    return problem && problem != asio::error::would_block && problem != asio::error::try_again;
+}
+
 void tcp_link::resume_reading()
 {
     this->is_paused = false;
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -69,6 +69,9 @@
     [[nodiscard]] asio::any_io_executor executor() { return this->socket.get_executor(); }
 
     [[nodiscard]] bool is_open() const noexcept { return this->socket.is_open(); }
+    /// Whether the other side has ended the connection behind the bytes that were read. Bytes that are still
+    /// to be read hide its end.
+    [[nodiscard]] bool has_peer_left();
     [[nodiscard]] bool is_connected() const noexcept { return this->established; }
 
 private:
--- a/test/gateway/relay_session_test.cpp
+++ b/test/gateway/relay_session_test.cpp
@@ -6,6 +6,7 @@
 #include "support/test_caller.hpp"
 
 #include <asio/post.hpp>
+#include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
 namespace coriander {
@@ -367,6 +368,24 @@
     CHECK(relay.sent() == 1);
 }
 
+TEST_CASE("relay session: a request that is read only after its caller has left is not sent on")
+{
+    relay_fixture relay{repetition::idempotent, answer_with(whole_answer), answer_with(whole_answer)};
+    REQUIRE(relay.ask() == exchange_end::complete); // Leaves an open connection to the target.
+    asio::io_context other;
+    asio::ip::tcp::socket caller{other};
+    caller.connect({asio::ip::make_address("127.0.0.1"), relay.listener->port()});
+    const std::string request = "POST /a HTTP/1.1\r\nHost: desk.example\r\nCoriander-Attempt: a1\r\n"
+                                "Authorization: Bearer key\r\nContent-Length: 2\r\n\r\nhi";
+    asio::write(caller, asio::buffer(request));
+    caller.close();
+    REQUIRE(relay.loop.run_until(
+        [&] { return relay.context.counters.text().find("outcome=\"caller_gone\"") != std::string::npos; }));
+    REQUIRE(relay.loop.run_until([&] { return relay.context.open_requests == 0; }));
+    CHECK(relay.ask() == exchange_end::complete);
+    CHECK(relay.sent() == 2);
+}
+
 TEST_CASE("relay session: the time limit ends a request that a target still holds, as unknown")
 {
     relay_fixture relay{repetition::idempotent, [](tcp_link&, const std::string&) {},
