Streams leave a retiring replica whose hosts are needed for a new one

When a host was to leave, callers of the large model lacked its replica for 2.4 s to 4.8 s: it takes no new requests, and its other hosts can form a new one only when its last stream has ended.

Cause: the replica waited for its longest answer, however short the model was of replicas. Where those that are left don't bear the demand, streams that have not ended after 0.8 s now go on elsewhere after their last event, one after the other, so that no replica has to read all their prompts at once. Where they do bear it, streams end where they are.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "gateway/loss_exchange.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
+#include "gateway/retiring_replicas.hpp"
 #include "gateway/silent_host_watch.hpp"
 #include "gateway/stall_response.hpp"
 #include "net/http_listener.hpp"
@@ -224,7 +225,7 @@
         }
     }
 
-    /// Requests on replicas that were lost go on elsewhere; those of retiring ones are finished.
+    /// Requests on replicas that were lost go on elsewhere; those of retiring ones may end there.
     void leave_lost_replicas(const std::string& service, service_state& state)
     {
         std::vector<std::string> lost;
@@ -300,6 +301,7 @@
         for (const auto& [name, service] : routes->manifest().services) {
             if (service.engine) {
                 this->stalls.check(name, now);
+                this->retiring.check(service, now);
             }
         }
     }
@@ -389,6 +391,7 @@
     fleet_controller<Io> control;
     stall_response<Io> stalls;
     loss_exchange<Io> losses;
+    retiring_replicas retiring{this->relay, this->fleet};
     silent_host_watch<Io> silent_hosts;
     gateway_peers* peers = nullptr;
     std::vector<std::shared_ptr<http_listener>> listeners;
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -112,7 +112,7 @@
     }
 }
 
-void relay_session::leave_target()
+void relay_session::leave_target(const char* why)
 {
     if (this->has_ended || !this->current.is_open) {
         return;
@@ -126,7 +126,7 @@
     auto others = this->tried;
     others.push_back(this->current.choice.target.id);
     if (may_move && this->choose_target(others)) {
-        this->end_attempt(attempt_end::lost, "the target stands still");
+        this->end_attempt(attempt_end::lost, why);
     }
 }
 
