Warming gives way to replicas that lost a host, and pauses after each attempt

A replica that has lost a host or will lose one ends the warming now, and a domain warms at most once in ten seconds. Both cases failed before (warming instead of dissolving; without the pause 5 generations in 30 s where at most 4 are allowed).

--- a/src/gateway/controller_settings.hpp
+++ b/src/gateway/controller_settings.hpp
@@ -30,6 +30,8 @@
     time_ms forming_margin{4000};
     /// A retiring replica's requests have at most this time; its leaving host waits about as long.
     time_ms retiring_limit{9000};
+    /// Between two warmings in a domain: a host that doesn't get warm is not tried again at once.
+    time_ms warming_pause{10000};
     /// After a host appeared, others may follow: no replica is planned before.
     time_ms arrival_pause{1500};
     /// A host that left so many orders in a row unanswered is asked whether it lives.
--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -14,6 +14,7 @@
 struct domain_work {
     bool is_committing = false;
     time_ms commit_again_at;
+    time_ms warm_again_at;
     std::string due; ///< What was due when it was last looked at.
     time_ms due_since;
     order_history orders;
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -92,7 +92,7 @@
             this->add_loads(service, key, view, work, decision, now);
         }
         if (!decision.is_due() && is_owner) {
-            this->add_warming(service, key, view, decision, now);
+            this->add_warming(service, key, view, work, decision, now);
         }
         if (is_owner) {
             this->send_orders(decision.load_orders, work, now);
@@ -129,13 +129,14 @@
 
     /// Has spare hosts load the weights that they will be asked for, while nothing else is to be done.
     void add_warming(const relay_service& service, const domain_key& key, const domain_view& view,
-                     domain_decision& decision, time_ms now)
+                     domain_work& work, domain_decision& decision, time_ms now)
     {
         const bool is_calm = now - this->view.last_arrival(key) >= this->settings.arrival_pause;
-        if (!is_calm || this->has_unsettled(decision.next)) {
+        if (!is_calm || now < work.warm_again_at || this->has_unsettled(decision.next)) {
             return;
         }
         for (const auto& name : warm_spares(decision.next, view, service.engine->models, key.domain)) {
+            work.warm_again_at = now + this->settings.warming_pause;
             decision.is_changed = true;
             decision.reasons.push_back({"warm " + name});
         }
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -122,16 +122,28 @@
     }
 }
 
+/// Whether a replica of the domain has lost a host or will lose one, so that its hosts and a spare one are to
+/// form it anew.
+bool needs_spares(const domain_record& record)
+{
+    return std::any_of(record.replicas.begin(), record.replicas.end(), [](const replica_entry& one) {
+        const bool has_loss = std::any_of(one.hosts.begin(), one.hosts.end(),
+                                          [](const replica_host& member) { return member.is_lost; });
+        return one.phase == replica_phase::retiring || (one.phase == replica_phase::dissolving && has_loss);
+    });
+}
+
 void follow_warming(replica_entry& replica, const domain_view& view, domain_decision& decision)
 {
     host_phase leader = host_phase::joining;
-    const bool has_ended = any_leaving(replica, view) || view.finished->contains(replica.name);
+    const bool has_ended =
+        any_leaving(replica, view) || view.finished->contains(replica.name) || needs_spares(*view.record);
     if (!has_ended && !all_ready(replica, view, leader)) {
         order_joins(replica, view, decision);
         return;
     }
     replica.phase = replica_phase::dissolving;
-    decision.reasons.push_back({replica.name + (has_ended ? " can't be warmed" : " is warm")});
+    decision.reasons.push_back({replica.name + (has_ended ? " isn't warmed any more" : " is warm")});
 }
 
 void follow_forming(replica_entry& replica, const domain_view& view, domain_decision& decision)
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -364,6 +364,30 @@
     CHECK(fleet.world.orders.size() == orders);
 }
 
+TEST_CASE("fleet controller: a spare host that does not get warm is not ordered to join without pause")
+{
+    fleet_fixture fleet{1};
+    fleet.run_until_planned();
+    std::set<std::string> members;
+    for (const auto& replica : fleet.record().replicas) {
+        for (const auto& host : replica.hosts) {
+            members.insert(host.id);
+        }
+    }
+    for (const auto& [id, host] : fleet.world.hosts) {
+        if (!members.contains(id)) {
+            fleet.world.ignores_orders.push_back(id);
+            fleet.world.hosts[id].staged = {"large"};
+        }
+    }
+    REQUIRE_FALSE(fleet.world.ignores_orders.empty());
+    fleet.daemons[0]->control.set_cheap_loads(false);
+    const auto before = fleet.record().last_generation;
+    fleet.run(30_s);
+    CAPTURE(fleet.record().last_generation, before);
+    CHECK(fleet.record().last_generation - before <= 4);
+}
+
 TEST_CASE("fleet controller: over random losses and kills hosts never belong to two replicas")
 {
     rc::prop("random schedules of three daemons", []() {
--- a/test/replicas/domain_planner_test.cpp
+++ b/test/replicas/domain_planner_test.cpp
@@ -91,6 +91,17 @@
     CHECK(domain.ordered(order_kind::leave).size() == 5);
 }
 
+TEST_CASE("domain planner: spare hosts that are being warmed are there for a replica that lost a host")
+{
+    domain_fixture domain;
+    warm_spares(domain.record, domain.view(), samples::two_models(), "d");
+    domain.silent = {{"d-h3", domain.hosts[3].incarnation}};
+    domain.record = domain.decide().next;
+    REQUIRE(domain.record.replicas[0].phase == replica_phase::dissolving);
+    domain.record = domain.decide().next;
+    CHECK(domain.record.replicas[1].phase == replica_phase::dissolving);
+}
+
 TEST_CASE("domain planner: a load under way is ordered, and forgotten when it has ended")
 {
     domain_fixture domain;
