A change under way does not put off the warming of spare hosts

Where the answer of an earlier commit was still on its way, the decision was dropped and the pause was kept. The pause now counts from the warming that the domain's record shows. The fake outside of fleet_controller_test can let the feed tell of a change before its answer comes; the new case failed before (hosts d-h7 and d-h8 were ordered nothing).

--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -81,6 +81,9 @@
         work.timing.update(current.record, *service.engine, this->settings, this->planner.loads_are_cheap(),
                            now);
         work.staging.update(current.record, this->settings.load_limit, now);
+        if (has_phase(current.record, replica_phase::warming)) {
+            work.warm_again_at = now + this->settings.warming_pause;
+        }
         const auto view = this->view_of(current.record, hosts, work);
         auto decision = follow_domain(view);
         if (!decision.is_changed) {
@@ -129,14 +132,13 @@
 
     /// Has spare hosts load the weights that they will be asked for, while nothing else is to be done.
     void add_warming(const relay_service& service, const domain_key& key, const domain_view& view,
-                     domain_work& work, domain_decision& decision, time_ms now)
+                     const domain_work& work, domain_decision& decision, time_ms now)
     {
         const bool is_calm = now - this->view.last_arrival(key) >= this->settings.arrival_pause;
         if (!is_calm || now < work.warm_again_at || this->has_unsettled(decision.next)) {
             return;
         }
         for (const auto& name : warm_spares(decision.next, view, service.engine->models, key.domain)) {
-            work.warm_again_at = now + this->settings.warming_pause;
             decision.is_changed = true;
             decision.reasons.push_back({"warm " + name});
         }
@@ -283,6 +285,12 @@
                          });
     }
 
+    static bool has_phase(const domain_record& record, replica_phase phase)
+    {
+        return std::any_of(record.replicas.begin(), record.replicas.end(),
+                           [&](const replica_entry& one) { return one.phase == phase; });
+    }
+
     static bool has_unsettled(const domain_record& record)
     {
         return std::any_of(record.replicas.begin(), record.replicas.end(),
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -355,6 +355,21 @@
     }
 }
 
+TEST_CASE(
+    "fleet controller: a change that could not be committed at once does not put off the warming of spares")
+{
+    fleet_fixture fleet{1};
+    fleet.daemons[0]->io.answers_late = true;
+    fleet.run(8_s);
+    for (const auto& [id, host] : fleet.world.hosts) {
+        CAPTURE(id);
+        CHECK(std::any_of(fleet.world.orders.begin(), fleet.world.orders.end(),
+                          [&, host_id = id](const host_order& order) {
+                              return order.kind == order_kind::join && order.host == host_id;
+                          }));
+    }
+}
+
 TEST_CASE("fleet controller: spare hosts that are warm are not ordered anything again")
 {
     fleet_fixture fleet{2};
--- a/test/support/fake_controller_io.hpp
+++ b/test/support/fake_controller_io.hpp
@@ -55,6 +55,10 @@
                 done(commit_state::unknown);
                 return;
             }
+            if (this->answers_late) {
+                this->pending.push_back([done] { done(commit_state::applied); });
+                return;
+            }
             done(commit_state::applied);
         });
     }
@@ -101,6 +105,7 @@
 
     bool reaches_table = true;
     bool loses_answers = false;
+    bool answers_late = false; ///< The table's feed tells of a change before its answer comes.
 
 private:
     [[nodiscard]] bool answers(const std::string& id) const
