--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -106,22 +106,21 @@
     [[nodiscard]] std::uint64_t change_count() const noexcept { return this->changes; }
 
 private:
-    [[nodiscard]] bool may_serve(const replica_entry& replica) const;
-
-    std::map<std::string, listed_host> known;
-    std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that fell silent.
-    std::map<domain_key, versioned_domain> records;
-    std::map<domain_key, time_ms> arrivals;
     /// A host's own word while it goes before the list.
     struct fresh_word {
         std::uint64_t generation = 0;    ///< The highest that the host was known to have joined.
         std::optional<listed_host> next; ///< What the list has told since.
     };
 
+    [[nodiscard]] bool may_serve(const replica_entry& replica) const;
     void note_word(const listed_host& host, time_ms at);
     /// Remembers the model of the replica that the host is ready in, if it is.
     void note_warmth(listed_host& host);
 
+    std::map<std::string, listed_host> known;
+    std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that fell silent.
+    std::map<domain_key, versioned_domain> records;
+    std::map<domain_key, time_ms> arrivals;
     std::map<std::string, time_ms> words;          ///< When each host last spoke for itself.
     std::map<std::string, fresh_word> fresh_words; ///< Those that the list may lag behind.
     std::map<std::string, time_ms> listings;       ///< When the list last told of each host.
--- a/src/gateway/retiring_replicas.hpp
+++ b/src/gateway/retiring_replicas.hpp
@@ -54,8 +54,8 @@
     void check(const relay_service& service, time_ms now)
     {
         auto& state = this->context.service(service.name);
-        auto& look_before = this->looks[service.name];
-        const auto last = std::exchange(look_before.at, now);
+        auto& before = this->looks[service.name];
+        const auto last = std::exchange(before.at, now);
         std::map<std::string, time_ms> retiring;
         std::vector<std::shared_ptr<relay_session>> moving;
         for (const auto& [target, sessions] : state.sessions) {
@@ -64,8 +64,8 @@
             if (replica == nullptr || replica->phase != replica_phase::retiring) {
                 continue;
             }
-            const auto known = look_before.since.find(target);
-            const auto began = known == look_before.since.end() ? now : known->second;
+            const auto known = before.since.find(target);
+            const auto began = known == before.since.end() ? now : known->second;
             retiring[target] = began;
             auto look = this->state_of(service, *replica, now);
             look.retiring_for = now - began;
@@ -77,7 +77,7 @@
                 }
             }
         }
-        look_before.since = std::move(retiring);
+        before.since = std::move(retiring);
         for (const auto& session : moving) {
             session->leave_target("its replica is to be formed anew");
         }
