Who learns of a loss is found with one pass over the gateways

Each gateway that found a loss ranked every gateway against every other, which grows with the square of their number, at the moment when a replica stands still. shard_first gives the first few in the order of shard_rank. Those who are told stay the same.

--- a/include/coriander/shard_choice.hpp
+++ b/include/coriander/shard_choice.hpp
@@ -11,6 +11,10 @@
 [[nodiscard]] std::size_t shard_rank(std::string_view shard, const std::string& self,
                                      const std::vector<std::string>& members);
 
+/// The first `count` of `members` in the order that `shard_rank` gives, or all when there are fewer.
+[[nodiscard]] std::vector<std::string> shard_first(std::string_view shard, std::vector<std::string> members,
+                                                   std::size_t count);
+
 /// How many daemons watch a shard's lease: the others don't even read it.
 constexpr std::size_t shard_watchers = 3;
 
--- a/src/core/shard_choice.cpp
+++ b/src/core/shard_choice.cpp
@@ -3,6 +3,7 @@
 #include "coriander/digest.hpp"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace coriander {
 
@@ -16,4 +17,16 @@
     }));
 }
 
+std::vector<std::string> shard_first(std::string_view shard, std::vector<std::string> members,
+                                     std::size_t count)
+{
+    const auto seed = stable_hash(shard);
+    const auto taken = std::min(count, members.size());
+    std::partial_sort(
+        members.begin(), members.begin() + static_cast<std::ptrdiff_t>(taken), members.end(),
+        [&](const auto& a, const auto& b) { return stable_hash(a, seed) > stable_hash(b, seed); });
+    members.resize(taken);
+    return members;
+}
+
 } // namespace coriander
--- a/src/gateway/loss_exchange.hpp
+++ b/src/gateway/loss_exchange.hpp
@@ -38,16 +38,16 @@
     [[nodiscard]] std::vector<std::string> listeners(const domain_key& key, const std::string& self) const
     {
         constexpr std::size_t stepping_in = 2;
+        const auto holds = [](const std::vector<std::string>& names, const std::string& name) {
+            return std::find(names.begin(), names.end(), name) != names.end();
+        };
         const auto daemons = this->io.daemons();
         const auto& owner = this->view.domain(key).record.owner;
-        std::vector<std::string> found;
-        for (const auto& name : daemons) {
-            if (name == owner || shard_rank(key.row_key(), name, daemons) < stepping_in) {
-                found.push_back(name);
-            }
+        auto found = shard_first(key.row_key(), daemons, stepping_in);
+        if (holds(daemons, owner) && !holds(found, owner)) {
+            found.push_back(owner);
         }
-        const bool is_self = std::find(found.begin(), found.end(), self) != found.end();
-        return is_self ? std::vector<std::string>{} : found;
+        return holds(found, self) ? std::vector<std::string>{} : found;
     }
 
     /// Asks the hosts that another daemon found lost, and takes those that don't answer as lost.
--- /dev/null
+++ b/test/shard_choice_test.cpp
@@ -0,0 +1,29 @@
+#include "coriander/shard_choice.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+TEST_CASE("shard choice: the first members are those of the lowest ranks, in their order")
+{
+    const std::vector<std::string> members{"a", "b", "c", "d", "e", "f", "g"};
+    for (const std::string shard : {"x", "y", "z"}) {
+        const auto first = shard_first(shard, members, 3);
+        REQUIRE(first.size() == 3);
+        for (std::size_t i = 0; i < first.size(); ++i) {
+            CAPTURE(shard, first[i]);
+            CHECK(shard_rank(shard, first[i], members) == i);
+        }
+    }
+}
+
+TEST_CASE("shard choice: of fewer members than asked for all are the first")
+{
+    CHECK(shard_first("x", {"a", "b"}, 3).size() == 2);
+    CHECK(shard_first("x", {}, 3).empty());
+}
+
+} // namespace coriander
