--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -217,30 +217,13 @@
         }
         this->targets_as_of = this->fleet.change_count();
         for (const auto& [name, service] : this->relay.routes->manifest().services) {
-            auto& state = this->relay.service(name);
-            state.board.set_targets(this->fleet.targets_of(service));
+            this->relay.service(name).board.set_targets(this->fleet.targets_of(service));
             if (service.engine) {
-                this->leave_lost_replicas(name, state);
+                this->stalls.leave_lost(name);
             }
         }
     }
 
-    /// Requests on replicas that were lost go on elsewhere; those of retiring ones may end there.
-    void leave_lost_replicas(const std::string& service, service_state& state)
-    {
-        std::vector<std::string> lost;
-        for (const auto& [target, sessions] : state.sessions) {
-            const auto* replica = this->fleet.find_replica(service, target);
-            const bool is_lost = replica == nullptr || replica->phase == replica_phase::dissolving;
-            if (!state.board.is_listed(target) && is_lost) {
-                lost.push_back(target);
-            }
-        }
-        for (const auto& target : lost) {
-            stall_response<Io>::leave(state, target);
-        }
-    }
-
     /// Requests on the host's replica showed that it is lost; daemons without any learn it from here.
     void on_lost(std::span<const std::string> hosts)
     {
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -58,6 +58,32 @@
         }
     }
 
+    /// Has the requests on replicas that were lost go on elsewhere; those of retiring ones may end there.
+    void leave_lost(const std::string& service)
+    {
+        auto& state = this->context.service(service);
+        std::vector<std::string> lost;
+        for (const auto& [target, sessions] : state.sessions) {
+            const auto* replica = this->view.find_replica(service, target);
+            const bool is_lost = replica == nullptr || replica->phase == replica_phase::dissolving;
+            if (!state.board.is_listed(target) && is_lost) {
+                lost.push_back(target);
+            }
+        }
+        for (const auto& target : lost) {
+            leave(state, target);
+        }
+    }
+
+private:
+    struct inquiry {
+        std::string service;
+        relay_target target;
+        std::vector<replica_host> members;
+        loss_inquiry asked;
+        time_ms begun_at;
+    };
+
     /// Has the requests on a target go on elsewhere; with `only_begun` only those whose answer has begun.
     static void leave(service_state& state, const std::string& target, bool only_begun = false)
     {
@@ -76,15 +102,6 @@
         }
     }
 
-private:
-    struct inquiry {
-        std::string service;
-        relay_target target;
-        std::vector<replica_host> members;
-        loss_inquiry asked;
-        time_ms begun_at;
-    };
-
     void on_suspect(const std::string& service, service_state& state, const relay_target& target, time_ms now)
     {
         auto& asked_at = this->inquiries[target.id];
