One way to take in what the list tells of a host; no host is copied where none is asked

fleet_view kept the warm model in three places by hand and, for a record, looked up each member's replica that it had in hand. No behaviour changes.

--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -311,35 +311,19 @@
         }
     }
 
-    /// A host as its replica's record names it.
-    static listed_host host_of(const domain_key& key, const replica_host& member)
-    {
-        listed_host host;
-        host.id = member.id;
-        host.address = member.address;
-        host.incarnation = member.incarnation;
-        host.service = key.service;
-        host.fabric_domain = key.domain;
-        return host;
-    }
-
     void ask_hosts(const domain_key& key, const domain_record& record, const std::vector<std::string>& doubts,
                    domain_work& work, time_ms now)
     {
         for (const auto& replica : record.replicas) {
+            const auto planned = work.timing.forming_since(replica.name);
             for (const auto& member : replica.hosts) {
                 const auto* host = this->view.find_host(member.id);
-                const bool is_wanted = is_asked(replica, member.id, doubts);
                 // A leader that left the list may still have work.
-                const auto former = host_of(key, member);
-                if (host == nullptr && replica.phase == replica_phase::retiring) {
-                    host = &former;
-                }
-                const auto planned = work.timing.forming_since(replica.name);
-                if (host != nullptr && is_wanted &&
+                const bool is_known = host != nullptr || replica.phase == replica_phase::retiring;
+                if (is_known && is_asked(replica, member.id, doubts) &&
                     work.inquiries.is_due(member.id, planned, this->settings.ask_interval, now)) {
                     work.inquiries.on_asked(member.id, now);
-                    this->ask(*host, replica, now);
+                    this->ask(host != nullptr ? *host : host_of(key, member), replica, now);
                 }
             }
         }
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -17,6 +17,14 @@
            earlier->generation == later->generation && earlier->phase < later->phase;
 }
 
+/// Remembers the replica's model if the host is ready in it.
+void note_warmth_in(listed_host& host, const replica_entry& replica)
+{
+    if (has_part(host, replica) && host.part->phase != host_phase::joining) {
+        host.warm_model = replica.model;
+    }
+}
+
 } // namespace
 
 std::optional<domain_key> parse_domain_key(std::string_view row_key)
@@ -28,6 +36,17 @@
     return domain_key{std::string{row_key.substr(0, slash)}, std::string{row_key.substr(slash + 1)}};
 }
 
+listed_host host_of(const domain_key& key, const replica_host& member)
+{
+    listed_host host;
+    host.id = member.id;
+    host.address = member.address;
+    host.incarnation = member.incarnation;
+    host.service = key.service;
+    host.fabric_domain = key.domain;
+    return host;
+}
+
 void fleet_view::set_host(const listed_host& host, time_ms now)
 {
     ++this->changes;
@@ -44,15 +63,12 @@
         this->note_warmth(current);
         return;
     }
-    const auto warm_model = current.warm_model;
     const auto word = this->fresh_words.find(host.id);
     const bool is_later =
         host.part && word != this->fresh_words.end() && host.part->generation > word->second.generation;
     if (word == this->fresh_words.end() || is_later || has_advanced(current.part, host.part)) {
         this->fresh_words.erase(host.id);
-        current = host;
-        current.warm_model = warm_model;
-        this->note_warmth(current);
+        this->adopt(current, host);
         return;
     }
     word->second.next = host;
@@ -60,7 +76,7 @@
     current.is_ordered = status.is_ordered;
     current.staged = status.staged;
     current.part = status.part;
-    current.warm_model = warm_model;
+    current.warm_model = status.warm_model;
     current.has_told = true;
 }
 
@@ -115,15 +131,18 @@
     word.generation = std::max(word.generation, host.part ? host.part->generation : 0);
 }
 
-void fleet_view::note_warmth(listed_host& host)
+void fleet_view::adopt(listed_host& known, const listed_host& listed) const
+{
+    auto warm_model = std::move(known.warm_model);
+    known = listed;
+    known.warm_model = std::move(warm_model);
+    this->note_warmth(known);
+}
+
+void fleet_view::note_warmth(listed_host& host) const
 {
-    if (!host.part || host.part->phase == host_phase::joining) {
-        return;
-    }
     for (const auto& replica : this->domain({host.service, host.fabric_domain}).record.replicas) {
-        if (has_part(host, replica)) {
-            host.warm_model = replica.model;
-        }
+        note_warmth_in(host, replica);
     }
 }
 
@@ -136,10 +155,7 @@
         }
         auto& host = this->known.at(id);
         if (word.next) {
-            const auto warm_model = host.warm_model;
-            host = *word.next;
-            host.warm_model = warm_model;
-            this->note_warmth(host);
+            this->adopt(host, *word.next);
             ++this->changes;
         }
         host.has_told = false;
@@ -159,7 +175,7 @@
         for (const auto& member : replica.hosts) {
             const auto host = this->known.find(member.id);
             if (host != this->known.end()) {
-                this->note_warmth(host->second);
+                note_warmth_in(host->second, replica);
             }
         }
     }
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -42,6 +42,9 @@
 /// Parses a row's key; nothing when it is not one.
 [[nodiscard]] std::optional<domain_key> parse_domain_key(std::string_view row_key);
 
+/// A host as the record of its replica names it.
+[[nodiscard]] listed_host host_of(const domain_key& key, const replica_host& member);
+
 /// A domain's record with the version of its row; version 0: there is no row yet.
 struct versioned_domain {
     domain_record record;
@@ -114,8 +117,11 @@
 
     [[nodiscard]] bool may_serve(const replica_entry& replica) const;
     void note_word(const listed_host& host, time_ms at);
+    /// Puts what the list tells in the place of what is known of the host. The list doesn't tell its warm
+    /// model.
+    void adopt(listed_host& known, const listed_host& listed) const;
     /// Remembers the model of the replica that the host is ready in, if it is.
-    void note_warmth(listed_host& host);
+    void note_warmth(listed_host& host) const;
 
     std::map<std::string, listed_host> known;
     std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that fell silent.
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -246,6 +246,22 @@
     }
 }
 
+/// Adds a replica of these hosts to the record; returns its name.
+std::string add_replica(domain_record& record, std::span<const listed_host* const> hosts,
+                        const std::string& model, std::string_view name_stem, replica_phase phase)
+{
+    replica_entry entry;
+    entry.generation = ++record.last_generation;
+    entry.name = std::string{name_stem} + "-" + std::to_string(entry.generation);
+    entry.model = model;
+    entry.phase = phase;
+    for (const auto* host : hosts) {
+        entry.hosts.push_back({host->id, host->address, host->incarnation, false});
+    }
+    record.replicas.push_back(std::move(entry));
+    return record.replicas.back().name;
+}
+
 } // namespace
 
 bool has_part(const listed_host& host, const replica_entry& replica)
@@ -302,26 +318,6 @@
     return found;
 }
 
-namespace {
-
-/// Adds a replica of these hosts to the record; returns its name.
-std::string add_replica(domain_record& record, std::span<const listed_host* const> hosts,
-                        const std::string& model, std::string_view name_stem, replica_phase phase)
-{
-    replica_entry entry;
-    entry.generation = ++record.last_generation;
-    entry.name = std::string{name_stem} + "-" + std::to_string(entry.generation);
-    entry.model = model;
-    entry.phase = phase;
-    for (const auto* host : hosts) {
-        entry.hosts.push_back({host->id, host->address, host->incarnation, false});
-    }
-    record.replicas.push_back(std::move(entry));
-    return record.replicas.back().name;
-}
-
-} // namespace
-
 bool form_replica(domain_record& record, const domain_view& view, const model_profile& model,
                   std::string_view name_stem, bool only_staged)
 {
