--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -25,6 +25,14 @@
     fleet_view view;
 };
 
+/// What `d-h0` tells when it belongs to no replica.
+host_status word_of_first_host()
+{
+    host_status status;
+    status.incarnation = 100;
+    return status;
+}
+
 } // namespace
 
 TEST_CASE("fleet view: an open replica whose hosts are all there is a target, by its leader")
@@ -61,8 +69,7 @@
     }
     SECTION("told that it is broken")
     {
-        host_status status;
-        status.incarnation = 100;
+        auto status = word_of_first_host();
         status.part = replica_part{"d-1", 1, host_phase::broken};
         fleet.view.update_host("d-h0", status, start);
     }
@@ -89,8 +96,7 @@
 TEST_CASE("fleet view: a host's own word goes before the list until the list must have caught up")
 {
     view_fixture fleet;
-    host_status status;
-    status.incarnation = 100;
+    auto status = word_of_first_host();
     status.staged = {"small"};
     fleet.view.update_host("d-h0", status, start);
     fleet.view.set_host(fleet.hosts[0], start + 500_ms);
@@ -102,8 +108,7 @@
 TEST_CASE("fleet view: what the list told beside a host's own word counts once the word is too old")
 {
     view_fixture fleet;
-    host_status status;
-    status.incarnation = 100;
+    auto status = word_of_first_host();
     fleet.view.update_host("d-h0", status, start);
     fleet.view.set_host(fleet.hosts[0], start + 500_ms);
     fleet.view.settle(start + 1500_ms);
@@ -117,8 +122,7 @@
 TEST_CASE("fleet view: a host of which the list tells a later replica than its own word has joined it")
 {
     view_fixture fleet;
-    host_status status;
-    status.incarnation = 100;
+    auto status = word_of_first_host();
     fleet.view.update_host("d-h0", status, start);
     fleet.hosts[0].part = replica_part{"d-2", 2, host_phase::joining};
     fleet.view.set_host(fleet.hosts[0], start + 100_ms);
@@ -129,8 +133,7 @@
 TEST_CASE("fleet view: an answer to an older question does not replace a host's last word")
 {
     view_fixture fleet;
-    host_status status;
-    status.incarnation = 100;
+    auto status = word_of_first_host();
     fleet.view.update_host("d-h0", status, start + 100_ms);
     status.part = replica_part{"d-1", 1, host_phase::open};
     fleet.view.update_host("d-h0", status, start);
@@ -153,8 +156,7 @@
 TEST_CASE("fleet view: progress of a host in its replica is not held back by an earlier word of its own")
 {
     view_fixture fleet;
-    host_status status;
-    status.incarnation = 100;
+    auto status = word_of_first_host();
     status.part = replica_part{"d-2", 2, host_phase::joining};
     fleet.view.update_host("d-h0", status, start);
     fleet.hosts[0].part = replica_part{"d-2", 2, host_phase::ready};
--- a/test/gateway/loss_exchange_test.cpp
+++ b/test/gateway/loss_exchange_test.cpp
@@ -1,30 +1,20 @@
 #include "gateway/loss_exchange.hpp"
 
-#include "support/fake_controller_io.hpp"
-#include "support/fleet_samples.hpp"
+#include "support/two_hosts.hpp"
 
 #include <catch2/catch.hpp>
 
 namespace coriander {
 namespace {
 
-constexpr time_ms start = 1'000'000_ms;
-
 /// A daemon that has no requests on the replicas of a domain of two hosts.
-struct told_daemon {
-    told_daemon()
-    {
-        for (const auto& host : samples::free_hosts_of("d", 2)) {
-            this->world.hosts[host.id] = host;
-            this->view.set_host(host, start);
-        }
-        this->world.daemons = {"edge-0", "edge-1", "edge-2", "edge-3", "edge-4"};
-    }
+struct told_daemon : two_hosts {
+    told_daemon() { this->world.daemons = {"edge-0", "edge-1", "edge-2", "edge-3", "edge-4"}; }
 
     void tell(std::uint64_t incarnation = 100)
     {
         const lost_host told{"d-h0", incarnation};
-        this->losses.take({&told, 1}, start);
+        this->losses.take({&told, 1}, this->start);
     }
     void deliver_all()
     {
@@ -33,9 +23,6 @@
         }
     }
 
-    fake_controller_io::world world;
-    fake_controller_io io{this->world};
-    fleet_view view;
     unsigned changes = 0;
     loss_exchange<fake_controller_io> losses{this->io, this->view, [this] { ++this->changes; }};
 };
--- a/test/gateway/silent_host_watch_test.cpp
+++ b/test/gateway/silent_host_watch_test.cpp
@@ -1,34 +1,21 @@
 #include "gateway/silent_host_watch.hpp"
 
-#include "support/fake_controller_io.hpp"
-#include "support/fleet_samples.hpp"
+#include "support/two_hosts.hpp"
 
 #include <catch2/catch.hpp>
 
 namespace coriander {
 namespace {
 
-constexpr time_ms start = 1'000'000_ms;
-
 /// Two hosts, the first of which did not answer.
-struct watch_fixture {
-    watch_fixture()
-    {
-        for (const auto& host : samples::free_hosts_of("d", 2)) {
-            this->world.hosts[host.id] = host;
-            this->view.set_host(host, start);
-        }
-        this->view.mark_silent("d-h0");
-    }
+struct watch_fixture : two_hosts {
+    watch_fixture() { this->view.mark_silent("d-h0"); }
     void round()
     {
-        this->watch.round(start + 1_s);
+        this->watch.round(this->start + 1_s);
         this->io.deliver();
     }
 
-    fake_controller_io::world world;
-    fake_controller_io io{this->world};
-    fleet_view view;
     silent_host_watch<fake_controller_io> watch{this->io, this->view};
 };
 
--- /dev/null
+++ b/test/support/fleet_fixture.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "gateway/fleet_controller.hpp"
+#include "support/fake_controller_io.hpp"
+#include "support/fleet_samples.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/// Several daemons that control one service's hosts.
+struct fleet_fixture {
+    struct daemon {
+        daemon(fake_controller_io::world& world, const std::string& name)
+            : io{world}, control{this->io, this->view, name}
+        {
+        }
+        fake_controller_io io;
+        fleet_view view;
+        fleet_controller<fake_controller_io> control;
+        bool is_alive = true;
+        std::map<std::string, listed_host> told; ///< By the list, up to now.
+    };
+
+    explicit fleet_fixture(std::size_t daemon_count, std::size_t host_count = 9)
+    {
+        for (const auto& host : samples::free_hosts_of("d", host_count)) {
+            this->world.hosts[host.id] = host;
+        }
+        for (std::size_t i = 0; i < daemon_count; ++i) {
+            const auto name = "edge-" + std::to_string(i);
+            this->world.daemons.push_back(name);
+            this->daemons.push_back(std::make_unique<daemon>(this->world, name));
+            this->daemons.back()->control.set_cheap_loads(true);
+        }
+    }
+
+    /// Whether the list would tell of a change between the two.
+    static bool differs(const listed_host& a, const listed_host& b)
+    {
+        const auto text = [](const listed_host& host) {
+            const auto part = host.part ? host.part->replica + std::to_string(host.part->generation) +
+                                              std::to_string(static_cast<int>(host.part->phase))
+                                        : std::string{};
+            return part + "|" + std::to_string(host.incarnation) + (host.is_leaving ? "|leaving" : "") + "|" +
+                   (host.staged.empty() ? std::string{} : host.staged.back());
+        };
+        return text(a) != text(b);
+    }
+
+    /// What the platform's list and the table's feed tell a daemon: each change once.
+    void feed(daemon& one)
+    {
+        for (const auto& [id, host] : std::map{one.view.hosts()}) {
+            if (!this->world.hosts.contains(id)) {
+                one.view.remove_host(id);
+                one.told.erase(id);
+            }
+        }
+        for (const auto& [id, host] : this->world.hosts) {
+            const auto known = one.told.find(id);
+            if (known == one.told.end() || differs(known->second, host)) {
+                auto listed = host;
+                listed.has_told = false;
+                one.view.set_host(listed, this->now);
+                one.told[id] = listed;
+            }
+        }
+        for (const auto& [key, row] : this->world.rows) {
+            one.view.set_domain(*parse_domain_key(key), row.record, row.version);
+        }
+    }
+
+    void step(time_ms length = 100_ms)
+    {
+        this->now = this->now + length;
+        for (auto& one : this->daemons) {
+            if (one->is_alive) {
+                this->feed(*one);
+                one->control.tick(this->service, this->now);
+                one->io.deliver();
+            }
+        }
+        this->check_hosts_belong_once();
+    }
+    void run(time_ms length)
+    {
+        for (const auto end = this->now + length; this->now < end;) {
+            this->step();
+        }
+    }
+
+    /// Runs until replicas are planned; no host has joined yet.
+    void run_until_planned()
+    {
+        for (int i = 0; i < 100 && this->record().replicas.empty(); ++i) {
+            this->step();
+        }
+        REQUIRE_FALSE(this->record().replicas.empty());
+    }
+
+    /// No host is in two replicas of the record, whatever happened.
+    void check_hosts_belong_once() const
+    {
+        std::set<std::string> members;
+        for (const auto& replica : this->record().replicas) {
+            for (const auto& host : replica.hosts) {
+                CHECK(members.insert(host.id).second);
+            }
+        }
+    }
+
+    [[nodiscard]] domain_record record() const
+    {
+        const auto found = this->world.rows.find("assistant/d");
+        return found == this->world.rows.end() ? domain_record{} : found->second.record;
+    }
+    [[nodiscard]] std::size_t open_replicas() const
+    {
+        const auto now = this->record().replicas;
+        return static_cast<std::size_t>(std::count_if(now.begin(), now.end(), [](const replica_entry& one) {
+            return one.phase == replica_phase::open;
+        }));
+    }
+    daemon& owner()
+    {
+        const auto name = this->record().owner;
+        return *this->daemons[static_cast<std::size_t>(std::stoi(name.substr(name.find('-') + 1)))];
+    }
+
+    fake_controller_io::world world;
+    std::vector<std::unique_ptr<daemon>> daemons;
+    relay_service service = samples::assistant();
+    time_ms now = 1'000'000_ms;
+};
+
+} // namespace coriander
