--- a/src/gateway/relay_dialect.hpp
+++ b/src/gateway/relay_dialect.hpp
@@ -16,7 +16,8 @@
     std::string not_run = "Coriander-Not-Run";         ///< Set by a target that did not run the request.
     std::string model = "Coriander-Model";             ///< The requested model.
     std::string token_counts = "Coriander-Tokens";     ///< `prompt,maximum answer`, in tokens.
-    std::string priority = "Coriander-Priority";       ///< Priority in the engine's queue; 0 is the highest.
+    std::string prompt_parts = "Coriander-Prompt"; ///< The prompt's parts in order: `id:tokens,id:tokens`.
+    std::string priority = "Coriander-Priority";   ///< Priority in the engine's queue; 0 is the highest.
     std::string authorization = "Authorization";
     std::string key_scheme = "Bearer"; ///< Scheme before the key in `authorization`.
 };
--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -6,6 +6,16 @@
 #include <string>
 
 namespace coriander {
+namespace {
+
+/// The start of a request's list of prompt parts, which callers choose and which may be long.
+std::string_view logged_parts(std::string_view parts)
+{
+    constexpr std::size_t max_logged_bytes = 120;
+    return parts.substr(0, max_logged_bytes);
+}
+
+} // namespace
 
 void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
                  const admission_decision& advice, std::size_t targets, double supply)
@@ -46,7 +56,9 @@
                                       {"status", report.status},
                                       {"reused", report.was_reused ? "yes" : "no"},
                                       {"after", report.after},
+                                      {"writing", report.writing},
                                       {"events", report.events},
+                                      {"prompt", logged_parts(report.prompt_parts)},
                                       {"next", name_of(report.next)}});
 }
 
@@ -67,6 +79,7 @@
                {"first_event", report.first_event},
                {"longest_gap", report.longest_gap},
                {"took", report.took},
+               {"prompt", logged_parts(report.prompt_parts)},
                {"expected_load", report.expected_load},
                {"told_load",
                 report.reported_load ? std::to_string(std::lround(*report.reported_load)) : "unknown"}});
--- a/src/gateway/relay_events.hpp
+++ b/src/gateway/relay_events.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace coriander {
 
@@ -20,7 +21,9 @@
     int status;
     bool was_reused; ///< The attempt used a pooled connection.
     time_ms after;
+    time_ms writing; ///< Since the target's first byte; zero if there was none.
     std::size_t events;
+    std::string_view prompt_parts;
     next_step next;
 };
 
@@ -34,6 +37,7 @@
     time_ms first_event;
     time_ms longest_gap; ///< Between events.
     time_ms took;
+    std::string_view prompt_parts;
     double expected_load;                ///< Of the last target, at the time it was chosen.
     std::optional<double> reported_load; ///< By that target, in its response.
 };
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -213,6 +213,11 @@
     return this->request.route->is_stream && this->current.head.status / 100 == 2;
 }
 
+std::string_view relay_session::prompt_parts() const
+{
+    return this->request.raw.head.header(this->context.dialect.prompt_parts);
+}
+
 void relay_session::forward_events(std::string_view bytes)
 {
     this->stream.pass(bytes, this->current.head, this->context.clock.now());
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -69,6 +69,7 @@
     void release_buffer();
     void forward_events(std::string_view bytes);
     [[nodiscard]] bool is_event_stream() const;
+    [[nodiscard]] std::string_view prompt_parts() const;
     void on_response_complete();
     void end_attempt(attempt_end end, const char* reason);
     void close_attempt(bool is_failure);
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -81,7 +81,9 @@
         step = decide_next(state);
     }
     log_attempt_end(this->request, {target, end, reason, this->current.head.status, this->current.was_reused,
-                                    now - this->current.sent_at, this->stream.events(), step});
+                                    now - this->current.sent_at,
+                                    this->current.has_begun ? now - this->current.begun_at : time_ms{},
+                                    this->stream.events(), this->prompt_parts(), step});
     this->execute(step, next);
 }
 
@@ -153,9 +155,10 @@
         this->context.counters.observe("coriander_first_event_seconds",
                                        "route=\"" + this->request.route->name + "\"", first.seconds());
     }
-    log_request_end(this->request, {outcome, status, this->current.choice.target.id, this->attempts_sent,
-                                    this->stream.events(), first, this->stream.longest_gap(), took,
-                                    this->current.choice.total(), this->current.reported_load});
+    log_request_end(this->request,
+                    {outcome, status, this->current.choice.target.id, this->attempts_sent,
+                     this->stream.events(), first, this->stream.longest_gap(), took, this->prompt_parts(),
+                     this->current.choice.total(), this->current.reported_load});
     this->context.counters.add("coriander_requests_total", "outcome=\"" + std::string{outcome} + "\"");
     if (this->size_class != nullptr) {
         this->context.counters.add("coriander_requests_by_size_total",
