The first message to a restarted daemon is no longer lost on the old connection

Callers saw nothing of it by itself; found while a restarted gateway was to learn what its peers know. A daemon wrote its next message to the connection of the peer's former process: the write succeeded, the message was lost, and only the one after it, a round of 400 ms later, went over a new connection. A connection is now dropped as soon as the peer closes it. 'peer link: the first message after a peer's restart is not lost on the old connection' failed before (received 0 messages in 20 s, expected 1).

--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -56,6 +56,7 @@
         std::deque<std::shared_ptr<frame>> queue;
         bool is_busy = false;
         bool is_connected = false;
+        std::array<std::uint8_t, 1> unexpected{}; ///< Receives nothing until the peer closes the connection.
     };
 
     /// An incoming connection.
@@ -186,6 +187,19 @@
         }
     }
 
+    /// Drops the connection as soon as the peer closes it. A message written later would be lost unnoticed.
+    /// The peer sends nothing on it.
+    void watch_for_close(const std::string& address, const std::shared_ptr<outgoing>& connection)
+    {
+        connection->socket.async_read_some(
+            asio::buffer(connection->unexpected),
+            [self = this->weak_from_this(), address, connection](const asio::error_code&, std::size_t) {
+                if (const auto link = self.lock()) {
+                    link->drop(address, connection);
+                }
+            });
+    }
+
     void connect(const std::string& address, const std::shared_ptr<outgoing>& connection,
                  const std::shared_ptr<frame>& bytes)
     {
@@ -203,6 +217,7 @@
                 return;
             }
             connection->is_connected = true;
+            this->watch_for_close(address, connection);
             this->write(address, connection, bytes);
         });
     }
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <chrono>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -55,6 +58,26 @@
     CHECK(threads[0] == std::this_thread::get_id());
 }
 
+TEST_CASE("peer link: the first message after a peer's restart is not lost on the old connection")
+{
+    event_loop loop;
+    peer_link from{loop.context(), "127.0.0.1", 0, [](const peer_message&) {}};
+    std::atomic<unsigned> first_count = 0;
+    auto first = std::make_unique<peer_link>("127.0.0.1", 0, [&](const peer_message&) { ++first_count; });
+    const auto port = first->port();
+    const auto address = "127.0.0.1:" + std::to_string(port);
+    from.send(address, {});
+    REQUIRE(loop.run_until([&] { return first_count == 1; }));
+    first.reset();
+    std::vector<peer_message> received;
+    peer_link second{loop.context(), "127.0.0.1", port,
+                     [&](peer_message message) { received.push_back(std::move(message)); }};
+    loop.context().restart();
+    loop.context().run_for(std::chrono::milliseconds{50}); // The close arrives.
+    from.send(address, {});
+    CHECK(loop.run_until([&] { return received.size() == 1; }));
+}
+
 TEST_CASE("peer message: a lost host is decoded as it was encoded")
 {
     peer_message message;
