Requests with a prompt part that crashes replicas are quarantined

Cause: a gateway took each crash for the replica's fault. It kept no record of what ran there and passed the request, its repeats and new ones with the same part on to the next replica.

Now a gateway probes a host that closed connections; if it crashed, the requests that had run there for less than a second are suspects, known by fingerprints of the whole request and of the parts of its prompt. Gateways exchange suspects, and which fingerprints ran soundly later. What explains the crashes is quarantined after three: the fingerprint, or those that can't be told apart, with the most crashes; crashes that it explains count against nothing else, so that sound requests with the other parts go on. A quarantined request gets a 503 with Retry-After at once (it has not run), a suspect with a crash on record is not retried. After two minutes one daemon tests with one request at a time; a success ends the quarantine everywhere. A restarted gateway gets the reports from the first peer that it reaches.

The same cause elsewhere: retries and resumes after a loss, the moves of the stall response, requests that wait in a replica's queue when their part is quarantined, and identical requests that are repeated (the older rule; the gateway had no memory of these either).

--- a/scripts/gateway-cluster.sh
+++ b/scripts/gateway-cluster.sh
@@ -33,7 +33,7 @@
 directory = "$ip:7003"
 metrics = "$ip:7004"
 peer_port = 7005
-seeds = []
+seeds = [$(printf '"'"$NET"'.%s:7003",' "${GATEWAYS[@]}")]
 first_start = $2
 
 [platform]
--- /dev/null
+++ b/src/gateway/crash_response.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "coriander/digest.hpp"
+#include "coriander/relay/loss_probe.hpp"
+#include "gateway/controller_io.hpp"
+#include "gateway/fleet_view.hpp"
+#include "gateway/relay_context.hpp"
+#include "gateway/relay_events.hpp"
+#include "gateway/relay_session.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace coriander {
+
+/// Finds out whether hosts whose connections closed have crashed, reports the requests that were on them to
+/// the quarantine, and ends waiting requests that become quarantined. Not thread-safe: used on the event
+/// loop's thread only.
+template <controller_io Io>
+class crash_response {
+public:
+    crash_response(Io& io, relay_context& context, const fleet_view& view, loss_probe_settings settings = {})
+        : io{io}, context{context}, view{view}, settings{settings}
+    {
+    }
+
+    /// Probes a host that closed the connection of a running request. A host that leaves as planned is not
+    /// probed.
+    void on_connection_closed(const std::string& id)
+    {
+        const auto* host = this->view.find_host(id);
+        if (host == nullptr || host->is_leaving || !this->probing.insert(id).second) {
+            return;
+        }
+        this->probe(std::make_shared<inquiry>(
+            inquiry{*host, {{id}, this->settings.max_rounds}, this->context.clock.now()}));
+    }
+
+    /// Merges the reports of another daemon.
+    void merge(const crash_news& news)
+    {
+        if (!news.empty()) {
+            this->context.quarantine.merge(news, this->context.clock.now());
+            this->update_quarantine();
+        }
+    }
+
+    /// Records the requests that have run long enough without a crash; to be called periodically.
+    void check()
+    {
+        const auto now = this->context.clock.now();
+        for (const auto& one : this->context.trials.take_sound(now)) {
+            this->context.quarantine.on_sound(one.prints, one.started_at, now);
+        }
+        this->update_quarantine();
+    }
+
+private:
+    struct inquiry {
+        listed_host host;
+        loss_probe probes;
+        time_ms closed_at;
+    };
+
+    void probe(const std::shared_ptr<inquiry>& pending)
+    {
+        this->io.probe(pending->host, this->settings.timeout,
+                       [this, pending](std::optional<host_status> status) {
+                           const bool is_same = status && status->incarnation == pending->host.incarnation;
+                           pending->probes.on_ended(pending->host.id, is_same);
+                           const auto verdict = pending->probes.conclude(false);
+                           if (verdict == loss_probe_result::probe_again) {
+                               this->probe(pending);
+                               return;
+                           }
+                           this->probing.erase(pending->host.id);
+                           if (verdict == loss_probe_result::lost) {
+                               this->on_crash(pending->host, pending->closed_at);
+                           }
+                       });
+    }
+
+    void on_crash(const listed_host& host, time_ms closed_at)
+    {
+        const auto now = this->context.clock.now();
+        const auto crash = stable_hash(host.id, host.incarnation);
+        const auto suspects = this->context.trials.take_suspects(host.id, crash, now - closed_at);
+        log_crash(host.id, host.incarnation, suspects, now - closed_at);
+        for (const auto& suspect : suspects) {
+            this->context.quarantine.add(suspect, now);
+        }
+        this->update_quarantine();
+    }
+
+    void update_quarantine()
+    {
+        const auto now = this->context.clock.now();
+        if (!this->context.quarantine.update(now)) {
+            return;
+        }
+        log_quarantine(this->context.quarantine.entries(), now);
+        std::vector<std::shared_ptr<relay_session>> waiting;
+        for (auto& [name, state] : this->context.services) {
+            for (const auto& [target, sessions] : state.sessions) {
+                for (auto* session : sessions) {
+                    waiting.push_back(session->shared_from_this());
+                }
+            }
+        }
+        for (const auto& session : waiting) {
+            session->end_if_quarantined();
+        }
+    }
+
+    Io& io;
+    relay_context& context;
+    const fleet_view& view;
+    loss_probe_settings settings;
+    std::set<std::string> probing; ///< Hosts with an inquiry in progress.
+};
+
+} // namespace coriander
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/crash_response.hpp"
 #include "gateway/fleet_controller.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/gateway_pages.hpp"
@@ -39,12 +40,19 @@
           relay{loop, std::move(dialect), this->values.failure_domain}, control{io, this->fleet,
                                                                                 this->values.name},
           stalls{io, this->relay, this->fleet, [this](auto hosts) { this->on_hosts_lost(hosts); }},
-          losses{io, this->fleet, [this] { this->refresh(); }}, silent_hosts{io, this->fleet},
-          stall_check_timer{loop}, control_timer{loop}, peer_timer{loop}, housekeeping_timer{loop},
-          stop_timer{loop}
+          losses{io, this->fleet, [this] { this->refresh(); }}, crashes{io, this->relay, this->fleet},
+          silent_hosts{io, this->fleet}, stall_check_timer{loop}, control_timer{loop}, peer_timer{loop},
+          housekeeping_timer{loop}, stop_timer{loop}
     {
         this->relay.retry_settings = this->values.retries;
         this->control.set_progress_listener([this] { this->schedule_control(); });
+        this->relay.on_connection_closed = [this](const std::string& host) {
+            this->crashes.on_connection_closed(host);
+        };
+        this->relay.may_probe_quarantine = [this](fingerprint print) {
+            const auto daemons = this->peers->controllers();
+            return shard_rank(std::to_string(print), this->values.name, daemons) == 0;
+        };
     }
 
     /// Opens the listeners and starts the periodic work. `others` must outlive the gateway.
@@ -55,6 +63,10 @@
             [this](std::uint64_t sender, const load_update& news) { this->loads.merge(sender, news); });
         this->peers->set_loss_listener(
             [this](auto hosts) { this->losses.verify(hosts, this->relay.clock.now()); });
+        this->peers->set_crash_source([this] {
+            return this->relay.quarantine.newest(gateway_peers::max_first_crashes, this->relay.clock.now());
+        });
+        this->peers->set_crash_listener([this](const crash_news& news) { this->crashes.merge(news); });
         this->listen(this->values.readiness_address, this->page_handlers());
         if (!this->values.directory_address.empty()) {
             this->listen(this->values.directory_address, this->page_handlers());
@@ -268,6 +280,7 @@
         this->call_after(this->stall_check_timer, stall_check_interval, [this, due] {
             const auto now = this->relay.clock.now();
             this->is_checking_stalls = this->relay.open_requests > 0;
+            this->crashes.check();
             if (now - due <= max_stall_check_delay) {
                 this->check_stalls(now);
             }
@@ -334,9 +347,10 @@
 
     void run_peers()
     {
-        this->peers->send_round(this->manifest_version(), this->manifest_text, this->is_stopping,
-                                this->io.reaches_table(),
-                                this->loads.snapshot(gateway_peers::loads_per_message));
+        this->peers->send_round(
+            this->manifest_version(), this->manifest_text, this->is_stopping, this->io.reaches_table(),
+            this->loads.snapshot(gateway_peers::loads_per_message),
+            this->relay.quarantine.news_to_send(gateway_peers::crashes_per_message, this->relay.clock.now()));
         this->relay.daemons = this->peers->count();
         this->call_after(this->peer_timer, gateway_peers::round_length, [this] { this->run_peers(); });
     }
@@ -383,6 +397,7 @@
     stall_response<Io> stalls;
     loss_exchange<Io> losses;
     retiring_replicas retiring{this->relay, this->fleet};
+    crash_response<Io> crashes;
     silent_host_watch<Io> silent_hosts;
     gateway_peers* peers = nullptr;
     std::vector<std::shared_ptr<http_listener>> listeners;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -39,9 +39,25 @@
     }
 }
 
+/// A daemon that has just started knows of no crashes, and must not send requests that caused some.
+void gateway_peers::welcome(const member_identity& sender)
+{
+    if (std::exchange(this->welcomed[sender.name], sender.incarnation) == sender.incarnation) {
+        return;
+    }
+    peer_message message;
+    message.crashes = this->known_crashes();
+    if (!message.crashes.empty()) {
+        this->link.send(sender.peer_address, message);
+    }
+}
+
 void gateway_peers::receive(const peer_message& message)
 {
     const auto now = this->clock.now();
+    if (!message.identities.empty()) {
+        this->welcome(message.identities.front());
+    }
     for (const auto& identity : message.identities) {
         this->introduce(identity);
     }
@@ -57,13 +73,15 @@
     if (!message.lost_hosts.empty()) {
         this->losses(message.lost_hosts);
     }
+    this->crashes(message.crashes);
     if (!message.beats.empty()) {
         this->loads(message.beats.front().id, message.loads);
     }
 }
 
 void gateway_peers::send_round(std::uint64_t manifest_version, const std::string& manifest_text,
-                               bool is_stopping, bool reaches_table, load_update load_reports)
+                               bool is_stopping, bool reaches_table, load_update load_reports,
+                               crash_news crash_reports)
 {
     const auto now = this->clock.now();
     if (std::exchange(this->manifest_version, manifest_version) != manifest_version) {
@@ -75,6 +93,7 @@
     message.beats = this->members.heartbeats_to_send(now);
     message.loads = std::move(load_reports);
     message.loads.targets.resize(std::min(message.loads.targets.size(), loads_per_message));
+    message.crashes = std::move(crash_reports);
     const auto targets = this->members.choose_targets(peers_per_round, now, this->random);
     const auto others = this->members.alive(now);
     for (const auto& view : others) {
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <span>
@@ -37,6 +38,9 @@
     /// Receives hosts that a peer has found lost.
     using losses_handler = std::function<void(std::span<const lost_host>)>;
 
+    /// Receives what a peer knows about crashes.
+    using crashes_handler = std::function<void(const crash_news&)>;
+
     /// Listens on the identity's address and `port`. Throws `std::system_error` when it can't be bound.
     gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                   std::vector<std::string> seeds, manifest_handler manifest, news_handler news);
@@ -49,17 +53,25 @@
 
     /// Sets the receiver of hosts that peers have found lost.
     void set_loss_listener(losses_handler listener) { this->losses = std::move(listener); }
+    /// Sets the receiver of peers' reports on crashes.
+    void set_crash_listener(crashes_handler listener) { this->crashes = std::move(listener); }
+    /// Sets the source of the crash reports that a daemon gets when it is first heard of.
+    void set_crash_source(std::function<crash_news()> source) { this->known_crashes = std::move(source); }
     /// Notifies the named daemons that a host is lost.
     void send_loss(const lost_host& host, std::span<const std::string> names);
 
     /// Sends heartbeats and loads to some of the peers; to be called every `round_length`. Only the first
     /// `loads_per_message` targets of `load_reports` are sent.
     void send_round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping,
-                    bool reaches_table, load_update load_reports);
+                    bool reaches_table, load_update load_reports, crash_news crash_reports);
     /// At 16 bytes each and 20 messages per second, 5 KB/s of the 8 KB/s that control traffic may use per
     /// daemon.
     static constexpr std::size_t loads_per_message = 16;
     static constexpr time_ms round_length{400};
+    /// At about 60 bytes each.
+    static constexpr std::size_t crashes_per_message = 32;
+    /// Reports for a daemon that has just started.
+    static constexpr std::size_t max_first_crashes = 128;
 
     /// Whether this daemon reads the table for its reader group; one daemon of each group does.
     [[nodiscard]] bool is_reader(std::string_view table) const;
@@ -81,12 +93,16 @@
     static constexpr std::size_t reader_group_size = 64;
 
     void receive(const peer_message& message);
+    void welcome(const member_identity& sender);
     [[nodiscard]] static std::size_t group_of(const std::string& name, std::size_t daemons);
 
     std::vector<std::string> seeds;
     manifest_handler manifest;
     news_handler news;
     loads_handler loads = [](std::uint64_t, const load_update&) {};
+    crashes_handler crashes = [](const crash_news&) {};
+    std::function<crash_news()> known_crashes = [] { return crash_news{}; };
+    std::map<std::string, std::uint64_t> welcomed; ///< Incarnations of the peers heard of, by name.
     losses_handler losses = [](std::span<const lost_host>) {};
     std::uint64_t manifest_version = 0;
     time_ms manifest_received_at; ///< When this daemon received that version.
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -2,6 +2,8 @@
 
 #include "coriander/clock.hpp"
 #include "coriander/relay/admission_forecast.hpp"
+#include "coriander/relay/answer_trials.hpp"
+#include "coriander/relay/crash_quarantine.hpp"
 #include "coriander/relay/fleet_demand.hpp"
 #include "coriander/relay/route_table.hpp"
 #include "gateway/relay_dialect.hpp"
@@ -12,6 +14,7 @@
 #include <asio/io_context.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -39,6 +42,12 @@
     std::map<std::string, service_state> services;
     retry_window_settings retry_settings;
     fleet_demand demand;
+    answer_trials trials;
+    crash_quarantine quarantine;
+    /// Whether this daemon tests whether the quarantine of a fingerprint can end.
+    std::function<bool(fingerprint)> may_probe_quarantine = [](fingerprint) { return false; };
+    /// Called with the host that closed the connection of a running request.
+    std::function<void(const std::string&)> on_connection_closed = [](const std::string&) {};
     std::size_t daemons = 1; ///< Number of daemons that take callers' requests, including this one.
     std::size_t open_requests = 0;
     std::size_t buffered_bytes = 0; ///< Of responses that are forwarded only once complete.
--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -2,6 +2,9 @@
 
 #include "runtime/log.hpp"
 
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <cmath>
 #include <string>
 
@@ -15,6 +18,15 @@
     return parts.substr(0, max_logged_bytes);
 }
 
+std::string prints_text(std::span<const fingerprint> prints)
+{
+    std::string text;
+    for (const auto print : prints) {
+        text += fmt::format("{}{:016x}", text.empty() ? "" : ",", print);
+    }
+    return text;
+}
+
 } // namespace
 
 void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
@@ -31,6 +43,41 @@
                                        {"retry_after", advice.retry_after}});
 }
 
+void log_quarantined(const relay_request& request, unsigned attempts_sent, time_ms retry_after)
+{
+    log_event(event::request_quarantined, {{"request", request.attempt_id},
+                                           {"route", request.route->name},
+                                           {"model", request.model},
+                                           {"attempts", attempts_sent},
+                                           {"prints", prints_text(request.prints)},
+                                           {"retry_after", retry_after}});
+}
+
+void log_crash(const std::string& host, std::uint64_t incarnation, std::span<const crash_suspect> suspects,
+               time_ms after)
+{
+    const auto started = std::count_if(suspects.begin(), suspects.end(),
+                                       [](const crash_suspect& one) { return one.had_started; });
+    log_event(event::host_crashed, {{"host", host},
+                                    {"incarnation", incarnation},
+                                    {"suspects", suspects.size()},
+                                    {"started", started},
+                                    {"after", after}});
+}
+
+void log_quarantine(std::span<const quarantine_entry> entries, time_ms now)
+{
+    if (entries.empty()) {
+        log_event(event::quarantine_changed, {{"entries", 0}});
+    }
+    for (const auto& entry : entries) {
+        log_event(event::quarantine_changed, {{"entries", entries.size()},
+                                              {"prints", prints_text(entry.prints)},
+                                              {"crashes", entry.crashes},
+                                              {"age", now - entry.last_crash}});
+    }
+}
+
 void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
                 std::optional<std::uint64_t> after_event)
 {
--- a/src/gateway/relay_events.hpp
+++ b/src/gateway/relay_events.hpp
@@ -2,12 +2,14 @@
 
 #include "coriander/relay/admission_forecast.hpp"
 #include "coriander/relay/attempt_decision.hpp"
+#include "coriander/relay/crash_quarantine.hpp"
 #include "coriander/relay/target_pool.hpp"
 #include "gateway/relay_request.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -45,9 +47,16 @@
 /// Write one log line for each decision on a request. Thread-safe.
 void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
                  const admission_decision& advice, std::size_t targets, double supply);
+void log_quarantined(const relay_request& request, unsigned attempts_sent, time_ms retry_after);
 void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
                 std::optional<std::uint64_t> after_event);
 void log_attempt_end(const relay_request& request, const attempt_report& report);
 void log_request_end(const relay_request& request, const request_report& report);
 
+/// Logs that a host crashed, with the requests that may have caused it, `after` its connections closed.
+void log_crash(const std::string& host, std::uint64_t incarnation, std::span<const crash_suspect> suspects,
+               time_ms after);
+/// Logs what is quarantined now, after a change.
+void log_quarantine(std::span<const quarantine_entry> entries, time_ms now);
+
 } // namespace coriander
--- a/src/gateway/relay_request.cpp
+++ b/src/gateway/relay_request.cpp
@@ -1,5 +1,7 @@
 #include "gateway/relay_request.hpp"
 
+#include "coriander/digest.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -40,6 +42,26 @@
     }
 }
 
+/// The fingerprints of `request`. The last part of its prompt belongs to this request alone, and is covered
+/// by the fingerprint of the whole. `parts` has the form `id:tokens,id:tokens`.
+std::vector<fingerprint> fingerprints_of(const relay_request& request, std::string_view parts)
+{
+    constexpr std::size_t max_parts = 64; // Callers choose the number of parts.
+    const auto& head = request.raw.head;
+    const auto customer =
+        stable_hash(request.customer == nullptr ? std::string_view{} : request.customer->name);
+    std::vector<fingerprint> prints{stable_hash(request.raw.body, stable_hash(head.target, customer))};
+    for (auto comma = parts.find(','); comma != std::string_view::npos && prints.size() <= max_parts;
+         comma = parts.find(',')) {
+        const auto part = parts.substr(0, comma);
+        prints.push_back(stable_hash(part.substr(0, part.find(':'))));
+        parts.remove_prefix(comma + 1);
+    }
+    std::sort(prints.begin(), prints.end());
+    prints.erase(std::unique(prints.begin(), prints.end()), prints.end());
+    return prints;
+}
+
 } // namespace
 
 local_reply decode_request(relay_request& request, const relay_dialect& dialect, double draw)
@@ -62,6 +84,7 @@
     request.service = choose_service(*request.route, draw);
     request.model = head.header(dialect.model);
     decode_tokens(request, head.header(dialect.token_counts));
+    request.prints = fingerprints_of(request, head.header(dialect.prompt_parts));
     request.last_event = parse_number(head.header(dialect.last_event_id));
     auto wait = request.route->time_limit;
     if (const auto deadline = parse_number(head.header(dialect.deadline_ms))) {
@@ -138,9 +161,9 @@
 
 const char* name_of(local_reply reply) noexcept
 {
-    constexpr std::array names{"none",       "no_manifest", "no_route",   "unknown_key",
-                               "no_service", "no_target",   "overloaded", "stopping",
-                               "not_sent",   "unknown_end", "timed_out"};
+    constexpr std::array names{"none",       "no_manifest", "no_route",    "unknown_key",
+                               "no_service", "quarantined", "no_target",   "overloaded",
+                               "stopping",   "not_sent",    "unknown_end", "timed_out"};
     return names[static_cast<std::size_t>(reply)];
 }
 
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coriander/relay/crash_report.hpp"
 #include "coriander/relay/route_table.hpp"
 #include "coriander/time_ms.hpp"
 #include "gateway/relay_dialect.hpp"
@@ -20,6 +21,7 @@
     no_route,
     unknown_key,
     no_service,  ///< The manifest doesn't declare the route's service.
+    quarantined, ///< Requests like it crash their targets.
     no_target,   ///< No target of the service or model is available.
     overloaded,  ///< The response would come too late, or demand exceeds capacity.
     stopping,    ///< The gateway is shutting down.
@@ -39,6 +41,7 @@
     std::string model;
     double prompt_tokens = 0.0;
     double max_answer_tokens = 0.0;
+    std::vector<fingerprint> prints; ///< Of the whole request and of the parts of its prompt but the last.
     std::optional<std::uint64_t> last_event; ///< Set if the caller resumes a stream after this event.
     time_ms deadline;                        ///< The caller's or the route's limit, whichever comes first.
 };
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -73,6 +73,10 @@
     const auto now = this->context.clock.now();
     this->state = &this->context.service(this->request.service);
     this->state->retries.on_request(now);
+    if (this->check_quarantine() == quarantine_verdict::blocked) {
+        this->refuse_quarantined();
+        return;
+    }
     auto& meter = this->state->meters[this->request.model];
     meter.on_request(this->request.prompt_tokens, now);
     const auto* service = this->request.routes->find_service(this->request.service);
@@ -118,6 +122,8 @@
     this->current.choice = choice;
     this->current.is_open = true;
     this->current.sent_at = now;
+    this->current.trial = this->context.trials.begin(choice.target.host, this->request.prints);
+    this->current.events_before = this->stream.events();
     const auto& target = choice.target;
     log_choice(this->request, choice, this->attempts_sent + 1, this->stream.last_event());
     this->state->board.on_sent(target.id, now);
@@ -166,6 +172,7 @@
     this->current.has_begun = true;
     this->current.begun_at = this->context.clock.now();
     this->state->board.on_response_started(this->current.choice.target.id, this->current.begun_at);
+    this->context.trials.on_started(this->current.trial, this->current.begun_at);
     this->record_load(head);
     this->current.head_result = classify_response(head, this->context.dialect, this->request.attempt_id);
     this->current.head = std::move(head);
@@ -182,6 +189,8 @@
         return;
     }
     this->forward_events(bytes);
+    this->context.trials.on_progress(this->current.trial, this->stream.events() - this->current.events_before,
+                                     this->context.clock.now());
     if (this->stream.is_too_long()) {
         this->end_attempt(attempt_end::lost, "an event exceeds the size limit");
     }
@@ -251,6 +260,7 @@
         this->end_attempt(attempt_end::not_sent, "connection failed");
         return;
     case exchange_end::lost:
+        this->context.on_connection_closed(this->current.choice.target.host);
         this->end_attempt(attempt_end::lost, "the connection closed before the response was complete");
         return;
     case exchange_end::malformed:
@@ -264,6 +274,7 @@
     ++this->attempts_sent;
     this->close_attempt(false);
     const auto now = this->context.clock.now();
+    this->context.trials.on_complete(this->current.trial, now);
     const auto* service = this->request.routes->find_service(this->request.service);
     const double tokens =
         service->engine ? static_cast<double>(this->stream.events()) * service->engine->steps_per_event : 0.0;
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -33,6 +33,9 @@
     /// logged.
     void fail_over(const char* reason = "the target has stalled");
 
+    /// Ends the request if it has been quarantined since it was sent and its response has not started.
+    void end_if_quarantined();
+
     /// Whether the caller has received part of a streamed response.
     [[nodiscard]] bool has_begun() const noexcept { return this->stream.has_begun(); }
 
@@ -54,12 +57,18 @@
         message_head head;
         std::string body;                       ///< Buffered body of a response that is not streamed.
         std::optional<attempt_end> head_result; ///< Set if the head already rules out success.
-        std::optional<double> reported_load;    ///< Requests on the target, as reported in its response.
+        answer_trials::id trial = 0;
+        std::size_t events_before = 0;       ///< Events that earlier attempts had forwarded.
+        std::optional<double> reported_load; ///< Requests on the target, as reported in its response.
         time_ms sent_at;
         time_ms begun_at;
     };
 
     void admit();
+    [[nodiscard]] quarantine_verdict check_quarantine();
+    void refuse_quarantined();
+    [[nodiscard]] bool may_crash_next_target();
+    void end_trial(attempt_end end);
     void dispatch(const target_choice& choice);
     [[nodiscard]] std::string request_text(const target_choice& choice) const;
     /// The best target that is not in `excluded`, a list of target ids.
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -53,10 +53,53 @@
     return state;
 }
 
+quarantine_verdict relay_session::check_quarantine()
+{
+    return this->context.quarantine.classify(this->request.prints, this->context.may_probe_quarantine,
+                                             this->context.clock.now());
+}
+
+void relay_session::refuse_quarantined()
+{
+    const auto wait = this->context.quarantine.retry_after(this->request.prints, this->context.clock.now());
+    log_quarantined(this->request, this->attempts_sent, wait);
+    this->send_local_reply(local_reply::quarantined, wait);
+}
+
+/// A request that may have crashed a target is sent to another one only if nothing else speaks against it.
+bool relay_session::may_crash_next_target()
+{
+    return this->check_quarantine() == quarantine_verdict::blocked ||
+           (this->may_have_run && this->context.quarantine.is_suspect(this->request.prints));
+}
+
+void relay_session::end_if_quarantined()
+{
+    if (this->has_ended || !this->current.is_open || this->current.has_begun ||
+        this->check_quarantine() != quarantine_verdict::blocked) {
+        return;
+    }
+    this->end_attempt(attempt_end::lost, "the request was quarantined while it waited");
+}
+
+void relay_session::end_trial(attempt_end end)
+{
+    if (end == attempt_end::not_sent || end == attempt_end::declined) {
+        this->context.trials.discard(this->current.trial);
+    }
+    else if (end == attempt_end::failed) {
+        this->context.trials.on_complete(this->current.trial, this->context.clock.now());
+    }
+    else {
+        this->context.trials.on_broken_off(this->current.trial, this->context.clock.now());
+    }
+}
+
 void relay_session::end_attempt(attempt_end end, const char* reason)
 {
     const auto keep_alive = this->shared_from_this();
     const auto now = this->context.clock.now();
+    this->end_trial(end);
     const auto target = this->current.choice.target;
     const bool is_failure = end != attempt_end::timed_out && end != attempt_end::declined;
     if (this->current.channel && end != attempt_end::declined && end != attempt_end::failed) {
@@ -70,7 +113,8 @@
     this->stream.end_attempt();
     auto state = this->record_attempt_end(end);
     state.is_retry_allowed = this->request.deadline - now > min_attempt_time &&
-                             this->tried_targets.size() < max_connect_failures + this->attempts_sent;
+                             this->tried_targets.size() < max_connect_failures + this->attempts_sent &&
+                             !this->may_crash_next_target();
     auto step = decide_next(state);
     std::optional<target_choice> next;
     if (step == next_step::try_again || step == next_step::resume) {
@@ -96,6 +140,10 @@
         this->dispatch(*next);
         return;
     case next_step::refuse:
+        if (this->check_quarantine() == quarantine_verdict::blocked) {
+            this->refuse_quarantined();
+            return;
+        }
         this->send_local_reply(local_reply::not_sent, short_retry_delay);
         return;
     case next_step::pass_failure:
@@ -127,7 +175,7 @@
     // Without another target the request keeps waiting: its replica may recover.
     auto others = this->tried_targets;
     others.push_back(this->current.choice.target.id);
-    if (may_move && this->choose_target(others)) {
+    if (may_move && !this->may_crash_next_target() && this->choose_target(others)) {
         this->end_attempt(attempt_end::lost, reason);
     }
 }
@@ -187,6 +235,7 @@
         this->current.channel->close();
     }
     this->close_attempt(false);
+    this->context.trials.on_broken_off(this->current.trial, this->context.clock.now());
     log_event(event::caller_gone, {{"request", this->request.attempt_id},
                                    {"after", this->context.clock.now() - this->request.raw.arrived},
                                    {"events", this->stream.events()}});
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -28,6 +28,12 @@
         std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint16_t>::max()));
 }
 
+std::uint32_t clamped_age(time_ms age)
+{
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(age.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 /// Serializes one message.
 class message_writer {
 public:
@@ -68,11 +74,20 @@
         for (const auto& one : message.lost_hosts) {
             lost_hosts.push_back(wire::CreateLostHostDirect(this->builder, one.id.c_str(), one.incarnation));
         }
+        std::vector<flatbuffers::Offset<wire::CrashSuspect>> suspects;
+        for (const auto& one : message.crashes.suspects) {
+            suspects.push_back(wire::CreateCrashSuspectDirect(this->builder, one.crash, clamped_age(one.age),
+                                                              one.had_started, &one.fingerprints));
+        }
+        std::vector<wire::SoundPrint> sound;
+        for (const auto& one : message.crashes.sound) {
+            sound.emplace_back(one.print, clamped_age(one.age));
+        }
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(this->builder, &identities, &beats, &strikes,
                                                            &demands, config, news, &loads, &model_demands,
-                                                           &lost_hosts));
+                                                           &lost_hosts, &suspects, &sound));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -168,6 +183,25 @@
     }
 }
 
+void read_crashes(const wire::PeerMessage& root, peer_message& message)
+{
+    if (const auto* suspects = root.crash_suspects()) {
+        for (const auto* one : *suspects) {
+            std::vector<fingerprint> prints;
+            if (const auto* sent = one->fingerprints()) {
+                prints.assign(sent->begin(), sent->end());
+            }
+            message.crashes.suspects.push_back(
+                {one->crash(), one->had_started(), std::move(prints), time_ms{one->age_ms()}});
+        }
+    }
+    if (const auto* sound = root.sound_prints()) {
+        for (const auto* one : *sound) {
+            message.crashes.sound.push_back({one->print(), time_ms{one->age_ms()}});
+        }
+    }
+}
+
 void read_news(const wire::PeerMessage& root, peer_message& message)
 {
     const auto* news = root.news();
@@ -204,6 +238,7 @@
     read_news(root, message);
     read_loads(root, message);
     read_lost_hosts(root, message);
+    read_crashes(root, message);
     return message;
 }
 
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -4,6 +4,7 @@
 #include "coriander/error.hpp"
 #include "coriander/lost_host.hpp"
 #include "coriander/membership.hpp"
+#include "coriander/relay/crash_report.hpp"
 #include "coriander/relay/load_update.hpp"
 #include "coriander/strike_table.hpp"
 #include "coriander/table_delta.hpp"
@@ -32,6 +33,7 @@
     std::optional<table_delta> news;
     load_update loads;
     std::vector<lost_host> lost_hosts; ///< Hosts that the sender has detected as lost.
+    crash_news crashes;
 };
 
 /// Serializes a message.
--- /dev/null
+++ b/src/relay/answer_trials.cpp
@@ -0,0 +1,87 @@
+#include "coriander/relay/answer_trials.hpp"
+
+#include <utility>
+
+namespace coriander {
+
+answer_trials::id answer_trials::begin(const std::string& host, std::vector<fingerprint> prints)
+{
+    auto& added = this->open[++this->last_id];
+    added.host = host;
+    added.prints = std::move(prints);
+    return this->last_id;
+}
+
+void answer_trials::on_started(id trial, time_ms now)
+{
+    const auto found = this->open.find(trial);
+    if (found != this->open.end()) {
+        found->second.has_started = true;
+        found->second.started_at = now;
+    }
+}
+
+void answer_trials::on_progress(id trial, std::size_t events, time_ms now)
+{
+    const auto found = this->open.find(trial);
+    if (found == this->open.end() || !found->second.has_started) {
+        return;
+    }
+    const auto writing = now - found->second.started_at;
+    const bool is_progressing =
+        writing >= this->settings.min_writing_time && events >= this->settings.min_events;
+    found->second.is_sound = is_progressing || writing >= this->settings.max_crash_delay;
+}
+
+void answer_trials::on_complete(id trial, time_ms now)
+{
+    const auto found = this->open.find(trial);
+    if (found != this->open.end()) {
+        found->second.state = phase::complete;
+        found->second.ended_at = now;
+    }
+}
+
+void answer_trials::on_broken_off(id trial, time_ms now)
+{
+    const auto found = this->open.find(trial);
+    if (found != this->open.end()) {
+        found->second.state = phase::broken_off;
+        found->second.ended_at = now;
+    }
+}
+
+std::vector<sound_request> answer_trials::take_sound(time_ms now)
+{
+    std::vector<sound_request> sound;
+    std::erase_if(this->open, [&](auto& item) {
+        auto& one = item.second;
+        const bool has_outlasted_crash =
+            one.state != phase::running && now - one.ended_at >= this->settings.max_crash_delay;
+        if (one.is_sound || (one.state == phase::complete && has_outlasted_crash)) {
+            sound.push_back({std::move(one.prints), one.started_at});
+            return true;
+        }
+        return has_outlasted_crash;
+    });
+    return sound;
+}
+
+std::vector<crash_suspect> answer_trials::take_suspects(const std::string& host, std::uint64_t crash,
+                                                        time_ms age)
+{
+    std::vector<crash_suspect> suspects;
+    std::erase_if(this->open, [&](auto& item) {
+        auto& one = item.second;
+        if (one.host != host) {
+            return false;
+        }
+        if (!one.is_sound) {
+            suspects.push_back({crash, one.has_started, std::move(one.prints), age});
+        }
+        return true;
+    });
+    return suspects;
+}
+
+} // namespace coriander
--- a/testing/platform/relay_caller_main.cpp
+++ b/testing/platform/relay_caller_main.cpp
@@ -18,6 +18,8 @@
 DEFINE_string(directories, "", "addresses of gateways that list the entry hosts, comma-separated");
 DEFINE_double(rate, 40.0, "requests per second");
 DEFINE_double(seconds, 5.0, "for how many seconds requests are started");
+DEFINE_string(deadly_part, "", "prompt part that some requests contain beside parts that others have too");
+DEFINE_double(deadly_share, 0.0, "share of the streams that contain it");
 DEFINE_int32(seed, 1, "seed of the random mix of requests");
 
 namespace {
@@ -80,6 +82,11 @@
         : loop{loop}, resolver{resolver}, results{results}, random{random}, timer{loop},
           kind{std::move(kind)}, name{std::move(name)}
     {
+        if (this->kind == "chat") {
+            this->is_deadly = std::uniform_real_distribution<double>{}(this->random) < FLAGS_deadly_share;
+            this->model = this->random() % 2 == 0 ? "large" : "small";
+            this->parts = make_parts(this->name, this->is_deadly, this->random);
+        }
     }
 
     void send()
@@ -101,10 +108,11 @@
                                          {"Attempt-Id", this->attempt},
                                          {"Deadline-Ms", std::to_string(request_timeout.count())},
                                          {"Authorization", "Bearer gent-key"},
-                                         {"Model", this->random() % 2 == 0 ? "large" : "small"},
+                                         {"Model", this->model},
                                          {"Token-Usage", "100,12"},
-                                         {"Content-Length", "2"}};
-        this->channel->send(request_head_text("POST", "/" + this->kind + "/x", headers) + "hi", *this);
+                                         {"Prefix-Hash", this->parts},
+                                         {"Content-Length", std::to_string(this->name.size())}};
+        this->channel->send(request_head_text("POST", "/" + this->kind + "/x", headers) + this->name, *this);
         this->timer.expires_after(std::chrono::milliseconds{request_timeout.count()});
         this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code& cancelled) {
             if (const auto request = weak.lock(); request && !cancelled) {
@@ -122,6 +130,10 @@
         const auto guard = this->shared_from_this();
         this->timer.cancel();
         constexpr int refused = 503;
+        if (this->is_deadly && how != exchange_end::not_sent) {
+            this->finish("deadly");
+            return;
+        }
         if (how == exchange_end::complete && this->head.status / 100 == 2) {
             this->check_response();
         }
@@ -145,6 +157,15 @@
     }
 
 private:
+    /// A part that all streams share, one of a few subjects, and a part of the request's own.
+    static std::string make_parts(const std::string& name, bool is_deadly, std::mt19937& random)
+    {
+        constexpr unsigned subjects = 6;
+        const auto subject = "5b" + std::to_string(random() % subjects);
+        const auto deadly = is_deadly ? FLAGS_deadly_part + ":30," : std::string{};
+        return "5a:40," + deadly + subject + ":60," + std::to_string(std::hash<std::string>{}(name)) + ":10";
+    }
+
     void send_after(time_ms delay)
     {
         this->timer.expires_after(std::chrono::milliseconds{delay.count()});
@@ -197,6 +218,9 @@
     monotonic_clock clock;
     std::string kind;
     std::string name;
+    std::string model;
+    std::string parts;
+    bool is_deadly = false;
     std::string attempt;
     std::shared_ptr<http_channel> channel;
     std::shared_ptr<caller_request> self;
--- a/testing/platform/standin_fleet_main.cpp
+++ b/testing/platform/standin_fleet_main.cpp
@@ -104,8 +104,8 @@
     }
 
     /// `POST /fault` with `{"host":ID,"do":"dark"|"restart"|"drain"|"pause"|"wake"}`,
-    /// `{"store":"sound"|"busy"|"silent"}`, `{"lose_answers":N}`, `{"forget_history":true}` or
-    /// `{"manifest":VERSION}`; `GET /status`.
+    /// `{"store":"sound"|"busy"|"silent"}`, `{"lose_answers":N}`, `{"forget_history":true}`,
+    /// `{"manifest":VERSION}` or `{"deadly_part":ID}`; `GET /status`.
     void handle_command(caller_connection& caller, const incoming_request& request)
     {
         if (request.head.target == "/status") {
@@ -132,6 +132,9 @@
         if (bool_member(command, "forget_history")) {
             this->store.drop_history();
         }
+        if (command.contains("deadly_part")) {
+            this->fleet.deadly_part = text_member(command, "deadly_part");
+        }
         if (const auto version = integer_member(command, "manifest"); version > 0) {
             this->store.put("op", "config", to_text(make_manifest(static_cast<std::uint64_t>(version))));
         }
@@ -156,6 +159,8 @@
                 {"replicas", replicas},
                 {"bookings_run_twice", duplicate_bookings},
                 {"joined_while_open", this->fleet.joined_while_open},
+                {"crashes", this->fleet.crashes},
+                {"deadly_arrivals", this->fleet.deadly_arrivals},
                 {"runs", this->fleet.run_counts.size()}};
     }
 
--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -31,6 +31,13 @@
     : loop{loop}, fleet{fleet}, id{std::move(id)}, service{std::move(service)}, domain{std::move(domain)},
       put_entry{std::move(put_entry)}, heartbeat_timer{loop}, event_timer{loop},
       incarnation{static_cast<std::uint64_t>(wall_clock_now().count())}
+{
+    this->listen();
+    this->fleet.hosts[this->id] = this;
+    this->write_entry();
+}
+
+void standin_host::listen()
 {
     connection_handlers handlers;
     handlers.on_request = [this](const std::shared_ptr<caller_connection>& caller,
@@ -38,10 +45,8 @@
     handlers.limits = [] { return connection_limits{}; };
     handlers.is_closing = [] { return false; };
     this->listener = std::make_shared<http_listener>(
-        loop, asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}, std::move(handlers));
+        this->loop, asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}, std::move(handlers));
     this->listener->start();
-    this->fleet.hosts[this->id] = this;
-    this->write_entry();
 }
 
 standin_host::~standin_host()
@@ -105,6 +110,24 @@
     });
 }
 
+void standin_host::die()
+{
+    ++this->fleet.crashes;
+    this->crash();
+    this->listener->stop();
+    for (const auto& connection : std::exchange(this->connections, {})) {
+        if (const auto caller = connection.lock()) {
+            caller->abort();
+        }
+    }
+    const auto timer =
+        std::make_shared<asio::steady_timer>(this->loop, to_chrono(this->fleet.settings.crash_downtime));
+    timer->async_wait([timer, this](const asio::error_code&) {
+        this->listen();
+        this->restart();
+    });
+}
+
 void standin_host::restart()
 {
     this->is_unresponsive = false;
@@ -148,6 +171,8 @@
         this->unanswered.push_back(caller);
         return;
     }
+    this->connections.remove_if([](const auto& connection) { return connection.expired(); });
+    this->connections.push_back(caller);
     const auto expected = request.head.header("Expect-Replica");
     if (!expected.empty() && expected != this->id) {
         caller->send(misdirected_status, {{"Replica-Id", this->id}}, {});
@@ -264,6 +289,13 @@
     if (this->is_replica_complete()) {
         ++this->fleet.run_counts[attempt];
     }
+    const auto parts = request.head.header("Prefix-Hash");
+    const bool is_deadly = !this->fleet.deadly_part.empty() &&
+                           parts.find(this->fleet.deadly_part + ':') != std::string_view::npos;
+    if (is_deadly) {
+        ++this->fleet.deadly_arrivals;
+        this->run_after(this->fleet.settings.crash_delay, [this] { this->die(); });
+    }
     const auto last = request.head.header("Last-Event-Id");
     const auto next_event = last.empty() ? 1U : static_cast<unsigned>(std::stoul(std::string{last})) + 1;
     caller->begin_stream(ok_status, headers);
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -25,6 +25,8 @@
     time_ms open_time{60};
     time_ms event_interval{20};  ///< Between events of one stream.
     time_ms stall_timeout{1500}; ///< The leader cuts its streams this long after a host is lost.
+    time_ms crash_delay{30};     ///< From the start of a deadly request to the crash.
+    time_ms crash_downtime{1500};
     unsigned events_per_answer = 12;
     unsigned slots = 26;
 };
@@ -34,6 +36,9 @@
     engine_settings settings;
     std::map<std::string, class standin_host*> hosts;
     std::map<std::string, unsigned> run_counts; ///< How often each attempt was started, by attempt id.
+    std::string deadly_part;        ///< Requests with this prompt part crash the leader; empty for none.
+    unsigned deadly_arrivals = 0;   ///< Such requests that reached a host.
+    unsigned crashes = 0;           ///< Hosts that they crashed.
     unsigned joined_while_open = 0; ///< Joins of hosts whose previous leader still accepted requests.
 };
 
@@ -52,6 +57,8 @@
 
     /// Stops responding and sending heartbeats; the entry expires shortly afterwards.
     void crash();
+    /// Closes all connections and the port, as a process that ends, and restarts some time later.
+    void die();
     /// Starts a new incarnation without the previous state.
     void restart();
     /// Stops responding until `resume`, but keeps its entry and state.
@@ -82,6 +89,7 @@
         unsigned next_event = 1;
     };
 
+    void listen();
     void serve(const std::shared_ptr<caller_connection>& caller, const incoming_request& request);
     void serve_order(caller_connection& caller, const incoming_request& request);
     int execute_order(const json_object& order);
@@ -109,6 +117,7 @@
     std::vector<std::string> staged;
     std::optional<replica_membership> membership;
     std::list<stream> streams;
+    std::list<std::weak_ptr<caller_connection>> connections;
     std::list<std::shared_ptr<caller_connection>> unanswered;
     std::optional<time_ms> stalled_since;
     bool is_unresponsive = false;
