A stream that ends inside an event counts as broken off

A target's answer may come with neither a length nor chunks and end with its connection. Where such a connection ended in order inside an event, callers got the piece of the event and an end that looked complete. The relay asked only whether the connection ended in order. Now bytes of an unfinished event at the end mean that the attempt is lost: the stream is resumed on another target after the last whole event, or broken off visibly. The same holds for a chunked answer. 'relay session: a stream that ends inside an event is not passed on as complete' failed before in both forms: the body ended in 'id: 2 da', expected the whole event of the second target.

--- a/include/coriander/relay/event_framer.hpp
+++ b/include/coriander/relay/event_framer.hpp
@@ -22,6 +22,11 @@
 
     /// Whether bytes of an incomplete event are buffered.
     [[nodiscard]] bool has_partial() const noexcept { return !this->partial.empty(); }
+    /// Whether the buffered bytes are more than line ends after the last event.
+    [[nodiscard]] bool is_inside_event() const noexcept
+    {
+        return this->partial.find_first_not_of("\r\n") != std::string::npos;
+    }
     /// Whether the incomplete event exceeds the maximum length of an event.
     [[nodiscard]] bool is_too_long() const noexcept { return this->partial.size() > max_event_bytes; }
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -271,6 +271,10 @@
 
 void relay_session::on_response_complete()
 {
+    if (this->is_event_stream() && this->stream.is_inside_event()) {
+        this->end_attempt(attempt_end::lost, "the stream ended inside an event");
+        return;
+    }
     ++this->attempts_sent;
     this->close_attempt(false);
     const auto now = this->context.clock.now();
--- a/src/gateway/response_stream.hpp
+++ b/src/gateway/response_stream.hpp
@@ -25,7 +25,10 @@
     /// of the current attempt.
     void pass(std::string_view bytes, const message_head& head, time_ms now);
 
-    /// Ends the stream as complete.
+    /// Whether the bytes received so far end inside an event.
+    [[nodiscard]] bool is_inside_event() const noexcept { return this->framer.is_inside_event(); }
+
+    /// Ends the stream as complete. Precondition: `!is_inside_event()`.
     void finish(const message_head& head, time_ms now);
 
     /// Discards an incomplete event at the end of an attempt.
--- a/test/gateway/relay_session_test.cpp
+++ b/test/gateway/relay_session_test.cpp
@@ -125,6 +125,40 @@
     CHECK_FALSE(contains(relay.first.requests()[0], "Last-Event-ID"));
 }
 
+TEST_CASE("relay session: a stream that ends inside an event is not passed on as complete")
+{
+    const std::string cut_event = "id: 2\nda";
+    const auto* const first_event = "id: 1\ndata: t\n\n";
+    const auto broken =
+        GENERATE_COPY(signed_head("") + first_event + cut_event,
+                      stream_head + chunk_of_event(1) + "8\r\n" + cut_event + "\r\n" + last_chunk);
+    CAPTURE(broken);
+    const auto rest = stream_head + chunk_of_event(2) + last_chunk;
+    SECTION("it is resumed on another target")
+    {
+        relay_fixture relay{repetition::resumable, respond_and_close(broken), respond_with(rest)};
+        CHECK(relay.exchange() == exchange_end::complete);
+        CHECK(relay.caller->body == "id: 1\ndata: t\n\nid: 2\ndata: t\n\n");
+        REQUIRE(relay.second.requests().size() == 1);
+        CHECK(contains(relay.second.requests()[0], "Last-Event-ID: 1\r\n"));
+    }
+    SECTION("no other target can resume it")
+    {
+        relay_fixture relay{repetition::resumable, respond_and_close(broken), respond_and_close(broken)};
+        CHECK(relay.exchange() == exchange_end::lost);
+        CHECK(relay.caller->body == first_event);
+    }
+}
+
+TEST_CASE("relay session: a stream without length or chunks is complete at the orderly end of its connection")
+{
+    const auto whole = signed_head("") + "id: 1\ndata: t\n\n";
+    relay_fixture relay{repetition::resumable, respond_and_close(whole), respond_with(ok_response)};
+    CHECK(relay.exchange() == exchange_end::complete);
+    CHECK(relay.caller->body == "id: 1\ndata: t\n\n");
+    CHECK(relay.requests_sent() == 1);
+}
+
 TEST_CASE("relay session: a stream that can't be resumed is aborted visibly for the caller")
 {
     const auto broken = stream_head + chunk_of_event(1);
