A host that crashed is lost at once, not when the host list shows it

A gateway learned of silent hosts from stalls, but a crash leaves no open request to stall. The probes after a closed connection, which tell a crash from a reset, now also mark the host as silent and tell the daemons that act on its domain, as for a stall. crash_response_test is new; its first case is what was missing.

--- a/src/gateway/crash_response.hpp
+++ b/src/gateway/crash_response.hpp
@@ -3,29 +3,37 @@
 #include "coriander/digest.hpp"
 #include "coriander/relay/loss_probe.hpp"
 #include "gateway/controller_io.hpp"
+#include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_events.hpp"
 #include "gateway/relay_session.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace coriander {
 
-/// Finds out whether hosts whose connections closed have crashed, reports the requests that were on them to
-/// the quarantine, and ends waiting requests that become quarantined. Not thread-safe: used on the event
-/// loop's thread only.
+/// Finds out whether hosts whose connections closed have crashed. Crashed hosts count as lost at once, long
+/// before the platform's host list shows it, so that their replicas get no more requests and are replaced.
+/// Reports the requests that were on them to the quarantine, and ends waiting requests that become
+/// quarantined. Not thread-safe: used on the event loop's thread only.
 template <controller_io Io>
 class crash_response {
 public:
-    crash_response(Io& io, relay_context& context, const fleet_view& view, loss_probe_settings settings = {})
-        : io{io}, context{context}, view{view}, settings{settings}
+    /// Called with the hosts that were found to be lost.
+    using on_lost = std::function<void(std::span<const std::string>)>;
+
+    crash_response(Io& io, relay_context& context, fleet_view& view, on_lost report_lost,
+                   loss_probe_settings settings = {})
+        : io{io}, context{context}, view{view}, report_lost{std::move(report_lost)}, settings{settings}
     {
     }
 
@@ -95,6 +103,14 @@
             this->context.quarantine.add(suspect, now);
         }
         this->update_quarantine();
+        const auto* current = this->view.find_host(host.id);
+        if (current != nullptr && current->incarnation == host.incarnation &&
+            !this->view.is_silent(host.id)) {
+            log_silent_host(host.id, "connections closed, probes unanswered", this->settings.max_rounds,
+                            this->view, closed_at);
+            this->view.mark_silent(host.id);
+            this->report_lost({&host.id, 1});
+        }
     }
 
     void update_quarantine()
@@ -119,7 +135,8 @@
 
     Io& io;
     relay_context& context;
-    const fleet_view& view;
+    fleet_view& view;
+    on_lost report_lost;
     loss_probe_settings settings;
     std::set<std::string> probing; ///< Hosts with an inquiry in progress.
 };
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -40,7 +40,10 @@
           relay{loop, std::move(dialect), this->values.failure_domain}, control{io, this->fleet,
                                                                                 this->values.name},
           stalls{io, this->relay, this->fleet, [this](auto hosts) { this->on_hosts_lost(hosts); }},
-          losses{io, this->fleet, [this] { this->refresh(); }}, crashes{io, this->relay, this->fleet},
+          losses{io, this->fleet, [this] { this->refresh(); }}, crashes{io, this->relay, this->fleet,
+                                                                        [this](auto hosts) {
+                                                                            this->on_hosts_lost(hosts);
+                                                                        }},
           silent_hosts{io, this->fleet}, stall_check_timer{loop}, control_timer{loop}, peer_timer{loop},
           housekeeping_timer{loop}, stop_timer{loop}
     {
--- /dev/null
+++ b/test/gateway/crash_response_test.cpp
@@ -0,0 +1,98 @@
+#include "gateway/crash_response.hpp"
+
+#include "support/event_loop.hpp"
+#include "support/two_hosts.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace coriander {
+namespace {
+
+constexpr fingerprint deadly_part = 2;
+
+/// A daemon with a request on `d-h0`, whose connection closes.
+struct closed_connection : two_hosts {
+    closed_connection() { (void)this->context.trials.begin("d-h0", {1, deadly_part}); }
+
+    void close()
+    {
+        this->crashes.on_connection_closed("d-h0");
+        for (unsigned round = 0; round < loss_probe_settings{}.max_rounds; ++round) {
+            this->io.deliver();
+        }
+    }
+    [[nodiscard]] std::size_t reported() const
+    {
+        return this->context.quarantine.newest(10, this->start).suspects.size();
+    }
+
+    event_loop loop;
+    relay_context context{this->loop.context(), {}, "here"};
+    unsigned lost = 0;
+    crash_response<fake_controller_io> crashes{this->io, this->context, this->view,
+                                               [this](auto hosts) { this->lost += hosts.size(); }};
+};
+
+} // namespace
+
+TEST_CASE("crash response: a host that closed a connection and does not answer is lost at once")
+{
+    closed_connection daemon;
+    daemon.world.unreachable = {"d-h0"};
+    daemon.close();
+    CHECK(daemon.view.is_silent("d-h0"));
+    CHECK(daemon.lost == 1);
+    CHECK(daemon.reported() == 1);
+}
+
+TEST_CASE("crash response: a host that closed a connection and answers is neither lost nor crashed")
+{
+    closed_connection daemon;
+    SECTION("at once") {}
+    SECTION("when it is probed again")
+    {
+        daemon.world.unreachable = {"d-h0"};
+        daemon.crashes.on_connection_closed("d-h0");
+        daemon.io.deliver();
+        daemon.world.unreachable.clear();
+    }
+    daemon.close();
+    CHECK_FALSE(daemon.view.is_silent("d-h0"));
+    CHECK(daemon.lost == 0);
+    CHECK(daemon.reported() == 0);
+}
+
+TEST_CASE("crash response: a host that has restarted meanwhile has crashed")
+{
+    closed_connection daemon;
+    daemon.world.hosts["d-h0"].incarnation += 1;
+    daemon.close();
+    CHECK(daemon.reported() == 1);
+}
+
+TEST_CASE("crash response: requests on a host that leaves as planned are not suspects")
+{
+    closed_connection daemon;
+    auto leaving = *daemon.view.find_host("d-h0");
+    leaving.is_leaving = true;
+    daemon.view.set_host(leaving, daemon.start);
+    daemon.world.unreachable = {"d-h0"};
+    daemon.close();
+    CHECK_FALSE(daemon.view.is_silent("d-h0"));
+    CHECK(daemon.reported() == 0);
+}
+
+TEST_CASE("crash response: reports of a peer put requests into quarantine")
+{
+    closed_connection daemon;
+    crash_news news;
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        news.suspects.push_back(
+            {crash, true, {deadly_part, 10 + crash}, time_ms{static_cast<std::int64_t>(1000 * crash)}});
+    }
+    daemon.crashes.merge(news);
+    REQUIRE(daemon.context.quarantine.entries().size() == 1);
+    CHECK(daemon.context.quarantine.entries().front().prints == std::vector{deadly_part});
+}
+
+} // namespace coriander
