Only a refused connection proves that a host's process has ended

A host has crashed if its port refuses two new connections; one that accepts, resets or does not answer in time may be alive. Hosts of plain services are not taken out for a crash.

--- a/src/gateway/controller_io.hpp
+++ b/src/gateway/controller_io.hpp
@@ -4,6 +4,7 @@
 #include "coriander/replicas/domain_record.hpp"
 #include "coriander/table_store.hpp"
 #include "gateway/fleet_view.hpp"
+#include "net/port_check.hpp"
 
 #include <concepts>
 #include <cstdint>
@@ -43,7 +44,7 @@
 
 /// A controller's interface to the table, the hosts and the other daemons. Callbacks run on the event loop's
 /// thread, never synchronously within the call. `probe` requests a host's status over a new connection with
-/// the given timeout.
+/// the given timeout; `check_port` finds out whether the host's process listens.
 template <typename T>
 concept controller_io = requires(T& io, const domain_key& key, const domain_record& record,
                                  std::uint64_t version, const listed_host& host, const host_order& order)
@@ -52,6 +53,7 @@
     io.order(host, order, std::function<void(order_answer)>{});
     io.request_status(host, std::function<void(std::optional<host_status>)>{});
     io.probe(host, time_ms{}, std::function<void(std::optional<host_status>)>{});
+    io.check_port(host, time_ms{}, std::function<void(port_state)>{});
     {
         io.daemons()
         } -> std::convertible_to<std::vector<std::string>>;
--- a/src/gateway/crash_response.hpp
+++ b/src/gateway/crash_response.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "coriander/digest.hpp"
-#include "coriander/relay/loss_probe.hpp"
 #include "gateway/controller_io.hpp"
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
@@ -12,7 +11,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -31,22 +29,20 @@
     /// Called with the hosts that were found to be lost.
     using on_lost = std::function<void(std::span<const std::string>)>;
 
-    crash_response(Io& io, relay_context& context, fleet_view& view, on_lost report_lost,
-                   loss_probe_settings settings = {})
-        : io{io}, context{context}, view{view}, report_lost{std::move(report_lost)}, settings{settings}
+    crash_response(Io& io, relay_context& context, fleet_view& view, on_lost report_lost)
+        : io{io}, context{context}, view{view}, report_lost{std::move(report_lost)}
     {
     }
 
-    /// Probes a host that closed the connection of a running request. A host that leaves as planned is not
-    /// probed.
+    /// Finds out whether the host, which closed the connection of a running request, has crashed. It may also
+    /// have reset that connection only, or leave as planned.
     void on_connection_closed(const std::string& id)
     {
         const auto* host = this->view.find_host(id);
-        if (host == nullptr || host->is_leaving || !this->probing.insert(id).second) {
+        if (host == nullptr || host->is_leaving || !this->checking.insert(id).second) {
             return;
         }
-        this->probe(std::make_shared<inquiry>(
-            inquiry{*host, {{id}, this->settings.max_rounds}, this->context.clock.now()}));
+        this->check_port(std::make_shared<inquiry>(inquiry{*host, this->context.clock.now()}));
     }
 
     /// Merges the reports of another daemon.
@@ -69,28 +65,30 @@
     }
 
 private:
+    /// Refused connections that prove that a host's process has ended. A single one may be a connection that
+    /// was reset while it was opened.
+    static constexpr unsigned min_refusals = 2;
+    static constexpr time_ms check_timeout{40};
+
     struct inquiry {
         listed_host host;
-        loss_probe probes;
         time_ms closed_at;
+        unsigned refusals = 0;
     };
 
-    void probe(const std::shared_ptr<inquiry>& pending)
+    void check_port(const std::shared_ptr<inquiry>& pending)
     {
-        this->io.probe(pending->host, this->settings.timeout,
-                       [this, pending](std::optional<host_status> status) {
-                           const bool is_same = status && status->incarnation == pending->host.incarnation;
-                           pending->probes.on_ended(pending->host.id, is_same);
-                           const auto verdict = pending->probes.conclude(false);
-                           if (verdict == loss_probe_result::probe_again) {
-                               this->probe(pending);
-                               return;
-                           }
-                           this->probing.erase(pending->host.id);
-                           if (verdict == loss_probe_result::lost) {
-                               this->on_crash(pending->host, pending->closed_at);
-                           }
-                       });
+        this->io.check_port(pending->host, check_timeout, [this, pending](port_state state) {
+            const bool is_refused = state == port_state::refused;
+            if (is_refused && ++pending->refusals < min_refusals) {
+                this->check_port(pending);
+                return;
+            }
+            this->checking.erase(pending->host.id);
+            if (is_refused) {
+                this->on_crash(pending->host, pending->closed_at);
+            }
+        });
     }
 
     void on_crash(const listed_host& host, time_ms closed_at)
@@ -103,11 +101,11 @@
             this->context.quarantine.add(suspect, now);
         }
         this->update_quarantine();
+        // Hosts of plain services answer no status requests, which would show that they are back.
         const auto* current = this->view.find_host(host.id);
         if (current != nullptr && current->incarnation == host.incarnation &&
-            !this->view.is_silent(host.id)) {
-            log_silent_host(host.id, "connections closed, probes unanswered", this->settings.max_rounds,
-                            this->view, closed_at);
+            !current->fabric_domain.empty() && !this->view.is_silent(host.id)) {
+            log_silent_host(host.id, "process ended", min_refusals, this->view, closed_at);
             this->view.mark_silent(host.id);
             this->report_lost({&host.id, 1});
         }
@@ -137,8 +135,7 @@
     relay_context& context;
     fleet_view& view;
     on_lost report_lost;
-    loss_probe_settings settings;
-    std::set<std::string> probing; ///< Hosts with an inquiry in progress.
+    std::set<std::string> checking; ///< Hosts with an inquiry in progress.
 };
 
 } // namespace coriander
--- a/src/net/http_call_runner.hpp
+++ b/src/net/http_call_runner.hpp
@@ -36,6 +36,8 @@
     /// Starts a call. `done` is called later on the loop's thread, never from within `start`.
     void start(const loop_call& call, on_done done);
 
+    [[nodiscard]] asio::io_context& context() noexcept { return this->loop; }
+
     /// Closes connections that have been idle for too long.
     void close_expired() { this->channels.close_expired(); }
 
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -21,6 +21,7 @@
     MAKE_MOCK3(order, void(const listed_host&, const host_order&, std::function<void(order_answer)>));
     MAKE_MOCK2(request_status, void(const listed_host&, std::function<void(std::optional<host_status>)>));
     MAKE_MOCK3(probe, void(const listed_host&, time_ms, std::function<void(std::optional<host_status>)>));
+    MAKE_MOCK3(check_port, void(const listed_host&, time_ms, std::function<void(port_state)>));
     MAKE_CONST_MOCK0(daemons, std::vector<std::string>());
 };
 
--- a/test/support/fake_controller_io.hpp
+++ b/test/support/fake_controller_io.hpp
@@ -31,6 +31,7 @@
         std::vector<host_order> orders; ///< Executed orders, oldest first.
         std::uint64_t last_version = 0;
         std::vector<std::string> unreachable;    ///< Hosts that answer neither requests nor orders.
+        std::vector<std::string> ended;          ///< Hosts whose process has ended: nothing listens.
         std::vector<std::string> ignores_orders; ///< Hosts that answer status requests but no orders.
         unsigned double_joins = 0;               ///< Joins by hosts that still belonged to another replica.
     };
@@ -91,6 +92,17 @@
         this->request_status(host, done);
     }
 
+    void check_port(const listed_host& host, time_ms /*limit*/, const std::function<void(port_state)>& done)
+    {
+        this->pending.push_back([this, id = host.id, done] {
+            const auto& ended = this->shared.ended;
+            const bool has_ended = std::find(ended.begin(), ended.end(), id) != ended.end();
+            done(has_ended           ? port_state::refused
+                 : this->answers(id) ? port_state::open
+                                     : port_state::unknown);
+        });
+    }
+
     [[nodiscard]] std::vector<std::string> daemons() const { return this->shared.daemons; }
 
     /// Executes all queued requests and calls their callbacks.
