Requests to a target that states a rate limit need a permit, which one gateway issues for all

Equal shares of 2 to 7 a second over 8 to 69 gateways round to nothing or to far too much, so that one gateway for each target, the first in rendezvous order, now issues a permit for each request sent there, at the stated rate. Who is denied one takes another target; if none is left, the request is refused at once with Retry-After. An answer without the statement ends the limit at once, everywhere within a round or two. Retries, resumes and moved streams need permits too; a stream that may stay where it is moves only once it has one.

--- a/include/coriander/relay/load_update.hpp
+++ b/include/coriander/relay/load_update.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coriander/relay/load_report.hpp"
+#include "coriander/relay/rate_limit.hpp"
 #include "coriander/replicas/replica_demand.hpp"
 
 #include <cstdint>
@@ -18,6 +19,7 @@
 struct load_update {
     std::vector<load_report> targets;  ///< The most recent reports known to the sender.
     std::vector<model_demand> demands; ///< Loads measured by the sender itself.
+    std::vector<rate_limit> limits;    ///< Rate limits of targets, known to the sender.
 };
 
 } // namespace coriander
--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "coriander/load_estimate.hpp"
 #include "coriander/relay/load_report.hpp"
+#include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/stall_detector.hpp"
 #include "coriander/time_ms.hpp"
 
@@ -52,6 +53,7 @@
     std::string_view preferred_domain;  ///< Failure domain preferred among equally loaded targets.
     std::span<const std::string> tried; ///< Targets that were already tried; never selected again.
     std::size_t daemon_count = 1;       ///< Daemons that send to the same targets, including this one.
+    bool excludes_limited = false;      ///< Whether targets with a rate limit are left out.
 };
 
 /// The targets of one service, with their load and health as seen by this daemon. Not thread-safe.
@@ -68,6 +70,9 @@
 
     /// Number of targets of the model that may get new requests now.
     [[nodiscard]] std::size_t count(std::string_view model, time_ms now) const;
+    /// The same, with targets that have a rate limit counted as the part of a target that takes `full_rate`
+    /// requests per second.
+    [[nodiscard]] double capacity(std::string_view model, double full_rate, time_ms now) const;
 
     /// Records that an attempt was sent to the target.
     void on_sent(const std::string& id, time_ms now);
@@ -88,6 +93,17 @@
     /// most `limit`.
     [[nodiscard]] std::vector<load_report> reports(std::size_t limit, time_ms now) const;
 
+    /// Records the rate limit that the target stated in a response, or that it stated none.
+    void on_rate_limit(const std::string& id, std::optional<double> per_second, time_ms now);
+    /// Records a rate limit that another daemon received. Unknown targets are ignored.
+    void on_peer_rate_limit(const rate_limit& limit, time_ms now);
+    /// The rate limit in force for the target, if it has one.
+    [[nodiscard]] std::optional<rate_limit> limit_of(const std::string& id, time_ms now) const;
+    /// Known rate limits, and those that ended lately.
+    [[nodiscard]] std::vector<rate_limit> rate_limits(time_ms now) const;
+    /// Excludes the target from selection until `until`, when a permit may be available.
+    void defer(const std::string& id, time_ms until);
+
     /// Takes the target out of rotation until `until`.
     void suspend(const std::string& id, suspension reason, time_ms until);
     /// Puts the target back into rotation.
@@ -116,6 +132,8 @@
     static constexpr time_ms load_half_life{500};
     /// Older reports are ignored, since most of the requests that they counted have ended.
     static constexpr time_ms max_report_age{1000};
+    /// A rate limit that no response has confirmed for this time is no longer in force.
+    static constexpr time_ms max_limit_age{10000};
     /// Consecutive failures that take a target out of rotation, and for how long the first time.
     static constexpr std::uint32_t failure_limit = 3;
     static constexpr time_ms failure_suspension{1000};
@@ -138,6 +156,9 @@
         suspension reason = suspension::none;
         time_ms suspended_until;
         std::uint32_t consecutive_failures = 0;
+        std::optional<time_ms> limit_stated_at; ///< Set once the target or a peer has stated a rate limit.
+        double limit_per_second = 0.0;          ///< Zero if the limit has ended.
+        time_ms deferred_until;
     };
 
     /// Expected requests of other daemons on a target without a recent report: the mean over the targets that
@@ -147,6 +168,7 @@
     /// ages.
     [[nodiscard]] static double other_requests_on(const target_state& target, double expected, time_ms now);
     [[nodiscard]] static bool is_usable(const target_state& target, std::string_view model, time_ms now);
+    [[nodiscard]] static bool is_limited(const target_state& target, time_ms now);
     [[nodiscard]] target_state* find(const std::string& id);
 
     std::map<std::string, target_state> targets;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "gateway/gateway_settings.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/loss_exchange.hpp"
+#include "gateway/permit_exchange.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
 #include "gateway/retiring_replicas.hpp"
@@ -66,6 +67,12 @@
             [this](std::uint64_t sender, const load_update& news) { this->loads.merge(sender, news); });
         this->peers->set_loss_listener(
             [this](auto hosts) { this->losses.verify(hosts, this->relay.clock.now()); });
+        this->peers->set_permit_listener([this](const std::string& sender, const permit_message& message) {
+            this->permits.receive(sender, message);
+        });
+        this->relay.request_permit = [this](const rate_limit& limit, permit_exchange::on_decision done) {
+            this->permits.request(limit, std::move(done));
+        };
         this->peers->set_crash_source([this] {
             return this->relay.quarantine.newest(gateway_peers::max_first_crashes, this->relay.clock.now());
         });
@@ -403,6 +410,11 @@
     crash_response<Io> crashes;
     silent_host_watch<Io> silent_hosts;
     gateway_peers* peers = nullptr;
+    permit_exchange permits{this->loop, this->values.name,
+                            [this](std::uint64_t target) { return this->peers->permit_issuer_of(target); },
+                            [this](const std::string& daemon, const permit_message& message) {
+                                this->peers->send_permits(daemon, message);
+                            }};
     std::vector<std::shared_ptr<http_listener>> listeners;
     std::shared_ptr<http_listener> callers;
     std::string manifest_text;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -74,6 +74,10 @@
         this->losses(message.lost_hosts);
     }
     this->crashes(message.crashes);
+    const bool has_permits = !message.permits.requests.empty() || !message.permits.answers.empty();
+    if (has_permits && !message.identities.empty()) {
+        this->permits(message.identities.front().name, message.permits);
+    }
     if (!message.beats.empty()) {
         this->loads(message.beats.front().id, message.loads);
     }
@@ -93,6 +97,13 @@
     message.beats = this->members.heartbeats_to_send(now);
     message.loads = std::move(load_reports);
     message.loads.targets.resize(std::min(message.loads.targets.size(), loads_per_message));
+    auto& limits = message.loads.limits;
+    if (limits.size() > limits_per_message) {
+        this->limit_cursor = (this->limit_cursor + limits_per_message) % limits.size();
+        std::rotate(limits.begin(), limits.begin() + static_cast<std::ptrdiff_t>(this->limit_cursor),
+                    limits.end());
+        limits.resize(limits_per_message);
+    }
     message.crashes = std::move(crash_reports);
     const auto targets = this->members.choose_targets(peers_per_round, now, this->random);
     const auto others = this->members.alive(now);
@@ -135,6 +146,31 @@
     this->link.send_all(std::move(addresses), message);
 }
 
+void gateway_peers::send_permits(const std::string& name, const permit_message& permits)
+{
+    for (const auto& view : this->members.alive(this->clock.now())) {
+        if (view.identity.name == name) {
+            peer_message message;
+            message.identities = {this->members.self()};
+            message.permits = permits;
+            this->link.send(view.identity.peer_address, message);
+        }
+    }
+}
+
+std::string gateway_peers::permit_issuer_of(std::uint64_t target) const
+{
+    std::vector<std::string> candidates;
+    if (!this->members.own_heartbeat().stopping) {
+        candidates.push_back(this->members.self().name);
+    }
+    for (const auto& identity : this->serving()) {
+        candidates.push_back(identity.name);
+    }
+    const auto first = top_members(std::to_string(target), std::move(candidates), 1);
+    return first.empty() ? this->members.self().name : first.front();
+}
+
 std::size_t gateway_peers::group_of(const std::string& name, std::size_t daemons)
 {
     return member_id(name) % ((daemons + reader_group_size - 1) / reader_group_size);
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -2,6 +2,7 @@
 
 #include "coriander/clock.hpp"
 #include "coriander/membership.hpp"
+#include "coriander/relay/permit_message.hpp"
 #include "coriander/table_delta.hpp"
 #include "gateway/sent_manifests.hpp"
 #include "peer/peer_link.hpp"
@@ -55,6 +56,14 @@
     void set_loss_listener(losses_handler listener) { this->losses = std::move(listener); }
     /// Sets the receiver of peers' reports on crashes.
     void set_crash_listener(crashes_handler listener) { this->crashes = std::move(listener); }
+    /// Receives permit requests and answers of the peer with the name `sender`.
+    using permits_handler = std::function<void(const std::string& sender, const permit_message&)>;
+    void set_permit_listener(permits_handler listener) { this->permits = std::move(listener); }
+    /// Sends permit requests or answers to the peer with this name, if it is alive.
+    void send_permits(const std::string& name, const permit_message& message);
+    /// The name of the gateway that issues the permits of a target, from those that take callers' requests.
+    [[nodiscard]] std::string permit_issuer_of(std::uint64_t target) const;
+
     /// Sets the source of the crash reports that a daemon gets when it is first heard of.
     void set_crash_source(std::function<crash_news()> source) { this->known_crashes = std::move(source); }
     /// Notifies the named daemons that a host is lost.
@@ -70,6 +79,8 @@
     static constexpr time_ms round_length{400};
     /// At about 60 bytes each.
     static constexpr std::size_t crashes_per_message = 32;
+    /// Rate limits per message, at 16 bytes each; with more, they are sent in turns.
+    static constexpr std::size_t limits_per_message = 8;
     /// Reports for a daemon that has just started.
     static constexpr std::size_t max_first_crashes = 128;
 
@@ -103,6 +114,8 @@
     crashes_handler crashes = [](const crash_news&) {};
     std::function<crash_news()> known_crashes = [] { return crash_news{}; };
     std::map<std::string, std::uint64_t> welcomed; ///< Incarnations of the peers heard of, by name.
+    permits_handler permits = [](const std::string&, const permit_message&) {};
+    std::size_t limit_cursor = 0;
     losses_handler losses = [](std::span<const lost_host>) {};
     std::uint64_t manifest_version = 0;
     time_ms manifest_received_at; ///< When this daemon received that version.
--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -29,6 +29,9 @@
             for (const auto& one : news.targets) {
                 state.board.on_peer_report(one, now);
             }
+            for (const auto& limit : news.limits) {
+                state.board.on_peer_rate_limit(limit, now);
+            }
         }
     }
 
@@ -41,6 +44,8 @@
         for (const auto& [name, state] : this->context.services) {
             const auto reports = state.board.reports(limit, now);
             news.targets.insert(news.targets.end(), reports.begin(), reports.end());
+            const auto limits = state.board.rate_limits(now);
+            news.limits.insert(news.limits.end(), limits.begin(), limits.end());
             const auto* service = this->context.routes ? this->context.routes->find_service(name) : nullptr;
             for (const auto& [model, meter] : state.meters) {
                 // Callers may name any model; only declared ones are reported.
--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -78,6 +78,15 @@
     }
 }
 
+void log_permit(const relay_request& request, const target_choice& choice, permit_decision decision)
+{
+    log_event(event::permit_decided, {{"request", request.attempt_id},
+                                      {"target", choice.target.id},
+                                      {"generation", choice.target.generation},
+                                      {"granted", decision.is_granted ? "yes" : "no"},
+                                      {"wait", decision.wait}});
+}
+
 void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
                 std::optional<std::uint64_t> after_event)
 {
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -13,6 +13,9 @@
 /// Bytes queued for a slow caller beyond which reading from the target is paused.
 constexpr std::size_t max_unsent_bytes = 262144;
 
+/// Permits that a request may be denied; after that, only targets without a rate limit are chosen.
+constexpr unsigned max_denied_permits = 4;
+
 constexpr int first_error_status = 500;
 
 } // namespace
@@ -83,6 +86,14 @@
     if (service->engine) {
         this->size_class = meter.classify(this->request.prompt_tokens + this->request.max_answer_tokens);
     }
+    this->try_admit();
+}
+
+void relay_session::try_admit()
+{
+    const auto now = this->context.clock.now();
+    const auto* service = this->request.routes->find_service(this->request.service);
+    auto& meter = this->state->meters[this->request.model];
     const auto best = this->choose_target(this->tried_targets);
     const auto load = this->context.fleet_load(this->request.service, this->request.model, meter);
     const auto* model = find_model(*service, this->request.model);
@@ -92,17 +103,68 @@
                           meter.refused_share(now)};
     if (model != nullptr) {
         const double needed = replicas_for(*service->engine, *model, load);
-        input.supply = needed > 0.0 ? static_cast<double>(targets) / needed : 1.0;
+        if (needed > 0.0) {
+            const double full_rate = load.requests_per_s / needed;
+            input.supply = this->state->board.capacity(model->name, full_rate, now) / needed;
+        }
         input.draw = this->context.draw();
     }
     const auto advice = forecast_admission(input);
     if (!advice.is_admitted) {
         meter.on_refused(now);
         log_refusal(this->request, best, advice, targets, input.supply);
-        this->send_local_reply(best ? local_reply::overloaded : local_reply::no_target, advice.retry_after);
+        const bool is_limited = this->denied_permits > 0;
+        this->send_local_reply(best || is_limited ? local_reply::overloaded : local_reply::no_target,
+                               is_limited ? std::max(this->permit_wait, advice.retry_after)
+                                          : advice.retry_after);
+        return;
+    }
+    this->send_to(*best);
+}
+
+void relay_session::send_to(const target_choice& choice)
+{
+    const auto limit = this->state->board.limit_of(choice.target.id, this->context.clock.now());
+    if (!limit) {
+        this->dispatch(choice);
+        return;
+    }
+    this->context.request_permit(*limit, [weak = this->weak_from_this(), choice](permit_decision decision) {
+        if (const auto session = weak.lock()) {
+            session->on_permit(choice, decision);
+        }
+    });
+}
+
+void relay_session::on_permit(const target_choice& choice, permit_decision decision)
+{
+    if (this->has_ended) {
+        return;
+    }
+    const auto now = this->context.clock.now();
+    log_permit(this->request, choice, decision);
+    if (decision.is_granted && this->request.deadline > now) {
+        this->dispatch(choice);
+        return;
+    }
+    this->state->board.defer(choice.target.id, now + decision.wait);
+    this->permit_wait =
+        this->denied_permits++ == 0 ? decision.wait : std::min(this->permit_wait, decision.wait);
+    this->on_permit_denied();
+}
+
+void relay_session::on_permit_denied()
+{
+    if (!this->last_end) {
+        this->try_admit();
+        return;
+    }
+    if (const auto next = this->choose_target(this->tried_targets)) {
+        this->send_to(*next);
         return;
     }
-    this->dispatch(*best);
+    this->last_end->is_retry_allowed = false;
+    this->execute(decide_next(*this->last_end), std::nullopt);
 }
 
 std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded)
@@ -110,8 +172,10 @@
     const auto* service = this->request.routes->find_service(this->request.service);
     const std::string_view model =
         service->engine ? std::string_view{this->request.model} : std::string_view{};
-    return this->state->board.choose({model, this->context.failure_domain, excluded, this->context.daemons},
-                                     this->context.draw(), this->context.clock.now());
+    const bool excludes_limited = this->denied_permits >= max_denied_permits;
+    return this->state->board.choose(
+        {model, this->context.failure_domain, excluded, this->context.daemons, excludes_limited},
+        this->context.draw(), this->context.clock.now());
 }
 
 void relay_session::dispatch(const target_choice& choice)
@@ -171,6 +235,9 @@
 {
     this->current.has_begun = true;
     this->current.begun_at = this->context.clock.now();
+    this->state->board.on_rate_limit(this->current.choice.target.id,
+                                     parse_rate_limit(head.header(this->context.dialect.rate_limit)),
+                                     this->current.begun_at);
     this->state->board.on_response_started(this->current.choice.target.id, this->current.begun_at);
     this->context.trials.on_started(this->current.trial, this->current.begun_at);
     this->record_load(head);
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -65,10 +65,18 @@
     };
 
     void admit();
+    void try_admit();
     [[nodiscard]] quarantine_verdict check_quarantine();
     void refuse_quarantined();
     [[nodiscard]] bool may_crash_next_target();
     void end_trial(attempt_end end);
+    /// Sends the request to the chosen target, or to another one if that has a rate limit and no permit is
+    /// available.
+    void send_to(const target_choice& choice);
+    void on_permit(const target_choice& choice, permit_decision decision);
+    void on_permit_denied();
+    /// Moves the request to a target with a rate limit once it has a permit; stays where it is without one.
+    void move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason);
     void dispatch(const target_choice& choice);
     [[nodiscard]] std::string request_text(const target_choice& choice) const;
     /// The best target that is not in `excluded`, a list of target ids.
@@ -101,6 +109,11 @@
     std::vector<std::string> tried_targets;
     response_stream stream;
     unsigned attempts_sent = 0;
+    unsigned denied_permits = 0;
+    bool is_asking_to_move = false;
+    std::optional<target_choice> reserved; ///< Target to move to, with a permit.
+    time_ms permit_wait;                   ///< Shortest wait of the denied permits.
+    std::optional<attempt_state> last_end; ///< State after the last attempt, while another is prepared.
     bool may_have_run = false;
     bool has_ended = false;
     bool is_counted = false;
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -4,6 +4,8 @@
 #include "gateway/target_answer.hpp"
 #include "runtime/log.hpp"
 
+#include <utility>
+
 // Ends of attempts and requests; relay_session.cpp has their start.
 namespace coriander {
 namespace {
@@ -116,10 +118,11 @@
                              this->tried_targets.size() < max_connect_failures + this->attempts_sent &&
                              !this->may_crash_next_target();
     auto step = decide_next(state);
+    this->last_end = state;
     std::optional<target_choice> next;
     if (step == next_step::try_again || step == next_step::resume) {
         const bool costs_budget = this->attempts_sent > 0;
-        next = this->choose_target(this->tried_targets);
+        next = this->reserved ? this->reserved : this->choose_target(this->tried_targets);
         state.is_retry_allowed =
             next && (!costs_budget || this->state->retries.try_retry(now, this->context.daemons));
         step = decide_next(state);
@@ -137,7 +140,11 @@
     case next_step::try_again:
     case next_step::resume:
         this->context.counters.add("coriander_retries_total", "service=\"" + this->request.service + "\"");
-        this->dispatch(*next);
+        if (std::exchange(this->reserved, std::nullopt)) {
+            this->dispatch(*next);
+            return;
+        }
+        this->send_to(*next);
         return;
     case next_step::refuse:
         if (this->check_quarantine() == quarantine_verdict::blocked) {
@@ -175,9 +182,42 @@
     // Without another target the request keeps waiting: its replica may recover.
     auto others = this->tried_targets;
     others.push_back(this->current.choice.target.id);
-    if (may_move && !this->may_crash_next_target() && this->choose_target(others)) {
-        this->end_attempt(attempt_end::lost, reason);
+    const auto next = may_move && !this->may_crash_next_target() ? this->choose_target(others) : std::nullopt;
+    if (!next) {
+        return;
+    }
+    if (const auto limit = this->state->board.limit_of(next->target.id, now)) {
+        this->move_with_permit(*next, *limit, reason);
+        return;
+    }
+    this->end_attempt(attempt_end::lost, reason);
+}
+
+void relay_session::move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason)
+{
+    if (std::exchange(this->is_asking_to_move, true)) {
+        return;
     }
+    const auto moved = this->current.trial;
+    this->context.request_permit(
+        limit, [weak = this->weak_from_this(), choice, reason, moved](permit_decision decision) {
+            const auto session = weak.lock();
+            if (!session) {
+                return;
+            }
+            session->is_asking_to_move = false;
+            if (session->has_ended || !session->current.is_open || session->current.trial != moved) {
+                return;
+            }
+            log_permit(session->request, choice, decision);
+            if (!decision.is_granted) {
+                session->state->board.defer(choice.target.id, session->context.clock.now() + decision.wait);
+                return;
+            }
+            session->reserved = choice;
+            session->end_attempt(attempt_end::lost, reason);
+            session->reserved.reset();
+        });
 }
 
 void relay_session::send_local_reply(local_reply reply, time_ms retry_after)
--- a/src/gateway/target_answer.cpp
+++ b/src/gateway/target_answer.cpp
@@ -25,6 +25,14 @@
     return second.ec == std::errc{} ? std::optional{reported_load{running, waiting}} : std::nullopt;
 }
 
+std::optional<double> parse_rate_limit(std::string_view text)
+{
+    double per_second = 0.0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), per_second);
+    const bool is_valid = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    return is_valid && per_second > 0.0 ? std::optional{per_second} : std::nullopt;
+}
+
 std::vector<http_header> forwarded_response_headers(const message_head& head)
 {
     std::vector<http_header> headers;
--- a/src/gateway/target_answer.hpp
+++ b/src/gateway/target_answer.hpp
@@ -20,6 +20,9 @@
 /// Parses `running,waiting,slots`; empty if the text has another form.
 [[nodiscard]] std::optional<reported_load> parse_load(std::string_view text);
 
+/// Parses a rate limit in requests per second; empty if the text is not a positive number.
+[[nodiscard]] std::optional<double> parse_rate_limit(std::string_view text);
+
 /// The outcome of the attempt with this id if the response head rules out success: `lost` if the response
 /// does not belong to the attempt, `declined` if the target did not run the request, `failed` if it did and
 /// returned an error. Empty otherwise.
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -34,6 +34,11 @@
         std::clamp<std::int64_t>(age.count(), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+wire::RateLimit wire_limit(const rate_limit& limit)
+{
+    return {limit.target, static_cast<float>(limit.per_second), clamped_age(limit.age)};
+}
+
 /// Serializes one message.
 class message_writer {
 public:
@@ -83,11 +88,23 @@
         for (const auto& one : message.crashes.sound) {
             sound.emplace_back(one.print, clamped_age(one.age));
         }
+        std::vector<wire::RateLimit> limits;
+        for (const auto& one : message.loads.limits) {
+            limits.push_back(wire_limit(one));
+        }
+        std::vector<wire::PermitRequest> permit_requests;
+        for (const auto& one : message.permits.requests) {
+            permit_requests.emplace_back(one.id, wire_limit(one.limit));
+        }
+        std::vector<wire::PermitAnswer> permit_answers;
+        for (const auto& one : message.permits.answers) {
+            permit_answers.emplace_back(one.id, clamped_age(one.decision.wait), one.decision.is_granted);
+        }
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
-        this->builder.Finish(wire::CreatePeerMessageDirect(this->builder, &identities, &beats, &strikes,
-                                                           &demands, config, news, &loads, &model_demands,
-                                                           &lost_hosts, &suspects, &sound));
+        this->builder.Finish(wire::CreatePeerMessageDirect(
+            this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
+            &lost_hosts, &suspects, &sound, &limits, &permit_requests, &permit_answers));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -202,6 +219,30 @@
     }
 }
 
+rate_limit read_limit(const wire::RateLimit& limit)
+{
+    return {limit.target(), limit.per_second(), time_ms{limit.age_ms()}};
+}
+
+void read_permits(const wire::PeerMessage& root, peer_message& message)
+{
+    if (const auto* limits = root.rate_limits()) {
+        for (const auto* one : *limits) {
+            message.loads.limits.push_back(read_limit(*one));
+        }
+    }
+    if (const auto* requests = root.permit_requests()) {
+        for (const auto* one : *requests) {
+            message.permits.requests.push_back({one->id(), read_limit(one->limit())});
+        }
+    }
+    if (const auto* answers = root.permit_answers()) {
+        for (const auto* one : *answers) {
+            message.permits.answers.push_back({one->id(), {one->is_granted(), time_ms{one->wait_ms()}}});
+        }
+    }
+}
+
 void read_news(const wire::PeerMessage& root, peer_message& message)
 {
     const auto* news = root.news();
@@ -239,6 +280,7 @@
     read_loads(root, message);
     read_lost_hosts(root, message);
     read_crashes(root, message);
+    read_permits(root, message);
     return message;
 }
 
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -6,6 +6,7 @@
 #include "coriander/membership.hpp"
 #include "coriander/relay/crash_report.hpp"
 #include "coriander/relay/load_update.hpp"
+#include "coriander/relay/permit_message.hpp"
 #include "coriander/strike_table.hpp"
 #include "coriander/table_delta.hpp"
 
@@ -34,6 +35,7 @@
     load_update loads;
     std::vector<lost_host> lost_hosts; ///< Hosts that the sender has detected as lost.
     crash_news crashes;
+    permit_message permits;
 };
 
 /// Serializes a message.
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -72,7 +72,9 @@
     for (const auto& [id, target] : this->targets) {
         const bool was_tried =
             std::find(criteria.tried.begin(), criteria.tried.end(), id) != criteria.tried.end();
-        if (was_tried || !is_usable(target, criteria.model, now)) {
+        const bool has_no_permit =
+            now < target.deferred_until || (criteria.excludes_limited && is_limited(target, now));
+        if (was_tried || has_no_permit || !is_usable(target, criteria.model, now)) {
             continue;
         }
         constexpr std::uint64_t noise_steps = 1024;
@@ -104,6 +106,78 @@
                       [&](const auto& item) { return is_usable(item.second, model, now); }));
 }
 
+double target_pool::capacity(std::string_view model, double full_rate, time_ms now) const
+{
+    double total = 0.0;
+    for (const auto& [id, target] : this->targets) {
+        if (is_usable(target, model, now)) {
+            const bool is_partial = is_limited(target, now) && target.limit_per_second < full_rate;
+            total += is_partial ? target.limit_per_second / full_rate : 1.0;
+        }
+    }
+    return total;
+}
+
+bool target_pool::is_limited(const target_state& target, time_ms now)
+{
+    return target.limit_stated_at && target.limit_per_second > 0.0 &&
+           now - *target.limit_stated_at < max_limit_age;
+}
+
+void target_pool::on_rate_limit(const std::string& id, std::optional<double> per_second, time_ms now)
+{
+    auto* target = this->find(id);
+    if (target == nullptr || (!per_second && !target->limit_stated_at)) {
+        return;
+    }
+    target->limit_stated_at = now;
+    target->limit_per_second = per_second.value_or(0.0);
+    if (!per_second) {
+        target->deferred_until = {};
+    }
+}
+
+void target_pool::on_peer_rate_limit(const rate_limit& limit, time_ms now)
+{
+    const auto stated_at = now - limit.age;
+    for (auto& [id, target] : this->targets) {
+        const bool is_newer = !target.limit_stated_at || *target.limit_stated_at < stated_at;
+        if (target.key == limit.target && is_newer && limit.age < max_limit_age) {
+            target.limit_stated_at = stated_at;
+            target.limit_per_second = limit.per_second;
+            target.deferred_until = limit.per_second > 0.0 ? target.deferred_until : time_ms{};
+        }
+    }
+}
+
+std::optional<rate_limit> target_pool::limit_of(const std::string& id, time_ms now) const
+{
+    const auto found = this->targets.find(id);
+    if (found == this->targets.end() || !is_limited(found->second, now)) {
+        return std::nullopt;
+    }
+    const auto& target = found->second;
+    return rate_limit{target.key, target.limit_per_second, now - *target.limit_stated_at};
+}
+
+std::vector<rate_limit> target_pool::rate_limits(time_ms now) const
+{
+    std::vector<rate_limit> known;
+    for (const auto& [id, target] : this->targets) {
+        if (target.is_serving && target.limit_stated_at && now - *target.limit_stated_at < max_limit_age) {
+            known.push_back({target.key, target.limit_per_second, now - *target.limit_stated_at});
+        }
+    }
+    return known;
+}
+
+void target_pool::defer(const std::string& id, time_ms until)
+{
+    if (auto* target = this->find(id)) {
+        target->deferred_until = until;
+    }
+}
+
 target_pool::target_state* target_pool::find(const std::string& id)
 {
     const auto found = this->targets.find(id);
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -89,6 +89,43 @@
     CHECK(read.value().lost_hosts.front().incarnation == 17);
 }
 
+TEST_CASE("peer message: reports on crashes are decoded as they were encoded")
+{
+    peer_message message;
+    message.crashes = {{{5, true, {1, 2}, 70_ms}}, {{9, 80_ms}}};
+    const auto read = decode_peer_message(encode_peer_message(message));
+    REQUIRE(read);
+    REQUIRE(read.value().crashes.suspects.size() == 1);
+    const auto& suspect = read.value().crashes.suspects.front();
+    CHECK(suspect.crash == 5);
+    CHECK(suspect.had_started);
+    CHECK(suspect.fingerprints == std::vector<fingerprint>{1, 2});
+    CHECK(suspect.age == 70_ms);
+    REQUIRE(read.value().crashes.sound.size() == 1);
+    CHECK(read.value().crashes.sound.front().print == 9);
+    CHECK(read.value().crashes.sound.front().age == 80_ms);
+}
+
+TEST_CASE("peer message: rate limits and permits are decoded as they were encoded")
+{
+    peer_message message;
+    message.loads.limits = {{7, 3.5, 20_ms}};
+    message.permits = {{{11, {7, 2.5, 30_ms}}}, {{12, {false, 40_ms}}, {13, {true, {}}}}};
+    const auto read = decode_peer_message(encode_peer_message(message));
+    REQUIRE(read);
+    REQUIRE(read.value().loads.limits.size() == 1);
+    CHECK(read.value().loads.limits.front().target == 7);
+    CHECK(read.value().loads.limits.front().per_second == 3.5);
+    CHECK(read.value().loads.limits.front().age == 20_ms);
+    REQUIRE(read.value().permits.requests.size() == 1);
+    CHECK(read.value().permits.requests.front().id == 11);
+    CHECK(read.value().permits.requests.front().limit.per_second == 2.5);
+    REQUIRE(read.value().permits.answers.size() == 2);
+    CHECK(read.value().permits.answers[0].decision.wait == 40_ms);
+    CHECK_FALSE(read.value().permits.answers[0].decision.is_granted);
+    CHECK(read.value().permits.answers[1].decision.is_granted);
+}
+
 TEST_CASE("peer message: a daemon's demand is decoded as it was encoded")
 {
     peer_message message;
--- a/test/relay/target_pool_test.cpp
+++ b/test/relay/target_pool_test.cpp
@@ -194,6 +194,63 @@
     CHECK(chosen(pool, start) == "a");
 }
 
+TEST_CASE("target pool: a rate limit holds until a response states none, or is not confirmed any more")
+{
+    auto pool = pool_with({target_named("a")});
+    CHECK_FALSE(pool.limit_of("a", start));
+    pool.on_rate_limit("a", 3.5, start);
+    REQUIRE(pool.limit_of("a", start + 9_s));
+    CHECK(pool.limit_of("a", start + 9_s)->per_second == 3.5);
+    CHECK_FALSE(pool.limit_of("a", start + 10_s));
+    pool.on_rate_limit("a", std::nullopt, start + 1_s);
+    CHECK_FALSE(pool.limit_of("a", start + 1_s));
+}
+
+TEST_CASE("target pool: the newest statement on a rate limit counts, whichever daemon received it")
+{
+    auto own = pool_with({target_named("a")});
+    auto other = pool_with({target_named("a")});
+    other.on_rate_limit("a", 3.5, start);
+    own.on_peer_rate_limit(other.rate_limits(start + 100_ms).front(), start + 100_ms);
+    REQUIRE(own.limit_of("a", start + 100_ms));
+    own.on_rate_limit("a", std::nullopt, start + 200_ms);
+    own.on_peer_rate_limit(other.rate_limits(start + 300_ms).front(), start + 300_ms);
+    CHECK_FALSE(own.limit_of("a", start + 300_ms));
+    other.on_peer_rate_limit(own.rate_limits(start + 400_ms).front(), start + 400_ms);
+    CHECK_FALSE(other.limit_of("a", start + 400_ms));
+}
+
+TEST_CASE("target pool: a target without a permit is not chosen until one may be available")
+{
+    auto pool = pool_with({target_named("a")});
+    pool.on_rate_limit("a", 3.5, start);
+    pool.defer("a", start + 200_ms);
+    CHECK(chosen(pool, start + 199_ms) == "none");
+    CHECK(chosen(pool, start + 200_ms) == "a");
+    pool.defer("a", start + 900_ms);
+    pool.on_rate_limit("a", std::nullopt, start + 300_ms);
+    CHECK(chosen(pool, start + 300_ms) == "a");
+}
+
+TEST_CASE("target pool: targets with a rate limit can be left out of the selection")
+{
+    auto pool = pool_with({target_named("a"), target_named("b")});
+    pool.on_rate_limit("a", 3.5, start);
+    pool.on_sent("b", start);
+    target_criteria criteria{"m", "gent", {}, 1};
+    CHECK(pool.choose(criteria, 0.5, start)->target.id == "a");
+    criteria.excludes_limited = true;
+    CHECK(pool.choose(criteria, 0.5, start)->target.id == "b");
+}
+
+TEST_CASE("target pool: a target with a rate limit counts as the part of a target that its limit is")
+{
+    auto pool = pool_with({target_named("a"), target_named("b"), target_named("c")});
+    pool.on_rate_limit("a", 3.0, start);
+    pool.on_rate_limit("b", 30.0, start);
+    CHECK(pool.capacity("m", 12.0, start) == Approx(2.25));
+}
+
 TEST_CASE("target pool: only a target whose streams have all stalled is suspected")
 {
     auto pool = pool_with({target_named("a"), target_named("b")});
--- a/testing/platform/standin_fleet_main.cpp
+++ b/testing/platform/standin_fleet_main.cpp
@@ -105,7 +105,8 @@
 
     /// `POST /fault` with `{"host":ID,"do":"dark"|"restart"|"drain"|"pause"|"wake"}`,
     /// `{"store":"sound"|"busy"|"silent"}`, `{"lose_answers":N}`, `{"forget_history":true}`,
-    /// `{"manifest":VERSION}` or `{"deadly_part":ID}`; `GET /status`.
+    /// `{"manifest":VERSION}`, `{"deadly_part":ID}` or `{"limit":PER_SECOND,"domains":PREFIXES}`, which sets
+    /// the rate limit of the hosts whose ids begin with one of the prefixes; `GET /status`.
     void handle_command(caller_connection& caller, const incoming_request& request)
     {
         if (request.head.target == "/status") {
@@ -132,6 +133,10 @@
         if (bool_member(command, "forget_history")) {
             this->store.drop_history();
         }
+        if (command.contains("limit")) {
+            this->set_rate_limit(command["limit"].get<double>(),
+                                 command.value("domains", std::vector<std::string>{}));
+        }
         if (command.contains("deadly_part")) {
             this->fleet.deadly_part = text_member(command, "deadly_part");
         }
@@ -141,6 +146,17 @@
         caller.send(200, {}, {});
     }
 
+    void set_rate_limit(double per_second, const std::vector<std::string>& prefixes)
+    {
+        this->fleet.most_arrivals = 0;
+        for (const auto& [id, host] : this->fleet.hosts) {
+            if (std::any_of(prefixes.begin(), prefixes.end(),
+                            [&, name = id](const std::string& prefix) { return name.starts_with(prefix); })) {
+                host->set_rate_limit(per_second);
+            }
+        }
+    }
+
     [[nodiscard]] json_object status() const
     {
         auto leaders = json_object::array();
@@ -159,6 +175,7 @@
                 {"replicas", replicas},
                 {"bookings_run_twice", duplicate_bookings},
                 {"joined_while_open", this->fleet.joined_while_open},
+                {"most_arrivals", this->fleet.most_arrivals},
                 {"crashes", this->fleet.crashes},
                 {"deadly_arrivals", this->fleet.deadly_arrivals},
                 {"runs", this->fleet.run_counts.size()}};
--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -141,6 +141,26 @@
     this->write_entry();
 }
 
+void standin_host::set_rate_limit(double per_second)
+{
+    this->rate_limit = per_second;
+    this->limited_since = this->clock.now();
+    this->arrivals.clear();
+}
+
+void standin_host::count_arrival()
+{
+    const auto now = this->clock.now();
+    if (this->rate_limit == 0.0 || now - this->limited_since < limit_grace) {
+        return;
+    }
+    this->arrivals.push_back(now);
+    while (now - this->arrivals.front() >= limit_window) {
+        this->arrivals.pop_front();
+    }
+    this->fleet.most_arrivals = std::max(this->fleet.most_arrivals, this->arrivals.size());
+}
+
 void standin_host::drain()
 {
     this->is_draining = true;
@@ -276,7 +296,11 @@
                                  const incoming_request& request)
 {
     const std::string attempt{request.head.header("Attempt-Id")};
-    const std::vector<http_header> headers{{"Attempt-Id", attempt}, {"Server-Stamp", this->id}};
+    std::vector<http_header> headers{{"Attempt-Id", attempt}, {"Server-Stamp", this->id}};
+    if (this->rate_limit > 0.0) {
+        headers.push_back({"Server-Limit", std::to_string(this->rate_limit)});
+    }
+    this->count_arrival();
     if (this->domain.empty()) {
         ++this->fleet.run_counts[attempt];
         caller->send(ok_status, headers, "done " + attempt);
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -8,6 +8,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -39,6 +40,7 @@
     std::string deadly_part;        ///< Requests with this prompt part crash the leader; empty for none.
     unsigned deadly_arrivals = 0;   ///< Such requests that reached a host.
     unsigned crashes = 0;           ///< Hosts that they crashed.
+    std::size_t most_arrivals = 0;  ///< At a host in a time window, a while after it stated a rate limit.
     unsigned joined_while_open = 0; ///< Joins of hosts whose previous leader still accepted requests.
 };
 
@@ -64,6 +66,8 @@
     /// Stops responding until `resume`, but keeps its entry and state.
     void pause() { this->is_unresponsive = true; }
     void resume() { this->is_unresponsive = false; }
+    /// States a rate limit in all responses; zero ends it. Counts arrivals in windows of `limit_window`.
+    void set_rate_limit(double per_second);
     /// Announces that the host will leave.
     void drain();
 
@@ -90,6 +94,7 @@
     };
 
     void listen();
+    void count_arrival();
     void serve(const std::shared_ptr<caller_connection>& caller, const incoming_request& request);
     void serve_order(caller_connection& caller, const incoming_request& request);
     int execute_order(const json_object& order);
@@ -120,6 +125,11 @@
     std::list<std::weak_ptr<caller_connection>> connections;
     std::list<std::shared_ptr<caller_connection>> unanswered;
     std::optional<time_ms> stalled_since;
+    static constexpr time_ms limit_window{4000};
+    static constexpr time_ms limit_grace{3000}; ///< Arrivals count from then on.
+    double rate_limit = 0.0;
+    time_ms limited_since;
+    std::deque<time_ms> arrivals;
     bool is_unresponsive = false;
     bool is_draining = false;
 };
