A permit that comes after the request's deadline is not used

Found while reading the change, before any caller met it: a retry that waited for a permit past its deadline took the grant for a denial and asked again, for up to four permits, and then went to a target without a timer that would end it. It now ends as other requests whose time is up: refused if it was never sent, of unknown outcome otherwise.

--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -143,7 +143,11 @@
     }
     const auto now = this->context.clock.now();
     log_permit(this->request, choice, decision);
-    if (decision.is_granted && this->request.deadline > now) {
+    if (this->request.deadline <= now) {
+        this->end_without_target();
+        return;
+    }
+    if (decision.is_granted) {
         this->dispatch(choice);
         return;
     }
@@ -163,6 +167,15 @@
         this->send_to(*next);
         return;
     }
+    this->end_without_target();
+}
+
+void relay_session::end_without_target()
+{
+    if (!this->last_end) {
+        this->send_local_reply(local_reply::overloaded, this->permit_wait);
+        return;
+    }
     this->last_end->is_retry_allowed = false;
     this->execute(decide_next(*this->last_end), std::nullopt);
 }
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -75,6 +75,8 @@
     void send_to(const target_choice& choice);
     void on_permit(const target_choice& choice, permit_decision decision);
     void on_permit_denied();
+    /// Ends the request, whose attempts so far have failed or that has not been sent at all.
+    void end_without_target();
     /// Moves the request to a target with a rate limit once it has a permit; stays where it is without one.
     void move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason);
     void dispatch(const target_choice& choice);
