--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -39,6 +39,42 @@
     return {limit.target, static_cast<float>(limit.per_second), clamped_age(limit.age)};
 }
 
+std::vector<wire::SoundPrint> wire_sound_prints(const crash_news& news)
+{
+    std::vector<wire::SoundPrint> sound;
+    for (const auto& one : news.sound) {
+        sound.emplace_back(one.print, clamped_age(one.age));
+    }
+    return sound;
+}
+
+std::vector<wire::RateLimit> wire_limits(const load_update& loads)
+{
+    std::vector<wire::RateLimit> limits;
+    for (const auto& one : loads.limits) {
+        limits.push_back(wire_limit(one));
+    }
+    return limits;
+}
+
+std::vector<wire::PermitRequest> wire_requests(const permit_message& permits)
+{
+    std::vector<wire::PermitRequest> requests;
+    for (const auto& one : permits.requests) {
+        requests.emplace_back(one.id, wire_limit(one.limit));
+    }
+    return requests;
+}
+
+std::vector<wire::PermitAnswer> wire_answers(const permit_message& permits)
+{
+    std::vector<wire::PermitAnswer> answers;
+    for (const auto& one : permits.answers) {
+        answers.emplace_back(one.id, clamped_age(one.decision.wait), one.decision.is_granted);
+    }
+    return answers;
+}
+
 /// Serializes one message.
 class message_writer {
 public:
@@ -79,27 +115,11 @@
         for (const auto& one : message.lost_hosts) {
             lost_hosts.push_back(wire::CreateLostHostDirect(this->builder, one.id.c_str(), one.incarnation));
         }
-        std::vector<flatbuffers::Offset<wire::CrashSuspect>> suspects;
-        for (const auto& one : message.crashes.suspects) {
-            suspects.push_back(wire::CreateCrashSuspectDirect(this->builder, one.crash, clamped_age(one.age),
-                                                              one.had_started, &one.fingerprints));
-        }
-        std::vector<wire::SoundPrint> sound;
-        for (const auto& one : message.crashes.sound) {
-            sound.emplace_back(one.print, clamped_age(one.age));
-        }
-        std::vector<wire::RateLimit> limits;
-        for (const auto& one : message.loads.limits) {
-            limits.push_back(wire_limit(one));
-        }
-        std::vector<wire::PermitRequest> permit_requests;
-        for (const auto& one : message.permits.requests) {
-            permit_requests.emplace_back(one.id, wire_limit(one.limit));
-        }
-        std::vector<wire::PermitAnswer> permit_answers;
-        for (const auto& one : message.permits.answers) {
-            permit_answers.emplace_back(one.id, clamped_age(one.decision.wait), one.decision.is_granted);
-        }
+        const auto suspects = this->write_suspects(message.crashes);
+        const auto sound = wire_sound_prints(message.crashes);
+        const auto limits = wire_limits(message.loads);
+        const auto permit_requests = wire_requests(message.permits);
+        const auto permit_answers = wire_answers(message.permits);
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(
@@ -109,6 +129,16 @@
     }
 
 private:
+    std::vector<flatbuffers::Offset<wire::CrashSuspect>> write_suspects(const crash_news& news)
+    {
+        std::vector<flatbuffers::Offset<wire::CrashSuspect>> suspects;
+        for (const auto& one : news.suspects) {
+            suspects.push_back(wire::CreateCrashSuspectDirect(this->builder, one.crash, clamped_age(one.age),
+                                                              one.had_started, &one.fingerprints));
+        }
+        return suspects;
+    }
+
     flatbuffers::Offset<wire::Config> write_config(const std::optional<config_record>& record)
     {
         if (!record) {
