Permits, limits and trials: one copy of each piece, and less work for each permit

Found while reading the change once more; behaviour is meant to stay as it is. - gateway_peers: a permit request looked up its issuer among all living peers and then scanned them again for the address, and so did each answer, which has its sender's address in it.

--- a/include/coriander/relay/answer_trials.hpp
+++ b/include/coriander/relay/answer_trials.hpp
@@ -69,6 +69,9 @@
         time_ms ended_at;
     };
 
+    [[nodiscard]] trial* find(id wanted);
+    void end(id ended, phase state, time_ms now);
+
     answer_trial_settings settings;
     std::map<id, trial> open;
     id last_id = 0;
--- a/include/coriander/relay/crash_quarantine.hpp
+++ b/include/coriander/relay/crash_quarantine.hpp
@@ -125,13 +125,15 @@
     /// Whether the record belongs to an explained crash that another request caused, and has been passed on.
     [[nodiscard]] bool is_obsolete(const crash_suspect& suspect, time_ms age) const;
     [[nodiscard]] bool is_cleared(fingerprint print, time_ms crashed_at) const;
+    /// Adds the record to the news unless it is obsolete.
+    void append_suspect(crash_news& news, const record& one, time_ms now) const;
     [[nodiscard]] const quarantine_entry* find_entry(std::span<const fingerprint> prints) const;
     void limit_sound(time_ms now);
     /// Adds what is known of the suspects' fingerprints to the news, at most `limit` reports in all.
     void append_sound(crash_news& news, std::size_t limit, time_ms now) const;
 
     crash_quarantine_settings settings;
-    std::vector<record> records;          ///< Oldest first.
+    std::vector<record> records;
     std::map<fingerprint, time_ms> sound; ///< When the latest request that ran without a crash started.
     std::vector<quarantine_entry> quarantined;
     std::map<std::uint64_t, std::size_t> explained; ///< Crashes with the index of the entry that caused them.
--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -169,7 +169,12 @@
     [[nodiscard]] static double other_requests_on(const target_state& target, double expected, time_ms now);
     [[nodiscard]] static bool is_usable(const target_state& target, std::string_view model, time_ms now);
     [[nodiscard]] static bool is_limited(const target_state& target, time_ms now);
+    /// Records a rate limit as of `stated_at`; zero if the target stated none.
+    static void set_limit(target_state& target, double per_second, time_ms stated_at);
+    /// The target's rate limit as it is passed on. Precondition: one has been stated.
+    [[nodiscard]] static rate_limit limit_report(const target_state& target, time_ms now);
     [[nodiscard]] target_state* find(const std::string& id);
+    [[nodiscard]] target_state* find_by_key(std::uint64_t key);
 
     std::map<std::string, target_state> targets;
 };
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -410,10 +410,10 @@
     crash_response<Io> crashes;
     silent_host_watch<Io> silent_hosts;
     gateway_peers* peers = nullptr;
-    permit_exchange permits{this->loop, this->values.name,
+    permit_exchange permits{this->loop,
                             [this](std::uint64_t target) { return this->peers->permit_issuer_of(target); },
-                            [this](const std::string& daemon, const permit_message& message) {
-                                this->peers->send_permits(daemon, message);
+                            [this](const std::string& address, const permit_message& message) {
+                                this->peers->send_permits(address, message);
                             }};
     std::vector<std::shared_ptr<http_listener>> listeners;
     std::shared_ptr<http_listener> callers;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -76,7 +76,7 @@
     this->crashes(message.crashes);
     const bool has_permits = !message.permits.requests.empty() || !message.permits.answers.empty();
     if (has_permits && !message.identities.empty()) {
-        this->permits(message.identities.front().name, message.permits);
+        this->permits(message.identities.front().peer_address, message.permits);
     }
     if (!message.beats.empty()) {
         this->loads(message.beats.front().id, message.loads);
@@ -146,29 +146,30 @@
     this->link.send_all(std::move(addresses), message);
 }
 
-void gateway_peers::send_permits(const std::string& name, const permit_message& permits)
+void gateway_peers::send_permits(const std::string& address, const permit_message& permits)
 {
-    for (const auto& view : this->members.alive(this->clock.now())) {
-        if (view.identity.name == name) {
-            peer_message message;
-            message.identities = {this->members.self()};
-            message.permits = permits;
-            this->link.send(view.identity.peer_address, message);
-        }
-    }
+    peer_message message;
+    message.identities = {this->members.self()};
+    message.permits = permits;
+    this->link.send(address, message);
 }
 
-std::string gateway_peers::permit_issuer_of(std::uint64_t target) const
+std::optional<std::string> gateway_peers::permit_issuer_of(std::uint64_t target) const
 {
-    std::vector<std::string> candidates;
+    const auto others = this->serving();
+    std::vector<std::string> names;
+    names.reserve(others.size() + 1);
     if (!this->members.own_heartbeat().stopping) {
-        candidates.push_back(this->members.self().name);
+        names.push_back(this->members.self().name);
     }
-    for (const auto& identity : this->serving()) {
-        candidates.push_back(identity.name);
+    for (const auto& other : others) {
+        names.push_back(other.name);
     }
-    const auto first = top_members(std::to_string(target), std::move(candidates), 1);
-    return first.empty() ? this->members.self().name : first.front();
+    const auto first = top_members(std::to_string(target), std::move(names), 1);
+    const auto issuer = std::find_if(others.begin(), others.end(), [&](const member_identity& other) {
+        return !first.empty() && other.name == first.front();
+    });
+    return issuer == others.end() ? std::nullopt : std::optional{issuer->peer_address};
 }
 
 std::size_t gateway_peers::group_of(const std::string& name, std::size_t daemons)
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -42,6 +43,9 @@
     /// Receives what a peer knows about crashes.
     using crashes_handler = std::function<void(const crash_news&)>;
 
+    /// Receives permit requests and answers of the peer with the address `sender`.
+    using permits_handler = std::function<void(const std::string& sender, const permit_message&)>;
+
     /// Listens on the identity's address and `port`. Throws `std::system_error` when it can't be bound.
     gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                   std::vector<std::string> seeds, manifest_handler manifest, news_handler news);
@@ -56,13 +60,13 @@
     void set_loss_listener(losses_handler listener) { this->losses = std::move(listener); }
     /// Sets the receiver of peers' reports on crashes.
     void set_crash_listener(crashes_handler listener) { this->crashes = std::move(listener); }
-    /// Receives permit requests and answers of the peer with the name `sender`.
-    using permits_handler = std::function<void(const std::string& sender, const permit_message&)>;
+    /// Sets the receiver of peers' permit requests and answers.
     void set_permit_listener(permits_handler listener) { this->permits = std::move(listener); }
-    /// Sends permit requests or answers to the peer with this name, if it is alive.
-    void send_permits(const std::string& name, const permit_message& message);
-    /// The name of the gateway that issues the permits of a target, from those that take callers' requests.
-    [[nodiscard]] std::string permit_issuer_of(std::uint64_t target) const;
+    /// Sends permit requests or answers to the peer with this address.
+    void send_permits(const std::string& address, const permit_message& message);
+    /// The address of the peer that issues the permits of a target, one of the gateways that take callers'
+    /// requests; nothing if it is this gateway.
+    [[nodiscard]] std::optional<std::string> permit_issuer_of(std::uint64_t target) const;
 
     /// Sets the source of the crash reports that a daemon gets when it is first heard of.
     void set_crash_source(std::function<crash_news()> source) { this->known_crashes = std::move(source); }
--- a/src/gateway/permit_exchange.hpp
+++ b/src/gateway/permit_exchange.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -23,21 +24,21 @@
 class permit_exchange {
 public:
     using on_decision = std::function<void(permit_decision)>;
-    /// Returns the name of the daemon that issues the permits of a target.
-    using issuer_lookup = std::function<std::string(std::uint64_t target)>;
-    /// Sends a message to the daemon with this name.
-    using sender = std::function<void(const std::string& daemon, const permit_message&)>;
+    /// Returns the address of the daemon that issues the permits of a target; nothing if it is this one.
+    using issuer_lookup = std::function<std::optional<std::string>(std::uint64_t target)>;
+    /// Sends a message to the daemon with this address.
+    using sender = std::function<void(const std::string& address, const permit_message&)>;
 
-    permit_exchange(asio::io_context& loop, std::string self, issuer_lookup issuer_of, sender send)
-        : loop{loop}, self{std::move(self)}, issuer_of{std::move(issuer_of)}, send{std::move(send)}
+    permit_exchange(asio::io_context& loop, issuer_lookup issuer_of, sender send)
+        : loop{loop}, issuer_of{std::move(issuer_of)}, send{std::move(send)}
     {
     }
 
     /// Requests a permit. `done` is called once, possibly before this function returns.
     void request(const rate_limit& limit, on_decision done)
     {
-        const auto issuer = this->issuer_of(limit.target);
-        if (issuer == this->self) {
+        const auto issuer_address = this->issuer_of(limit.target);
+        if (!issuer_address) {
             done(this->issuer.decide(limit, this->clock.now()));
             return;
         }
@@ -50,10 +51,10 @@
             }
         });
         this->pending[id] = {std::move(done), std::move(timer)};
-        this->send(issuer, {{{id, limit}}, {}});
+        this->send(*issuer_address, {{{id, limit}}, {}});
     }
 
-    /// Handles a message of the daemon with the name `from`.
+    /// Handles a message of the daemon with the address `from`.
     void receive(const std::string& from, const permit_message& message)
     {
         permit_message answers;
@@ -91,7 +92,6 @@
     }
 
     asio::io_context& loop;
-    std::string self;
     issuer_lookup issuer_of;
     sender send;
     monotonic_clock clock;
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -5,7 +5,7 @@
 #include "coriander/relay/answer_trials.hpp"
 #include "coriander/relay/crash_quarantine.hpp"
 #include "coriander/relay/fleet_demand.hpp"
-#include "coriander/relay/permit_issuer.hpp"
+#include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/route_table.hpp"
 #include "gateway/relay_dialect.hpp"
 #include "gateway/service_state.hpp"
@@ -50,10 +50,9 @@
     /// Requests a permit for a target with a rate limit. Calls the function once with the decision, possibly
     /// at once.
     std::function<void(const rate_limit&, std::function<void(permit_decision)>)> request_permit =
-        [this](const rate_limit& limit, const std::function<void(permit_decision)>& done) {
-            done(this->own_permits.decide(limit, this->clock.now()));
+        [](const rate_limit&, const std::function<void(permit_decision)>& done) {
+            done({true, {}});
         };
-    permit_issuer own_permits; ///< Used while no other daemon is known.
     /// Called with the host that closed the connection of a running request.
     std::function<void(const std::string&)> on_connection_closed = [](const std::string&) {};
     std::size_t daemons = 1; ///< Number of daemons that take callers' requests, including this one.
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -113,10 +113,9 @@
     if (!advice.is_admitted) {
         meter.on_refused(now);
         log_refusal(this->request, best, advice, targets, input.supply);
-        const bool is_limited = this->denied_permits > 0;
-        this->send_local_reply(best || is_limited ? local_reply::overloaded : local_reply::no_target,
-                               is_limited ? std::max(this->permit_wait, advice.retry_after)
-                                          : advice.retry_after);
+        const bool has_target = best || this->denied_permits > 0;
+        this->send_local_reply(has_target ? local_reply::overloaded : local_reply::no_target,
+                               std::max(this->permit_wait, advice.retry_after));
         return;
     }
     this->send_to(*best);
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -79,6 +79,7 @@
     void end_without_target();
     /// Moves the request to a target with a rate limit once it has a permit; stays where it is without one.
     void move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason);
+    void on_move_permit(const target_choice& choice, permit_decision decision, const char* reason);
     void dispatch(const target_choice& choice);
     [[nodiscard]] std::string request_text(const target_choice& choice) const;
     /// The best target that is not in `excluded`, a list of target ids.
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -198,26 +198,29 @@
     if (std::exchange(this->is_asking_to_move, true)) {
         return;
     }
-    const auto moved = this->current.trial;
-    this->context.request_permit(
-        limit, [weak = this->weak_from_this(), choice, reason, moved](permit_decision decision) {
-            const auto session = weak.lock();
-            if (!session) {
-                return;
-            }
-            session->is_asking_to_move = false;
-            if (session->has_ended || !session->current.is_open || session->current.trial != moved) {
-                return;
-            }
-            log_permit(session->request, choice, decision);
-            if (!decision.is_granted) {
-                session->state->board.defer(choice.target.id, session->context.clock.now() + decision.wait);
-                return;
-            }
-            session->reserved = choice;
-            session->end_attempt(attempt_end::lost, reason);
-            session->reserved.reset();
-        });
+    this->context.request_permit(limit, [weak = this->weak_from_this(), choice, reason,
+                                         moved = this->current.trial](permit_decision decision) {
+        const auto session = weak.lock();
+        if (!session) {
+            return;
+        }
+        session->is_asking_to_move = false;
+        if (!session->has_ended && session->current.is_open && session->current.trial == moved) {
+            session->on_move_permit(choice, decision, reason);
+        }
+    });
+}
+
+void relay_session::on_move_permit(const target_choice& choice, permit_decision decision, const char* reason)
+{
+    log_permit(this->request, choice, decision);
+    if (!decision.is_granted) {
+        this->state->board.defer(choice.target.id, this->context.clock.now() + decision.wait);
+        return;
+    }
+    this->reserved = choice;
+    this->end_attempt(attempt_end::lost, reason);
+    this->reserved.reset();
 }
 
 void relay_session::send_local_reply(local_reply reply, time_ms retry_after)
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -39,40 +39,16 @@
     return {limit.target, static_cast<float>(limit.per_second), clamped_age(limit.age)};
 }
 
-std::vector<wire::SoundPrint> wire_sound_prints(const crash_news& news)
+/// Converts each item to its form on the wire.
+template <typename Wire, typename Item, typename Convert>
+std::vector<Wire> converted(const std::vector<Item>& items, Convert convert)
 {
-    std::vector<wire::SoundPrint> sound;
-    for (const auto& one : news.sound) {
-        sound.emplace_back(one.print, clamped_age(one.age));
+    std::vector<Wire> result;
+    result.reserve(items.size());
+    for (const auto& item : items) {
+        result.push_back(convert(item));
     }
-    return sound;
-}
-
-std::vector<wire::RateLimit> wire_limits(const load_update& loads)
-{
-    std::vector<wire::RateLimit> limits;
-    for (const auto& one : loads.limits) {
-        limits.push_back(wire_limit(one));
-    }
-    return limits;
-}
-
-std::vector<wire::PermitRequest> wire_requests(const permit_message& permits)
-{
-    std::vector<wire::PermitRequest> requests;
-    for (const auto& one : permits.requests) {
-        requests.emplace_back(one.id, wire_limit(one.limit));
-    }
-    return requests;
-}
-
-std::vector<wire::PermitAnswer> wire_answers(const permit_message& permits)
-{
-    std::vector<wire::PermitAnswer> answers;
-    for (const auto& one : permits.answers) {
-        answers.emplace_back(one.id, clamped_age(one.decision.wait), one.decision.is_granted);
-    }
-    return answers;
+    return result;
 }
 
 /// Serializes one message.
@@ -115,11 +91,23 @@
         for (const auto& one : message.lost_hosts) {
             lost_hosts.push_back(wire::CreateLostHostDirect(this->builder, one.id.c_str(), one.incarnation));
         }
-        const auto suspects = this->write_suspects(message.crashes);
-        const auto sound = wire_sound_prints(message.crashes);
-        const auto limits = wire_limits(message.loads);
-        const auto permit_requests = wire_requests(message.permits);
-        const auto permit_answers = wire_answers(message.permits);
+        const auto suspects = converted<flatbuffers::Offset<wire::CrashSuspect>>(
+            message.crashes.suspects, [this](const auto& one) {
+                return wire::CreateCrashSuspectDirect(this->builder, one.crash, clamped_age(one.age),
+                                                      one.had_started, &one.fingerprints);
+            });
+        const auto sound = converted<wire::SoundPrint>(message.crashes.sound, [](const auto& one) {
+            return wire::SoundPrint{one.print, clamped_age(one.age)};
+        });
+        const auto limits = converted<wire::RateLimit>(message.loads.limits, wire_limit);
+        const auto permit_requests =
+            converted<wire::PermitRequest>(message.permits.requests, [](const auto& one) {
+                return wire::PermitRequest{one.id, wire_limit(one.limit)};
+            });
+        const auto permit_answers =
+            converted<wire::PermitAnswer>(message.permits.answers, [](const auto& one) {
+                return wire::PermitAnswer{one.id, clamped_age(one.decision.wait), one.decision.is_granted};
+            });
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(
@@ -129,16 +117,6 @@
     }
 
 private:
-    std::vector<flatbuffers::Offset<wire::CrashSuspect>> write_suspects(const crash_news& news)
-    {
-        std::vector<flatbuffers::Offset<wire::CrashSuspect>> suspects;
-        for (const auto& one : news.suspects) {
-            suspects.push_back(wire::CreateCrashSuspectDirect(this->builder, one.crash, clamped_age(one.age),
-                                                              one.had_started, &one.fingerprints));
-        }
-        return suspects;
-    }
-
     flatbuffers::Offset<wire::Config> write_config(const std::optional<config_record>& record)
     {
         if (!record) {
--- a/src/relay/answer_trials.cpp
+++ b/src/relay/answer_trials.cpp
@@ -12,42 +12,47 @@
     return this->last_id;
 }
 
+answer_trials::trial* answer_trials::find(id wanted)
+{
+    const auto found = this->open.find(wanted);
+    return found == this->open.end() ? nullptr : &found->second;
+}
+
 void answer_trials::on_started(id trial, time_ms now)
 {
-    const auto found = this->open.find(trial);
-    if (found != this->open.end()) {
-        found->second.has_started = true;
-        found->second.started_at = now;
+    if (auto* one = this->find(trial)) {
+        one->has_started = true;
+        one->started_at = now;
     }
 }
 
 void answer_trials::on_progress(id trial, std::size_t events, time_ms now)
 {
-    const auto found = this->open.find(trial);
-    if (found == this->open.end() || !found->second.has_started) {
+    auto* one = this->find(trial);
+    if (one == nullptr || !one->has_started) {
         return;
     }
-    const auto writing = now - found->second.started_at;
+    const auto writing = now - one->started_at;
     const bool is_progressing =
         writing >= this->settings.min_writing_time && events >= this->settings.min_events;
-    found->second.is_sound = is_progressing || writing >= this->settings.max_crash_delay;
+    one->is_sound = is_progressing || writing >= this->settings.max_crash_delay;
 }
 
 void answer_trials::on_complete(id trial, time_ms now)
 {
-    const auto found = this->open.find(trial);
-    if (found != this->open.end()) {
-        found->second.state = phase::complete;
-        found->second.ended_at = now;
-    }
+    this->end(trial, phase::complete, now);
 }
 
 void answer_trials::on_broken_off(id trial, time_ms now)
 {
-    const auto found = this->open.find(trial);
-    if (found != this->open.end()) {
-        found->second.state = phase::broken_off;
-        found->second.ended_at = now;
+    this->end(trial, phase::broken_off, now);
+}
+
+void answer_trials::end(id ended, phase state, time_ms now)
+{
+    if (auto* one = this->find(ended)) {
+        one->state = state;
+        one->ended_at = now;
     }
 }
 
--- a/src/relay/crash_quarantine.cpp
+++ b/src/relay/crash_quarantine.cpp
@@ -279,10 +279,7 @@
 {
     crash_news news;
     for (const auto& one : this->records) {
-        if (!this->is_obsolete(one.suspect, now - one.at)) {
-            news.suspects.push_back(one.suspect);
-            news.suspects.back().age = now - one.at;
-        }
+        this->append_suspect(news, one, now);
     }
     std::sort(news.suspects.begin(), news.suspects.end(),
               [](const auto& a, const auto& b) { return a.age < b.age; });
@@ -291,6 +288,14 @@
     return news;
 }
 
+void crash_quarantine::append_suspect(crash_news& news, const record& one, time_ms now) const
+{
+    if (!this->is_obsolete(one.suspect, now - one.at)) {
+        news.suspects.push_back(one.suspect);
+        news.suspects.back().age = now - one.at;
+    }
+}
+
 void crash_quarantine::append_sound(crash_news& news, std::size_t limit, time_ms now) const
 {
     std::set<fingerprint> prints = this->contested;
@@ -308,20 +313,16 @@
 crash_news crash_quarantine::news_to_send(std::size_t limit, time_ms now)
 {
     crash_news news;
-    const auto append = [&](const record& one) {
-        news.suspects.push_back(one.suspect);
-        news.suspects.back().age = now - one.at;
-    };
     for (auto& one : this->records) {
         if (one.copies_left > 0 && news.suspects.size() < limit) {
             --one.copies_left;
-            append(one);
+            this->append_suspect(news, one, now);
         }
     }
     for (std::size_t i = 0; i < std::min(repeated_reports, this->records.size()); ++i) {
         const auto& one = this->records[this->repeat_cursor++ % this->records.size()];
-        if (news.suspects.size() < limit && !this->is_obsolete(one.suspect, now - one.at)) {
-            append(one);
+        if (news.suspects.size() < limit) {
+            this->append_suspect(news, one, now);
         }
     }
     this->append_sound(news, limit, now);
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -124,29 +124,36 @@
            now - *target.limit_stated_at < max_limit_age;
 }
 
+void target_pool::set_limit(target_state& target, double per_second, time_ms stated_at)
+{
+    target.limit_stated_at = stated_at;
+    target.limit_per_second = per_second;
+    if (per_second == 0.0) {
+        target.deferred_until = {};
+    }
+}
+
+rate_limit target_pool::limit_report(const target_state& target, time_ms now)
+{
+    return {target.key, target.limit_per_second, now - *target.limit_stated_at};
+}
+
 void target_pool::on_rate_limit(const std::string& id, std::optional<double> per_second, time_ms now)
 {
     auto* target = this->find(id);
-    if (target == nullptr || (!per_second && !target->limit_stated_at)) {
-        return;
-    }
-    target->limit_stated_at = now;
-    target->limit_per_second = per_second.value_or(0.0);
-    if (!per_second) {
-        target->deferred_until = {};
+    if (target != nullptr && (per_second || target->limit_stated_at)) {
+        set_limit(*target, per_second.value_or(0.0), now);
     }
 }
 
 void target_pool::on_peer_rate_limit(const rate_limit& limit, time_ms now)
 {
+    auto* target = this->find_by_key(limit.target);
     const auto stated_at = now - limit.age;
-    for (auto& [id, target] : this->targets) {
-        const bool is_newer = !target.limit_stated_at || *target.limit_stated_at < stated_at;
-        if (target.key == limit.target && is_newer && limit.age < max_limit_age) {
-            target.limit_stated_at = stated_at;
-            target.limit_per_second = limit.per_second;
-            target.deferred_until = limit.per_second > 0.0 ? target.deferred_until : time_ms{};
-        }
+    const bool is_newer =
+        target != nullptr && (!target->limit_stated_at || *target->limit_stated_at < stated_at);
+    if (is_newer && limit.age < max_limit_age) {
+        set_limit(*target, limit.per_second, stated_at);
     }
 }
 
@@ -156,8 +163,7 @@
     if (found == this->targets.end() || !is_limited(found->second, now)) {
         return std::nullopt;
     }
-    const auto& target = found->second;
-    return rate_limit{target.key, target.limit_per_second, now - *target.limit_stated_at};
+    return limit_report(found->second, now);
 }
 
 std::vector<rate_limit> target_pool::rate_limits(time_ms now) const
@@ -165,7 +171,7 @@
     std::vector<rate_limit> known;
     for (const auto& [id, target] : this->targets) {
         if (target.is_serving && target.limit_stated_at && now - *target.limit_stated_at < max_limit_age) {
-            known.push_back({target.key, target.limit_per_second, now - *target.limit_stated_at});
+            known.push_back(limit_report(target, now));
         }
     }
     return known;
@@ -184,6 +190,13 @@
     return found == this->targets.end() ? nullptr : &found->second;
 }
 
+target_pool::target_state* target_pool::find_by_key(std::uint64_t key)
+{
+    const auto found = std::find_if(this->targets.begin(), this->targets.end(),
+                                    [&](const auto& item) { return item.second.key == key; });
+    return found == this->targets.end() ? nullptr : &found->second;
+}
+
 void target_pool::on_sent(const std::string& id, time_ms now)
 {
     if (auto* target = this->find(id)) {
@@ -235,11 +248,8 @@
 
 void target_pool::on_peer_report(const load_report& report, time_ms now)
 {
-    const auto found = std::find_if(this->targets.begin(), this->targets.end(),
-                                    [&](const auto& item) { return item.second.key == report.target; });
-    if (found != this->targets.end()) {
-        auto& target = found->second;
-        target.load.on_report(report.running, report.waiting, target.own_requests, now - report.age);
+    if (auto* target = this->find_by_key(report.target)) {
+        target->load.on_report(report.running, report.waiting, target->own_requests, now - report.age);
     }
 }
 
--- a/test/gateway/permit_exchange_test.cpp
+++ b/test/gateway/permit_exchange_test.cpp
@@ -50,9 +50,9 @@
     std::vector<std::pair<std::string, permit_message>> sent;
     std::optional<permit_decision> decision;
     unsigned calls = 0;
-    static std::string issuer(std::uint64_t /*target*/) { return "second"; }
-    permit_exchange first{this->loop.context(), "first", &issuer, this->sender()};
-    permit_exchange second{this->loop.context(), "second", &issuer, this->sender()};
+    permit_exchange first{this->loop.context(),
+                          [](std::uint64_t) { return std::optional{std::string{"second"}}; }, this->sender()};
+    permit_exchange second{this->loop.context(), [](std::uint64_t) { return std::nullopt; }, this->sender()};
 };
 
 } // namespace
