--- a/src/gateway/crash_response.hpp
+++ b/src/gateway/crash_response.hpp
@@ -32,10 +32,15 @@
     crash_response(Io& io, relay_context& context, fleet_view& view, on_lost report_lost)
         : io{io}, context{context}, view{view}, report_lost{std::move(report_lost)}
     {
+        this->context.on_connection_closed = [this](const std::string& host) {
+            this->on_connection_closed(host);
+        };
     }
+    crash_response(const crash_response&) = delete;
+    crash_response& operator=(const crash_response&) = delete;
 
     /// Finds out whether the host, which closed the connection of a running request, has crashed. It may also
-    /// have reset that connection only, or leave as planned.
+    /// have reset that connection only, or leave as planned. Sessions call it through the context.
     void on_connection_closed(const std::string& id)
     {
         const auto* host = this->view.find_host(id);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -3,11 +3,11 @@
 #include "gateway/crash_response.hpp"
 #include "gateway/fleet_controller.hpp"
 #include "gateway/fleet_view.hpp"
-#include "gateway/gateway_pages.hpp"
 #include "gateway/gateway_peers.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/loss_exchange.hpp"
+#include "gateway/page_server.hpp"
 #include "gateway/permit_exchange.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
@@ -37,10 +37,14 @@
 public:
     gateway(asio::io_context& loop, Io& io, gateway_settings values, relay_dialect dialect,
             gateway_pages pages)
-        : loop{loop}, io{io}, values{std::move(values)}, pages{std::move(pages)},
-          relay{loop, std::move(dialect), this->values.failure_domain}, control{io, this->fleet,
-                                                                                this->values.name},
-          stalls{io, this->relay, this->fleet, [this](auto hosts) { this->on_hosts_lost(hosts); }},
+        : loop{loop}, io{io}, values{std::move(values)}, relay{loop, std::move(dialect),
+                                                               this->values.failure_domain},
+          pages{this->relay, this->values, std::move(pages), [this] { return this->is_ready(); },
+                [this] { return this->other_addresses(); }},
+          control{io, this->fleet, this->values.name}, stalls{io, this->relay, this->fleet,
+                                                              [this](auto hosts) {
+                                                                  this->on_hosts_lost(hosts);
+                                                              }},
           losses{io, this->fleet, [this] { this->refresh(); }}, crashes{io, this->relay, this->fleet,
                                                                         [this](auto hosts) {
                                                                             this->on_hosts_lost(hosts);
@@ -50,9 +54,6 @@
     {
         this->relay.retry_settings = this->values.retries;
         this->control.set_progress_listener([this] { this->schedule_control(); });
-        this->relay.on_connection_closed = [this](const std::string& host) {
-            this->crashes.on_connection_closed(host);
-        };
         this->relay.may_probe_quarantine = [this](fingerprint print) {
             const auto daemons = this->peers->controllers();
             return shard_rank(std::to_string(print), this->values.name, daemons) == 0;
@@ -165,30 +166,19 @@
         return listener;
     }
 
-    connection_limits limits() const
-    {
-        connection_limits bounds;
-        if (this->relay.routes) {
-            const auto& declared = this->relay.routes->manifest().limits;
-            bounds = {declared.max_header_bytes, declared.max_body_bytes, declared.header_timeout,
-                      declared.idle_timeout};
-        }
-        return bounds;
-    }
-
     connection_handlers caller_handlers()
     {
         return {[this](const std::shared_ptr<caller_connection>& caller, incoming_request request) {
                     std::make_shared<relay_session>(this->relay, caller, std::move(request))->start();
                     this->start_stall_checks();
                 },
-                [this] { return this->limits(); }, [this] { return this->is_stopping; }};
+                [this] { return this->relay.connection_bounds(); }, [this] { return this->is_stopping; }};
     }
 
     connection_handlers page_handlers()
     {
         return {[this](const std::shared_ptr<caller_connection>& caller, const incoming_request& request) {
-                    this->serve_page(*caller, request);
+                    this->pages.serve(*caller, request);
                 },
                 [] { return connection_limits{}; }, [this] { return this->is_stopping; }};
     }
@@ -198,41 +188,12 @@
         return this->relay.routes != nullptr && this->is_fleet_loaded && !this->is_stopping;
     }
 
-    void serve_page(caller_connection& caller, const incoming_request& request)
+    [[nodiscard]] std::vector<std::string> other_addresses() const
     {
-        constexpr int ok = 200;
-        constexpr int not_found = 404;
-        constexpr int unavailable = 503;
-        const auto path = request.head.target.substr(0, request.head.target.find('?'));
-        if (path == this->pages.readiness_path) {
-            caller.send(this->is_ready() ? ok : unavailable, {}, {});
-        }
-        else if (path == this->pages.directory_path) {
-            const auto addresses = this->serving_addresses();
-            caller.send(addresses.empty() ? unavailable : ok, {{"Content-Type", "application/json"}},
-                        this->pages.directory_text(addresses, this->values.directory_ttl));
-        }
-        else if (path == this->pages.metrics_path) {
-            caller.send(ok, {{"Content-Type", "text/plain"}}, this->relay.counters.text());
-        }
-        else {
-            caller.send(not_found, {}, {});
-        }
-    }
-
-    /// Addresses of the entry hosts that the directory lists, in random order.
-    std::vector<std::string> serving_addresses()
-    {
-        constexpr std::size_t max_addresses = 64;
         std::vector<std::string> addresses;
-        if (this->is_ready()) {
-            addresses.push_back(this->values.callers_address);
-        }
         for (const auto& other : this->peers->serving()) {
             addresses.push_back(other.http_address);
         }
-        std::shuffle(addresses.begin(), addresses.end(), this->relay.random);
-        addresses.resize(std::min(addresses.size(), max_addresses));
         return addresses;
     }
 
@@ -399,8 +360,8 @@
     asio::io_context& loop;
     Io& io;
     gateway_settings values;
-    gateway_pages pages;
     relay_context relay;
+    page_server pages;
     load_exchange loads{this->relay};
     fleet_view fleet;
     fleet_controller<Io> control;
--- /dev/null
+++ b/src/gateway/page_server.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "gateway/gateway_pages.hpp"
+#include "gateway/gateway_settings.hpp"
+#include "gateway/relay_context.hpp"
+#include "net/caller_connection.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace coriander {
+
+/// Answers requests for a gateway's own pages: readiness, directory and metrics. Must be used on the event
+/// loop's thread only.
+class page_server {
+public:
+    /// Returns the addresses of the other entry hosts that take callers' requests.
+    using other_addresses = std::function<std::vector<std::string>()>;
+
+    /// `context` and `settings` must outlive the server. `is_ready` tells whether this entry host takes
+    /// callers' requests.
+    page_server(relay_context& context, const gateway_settings& settings, gateway_pages pages,
+                std::function<bool()> is_ready, other_addresses others);
+
+    /// Answers the request; with 404 if there is no such page.
+    void serve(caller_connection& caller, const incoming_request& request);
+
+private:
+    /// Addresses of the entry hosts that the directory lists, in random order.
+    [[nodiscard]] std::vector<std::string> listed_addresses();
+
+    relay_context& context;
+    const gateway_settings& settings;
+    gateway_pages pages;
+    std::function<bool()> is_ready;
+    other_addresses others;
+};
+
+} // namespace coriander
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -9,6 +9,7 @@
 #include "coriander/relay/route_table.hpp"
 #include "gateway/relay_dialect.hpp"
 #include "gateway/service_state.hpp"
+#include "net/caller_connection.hpp"
 #include "net/channel_pool.hpp"
 #include "runtime/metrics.hpp"
 
@@ -76,6 +77,18 @@
         return this->demand.total(model_key(service, model), meter.load(now), this->daemons, now);
     }
 
+    /// Bounds of callers' connections, by the manifest in force.
+    [[nodiscard]] connection_limits connection_bounds() const
+    {
+        connection_limits bounds;
+        if (this->routes) {
+            const auto& declared = this->routes->manifest().limits;
+            bounds = {declared.max_header_bytes, declared.max_body_bytes, declared.header_timeout,
+                      declared.idle_timeout};
+        }
+        return bounds;
+    }
+
     /// The state of a service, created on first use.
     [[nodiscard]] service_state& service(const std::string& name)
     {
