--- a/include/coriander/outage_monitor.hpp
+++ b/include/coriander/outage_monitor.hpp
@@ -16,16 +16,16 @@
 public:
     explicit outage_monitor(time_ms grace) : grace{grace} {}
 
-    /// Updates the state with the number of hosts of the shard that are silent and that have reported. A host
-    /// can be neither, when this controller has acquired the shard only recently. Such hosts change nothing:
-    /// an outage that was detected before continues.
-    void observe(std::size_t silent, std::size_t heard, std::size_t total, time_ms now)
+    /// Updates the state with the number of hosts of the shard that are unreachable and that have reported. A
+    /// host can be neither, when this controller has acquired the shard only recently. Such hosts change
+    /// nothing: an outage that was detected before continues.
+    void update(std::size_t unreachable, std::size_t reporting, std::size_t total, time_ms now)
     {
-        const bool is_dark = total > 1 && silent * 2 > total;
-        if (heard * 2 >= total) {
+        const bool is_outage = total > 1 && unreachable * 2 > total;
+        if (reporting * 2 >= total) {
             this->since.reset();
         }
-        else if (is_dark && !this->since) {
+        else if (is_outage && !this->since) {
             this->since = now;
         }
     }
--- a/include/coriander/relay/answer_trials.hpp
+++ b/include/coriander/relay/answer_trials.hpp
@@ -22,7 +22,7 @@
 };
 
 /// A request that has run long enough without a crash.
-struct sound_request {
+struct cleared_request {
     std::vector<fingerprint> prints;
     time_ms started_at;
 };
@@ -50,7 +50,7 @@
     void discard(id trial) { this->open.erase(trial); }
 
     /// Removes and returns the requests that have turned out not to crash their targets.
-    [[nodiscard]] std::vector<sound_request> take_sound(time_ms now);
+    [[nodiscard]] std::vector<cleared_request> take_cleared(time_ms now);
 
     /// Removes and returns the suspects of a crash of the host, each with the crash's id and age.
     [[nodiscard]] std::vector<crash_suspect> take_suspects(const std::string& host, std::uint64_t crash,
@@ -64,7 +64,7 @@
         std::vector<fingerprint> prints;
         phase state = phase::running;
         bool has_started = false;
-        bool is_sound = false;
+        bool is_cleared = false;
         time_ms started_at;
         time_ms ended_at;
     };
--- a/include/coriander/relay/crash_quarantine.hpp
+++ b/include/coriander/relay/crash_quarantine.hpp
@@ -34,7 +34,7 @@
     /// Requests that did not cause a crash, as its explanation shows, are forgotten after this time.
     time_ms explained_retention{10000};
     std::size_t max_suspects = 512;
-    std::size_t max_sound = 8192;
+    std::size_t max_cleared = 8192;
 };
 
 /// Whether a request may be sent to a target.
@@ -54,9 +54,9 @@
 };
 
 /// Finds out which requests crash their targets, from what the requests on crashed targets have in common,
-/// and tells which requests not to send. Works on the reports of all daemons: each crash is caused by at most
-/// one request, and the smallest set of fingerprints that explains the crashes is quarantined. A request that
-/// runs without a crash clears its fingerprints of all earlier crashes. Not thread-safe.
+/// and decides which requests must not be sent. Works on the reports of all daemons: each crash is caused by
+/// at most one request, and the smallest set of fingerprints that explains the crashes is quarantined. A
+/// request that runs without a crash clears its fingerprints of all earlier crashes. Not thread-safe.
 class crash_quarantine {
 public:
     explicit crash_quarantine(crash_quarantine_settings settings = {}) : settings{settings} {}
@@ -66,13 +66,13 @@
 
     /// Records that a request with these fingerprints, which started to run at `started_at`, did not crash
     /// its target.
-    void on_sound(std::span<const fingerprint> prints, time_ms started_at, time_ms now);
+    void on_cleared(std::span<const fingerprint> prints, time_ms started_at, time_ms now);
 
     /// Merges another daemon's reports.
-    void merge(const crash_news& news, time_ms now);
+    void merge(const crash_update& update, time_ms now);
 
     /// Evaluates what was recorded since the last call. Returns whether the quarantine has changed.
-    bool update(time_ms now);
+    bool evaluate(time_ms now);
 
     /// Whether a request with these fingerprints may be sent. `may_probe` tells whether this daemon is the
     /// one that tests whether the quarantine of a fingerprint can end.
@@ -89,10 +89,10 @@
 
     /// The reports to send in one message, at most `limit` of each kind. Each new report is returned
     /// `copies` times; older ones are returned in turns, a few at a time, for daemons that have restarted.
-    [[nodiscard]] crash_news news_to_send(std::size_t limit, time_ms now);
+    [[nodiscard]] crash_update next_update(std::size_t limit, time_ms now);
 
     /// The newest reports, at most `limit`, for a daemon that has just started.
-    [[nodiscard]] crash_news newest(std::size_t limit, time_ms now) const;
+    [[nodiscard]] crash_update newest(std::size_t limit, time_ms now) const;
 
     /// What is quarantined now.
     [[nodiscard]] std::span<const quarantine_entry> entries() const noexcept { return this->quarantined; }
@@ -119,22 +119,23 @@
     void rebuild(time_ms now);
     [[nodiscard]] evidence_map collect_evidence(time_ms now);
     [[nodiscard]] bool qualifies(fingerprint print, const evidence& found) const;
-    [[nodiscard]] std::optional<fingerprint> strongest(const evidence_map& found) const;
-    [[nodiscard]] std::vector<fingerprint> companions(fingerprint chosen, const evidence_map& found) const;
+    [[nodiscard]] std::optional<fingerprint> best_explanation(const evidence_map& found) const;
+    [[nodiscard]] std::vector<fingerprint> indistinguishable_prints(fingerprint chosen,
+                                                                    const evidence_map& found) const;
     [[nodiscard]] std::set<fingerprint> find_contested(time_ms now) const;
     /// Whether the record belongs to an explained crash that another request caused, and has been passed on.
     [[nodiscard]] bool is_obsolete(const crash_suspect& suspect, time_ms age) const;
     [[nodiscard]] bool is_cleared(fingerprint print, time_ms crashed_at) const;
-    /// Adds the record to the news unless it is obsolete.
-    void append_suspect(crash_news& news, const record& one, time_ms now) const;
+    /// Adds the record to the update unless it is obsolete.
+    void append_suspect(crash_update& update, const record& one, time_ms now) const;
     [[nodiscard]] const quarantine_entry* find_entry(std::span<const fingerprint> prints) const;
-    void limit_sound(time_ms now);
-    /// Adds what is known of the suspects' fingerprints to the news, at most `limit` reports in all.
-    void append_sound(crash_news& news, std::size_t limit, time_ms now) const;
+    void limit_cleared(time_ms now);
+    /// Adds what is known of the suspects' fingerprints to the update, at most `limit` reports in all.
+    void append_cleared(crash_update& update, std::size_t limit, time_ms now) const;
 
     crash_quarantine_settings settings;
     std::vector<record> records;
-    std::map<fingerprint, time_ms> sound; ///< When the latest request that ran without a crash started.
+    std::map<fingerprint, time_ms> cleared; ///< When the latest request that ran without a crash started.
     std::vector<quarantine_entry> quarantined;
     std::map<std::uint64_t, std::size_t> explained; ///< Crashes with the index of the entry that caused them.
     std::set<fingerprint> contested;
--- a/include/coriander/relay/crash_report.hpp
+++ b/include/coriander/relay/crash_report.hpp
@@ -19,17 +19,17 @@
 };
 
 /// States that requests with a fingerprint run without crashing their targets.
-struct sound_report {
+struct cleared_report {
     fingerprint print = 0;
     time_ms age; ///< Time since the most recent such request started to run.
 };
 
 /// What daemons tell each other about crashes.
-struct crash_news {
+struct crash_update {
     std::vector<crash_suspect> suspects;
-    std::vector<sound_report> sound;
+    std::vector<cleared_report> cleared;
 
-    [[nodiscard]] bool empty() const noexcept { return this->suspects.empty() && this->sound.empty(); }
+    [[nodiscard]] bool empty() const noexcept { return this->suspects.empty() && this->cleared.empty(); }
 };
 
 } // namespace coriander
--- a/src/controller/shard_manager.hpp
+++ b/src/controller/shard_manager.hpp
@@ -149,19 +149,19 @@
 template <table_store Table, clock_source Clock>
 void shard_manager<Table, Clock>::detect_outage(const fleet_snapshot& snapshot, time_ms now)
 {
-    std::size_t silent = 0;
-    std::size_t heard = 0;
+    std::size_t unreachable = 0;
+    std::size_t reporting = 0;
     std::size_t total = 0;
     for (const auto& host : snapshot.view.hosts) {
         if (this->is_in_shard(host)) {
             ++total;
-            silent += host.lost ? 1 : 0;
-            heard += host.report ? 1 : 0;
+            unreachable += host.lost ? 1 : 0;
+            reporting += host.report ? 1 : 0;
         }
     }
-    this->outage.observe(silent, heard, total, now);
+    this->outage.update(unreachable, reporting, total, now);
     if (this->outage.just_started(now)) {
-        log_event(event::shard_dark, {{"shard", this->shard}, {"silent", silent}, {"hosts", total}});
+        log_event(event::shard_dark, {{"shard", this->shard}, {"silent", unreachable}, {"hosts", total}});
         // The fault may be on this side: release the shard so that another controller can check.
         this->release();
         this->no_acquire_before = now + this->values.lease_duration;
--- a/src/gateway/crash_response.hpp
+++ b/src/gateway/crash_response.hpp
@@ -51,10 +51,10 @@
     }
 
     /// Merges the reports of another daemon.
-    void merge(const crash_news& news)
+    void merge(const crash_update& update)
     {
-        if (!news.empty()) {
-            this->context.quarantine.merge(news, this->context.clock.now());
+        if (!update.empty()) {
+            this->context.quarantine.merge(update, this->context.clock.now());
             this->update_quarantine();
         }
     }
@@ -63,8 +63,8 @@
     void check()
     {
         const auto now = this->context.clock.now();
-        for (const auto& one : this->context.trials.take_sound(now)) {
-            this->context.quarantine.on_sound(one.prints, one.started_at, now);
+        for (const auto& one : this->context.trials.take_cleared(now)) {
+            this->context.quarantine.on_cleared(one.prints, one.started_at, now);
         }
         this->update_quarantine();
     }
@@ -119,7 +119,7 @@
     void update_quarantine()
     {
         const auto now = this->context.clock.now();
-        if (!this->context.quarantine.update(now)) {
+        if (!this->context.quarantine.evaluate(now)) {
             return;
         }
         log_quarantine(this->context.quarantine.entries(), now);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -77,7 +77,7 @@
         this->peers->set_crash_source([this] {
             return this->relay.quarantine.newest(gateway_peers::max_first_crashes, this->relay.clock.now());
         });
-        this->peers->set_crash_listener([this](const crash_news& news) { this->crashes.merge(news); });
+        this->peers->set_crash_listener([this](const crash_update& news) { this->crashes.merge(news); });
         this->listen(this->values.readiness_address, this->page_handlers());
         if (!this->values.directory_address.empty()) {
             this->listen(this->values.directory_address, this->page_handlers());
@@ -321,7 +321,7 @@
         this->peers->send_round(
             this->manifest_version(), this->manifest_text, this->is_stopping, this->io.reaches_table(),
             this->loads.snapshot(gateway_peers::loads_per_message),
-            this->relay.quarantine.news_to_send(gateway_peers::crashes_per_message, this->relay.clock.now()));
+            this->relay.quarantine.next_update(gateway_peers::crashes_per_message, this->relay.clock.now()));
         this->relay.daemons = this->peers->count();
         this->call_after(this->peer_timer, gateway_peers::round_length, [this] { this->run_peers(); });
     }
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -40,9 +40,9 @@
 }
 
 /// A daemon that has just started knows of no crashes, and must not send requests that caused some.
-void gateway_peers::welcome(const member_identity& sender)
+void gateway_peers::send_known_crashes(const member_identity& sender)
 {
-    if (std::exchange(this->welcomed[sender.name], sender.incarnation) == sender.incarnation) {
+    if (std::exchange(this->informed_peers[sender.name], sender.incarnation) == sender.incarnation) {
         return;
     }
     peer_message message;
@@ -56,7 +56,7 @@
 {
     const auto now = this->clock.now();
     if (!message.identities.empty()) {
-        this->welcome(message.identities.front());
+        this->send_known_crashes(message.identities.front());
     }
     for (const auto& identity : message.identities) {
         this->introduce(identity);
@@ -85,7 +85,7 @@
 
 void gateway_peers::send_round(std::uint64_t manifest_version, const std::string& manifest_text,
                                bool is_stopping, bool reaches_table, load_update load_reports,
-                               crash_news crash_reports)
+                               crash_update crash_reports)
 {
     const auto now = this->clock.now();
     if (std::exchange(this->manifest_version, manifest_version) != manifest_version) {
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -41,7 +41,7 @@
     using losses_handler = std::function<void(std::span<const lost_host>)>;
 
     /// Receives what a peer knows about crashes.
-    using crashes_handler = std::function<void(const crash_news&)>;
+    using crashes_handler = std::function<void(const crash_update&)>;
 
     /// Receives permit requests and answers of the peer with the address `sender`.
     using permits_handler = std::function<void(const std::string& sender, const permit_message&)>;
@@ -69,14 +69,14 @@
     [[nodiscard]] std::optional<std::string> permit_issuer_of(std::uint64_t target) const;
 
     /// Sets the source of the crash reports that a daemon gets when it is first heard of.
-    void set_crash_source(std::function<crash_news()> source) { this->known_crashes = std::move(source); }
+    void set_crash_source(std::function<crash_update()> source) { this->known_crashes = std::move(source); }
     /// Notifies the named daemons that a host is lost.
     void send_loss(const lost_host& host, std::span<const std::string> names);
 
     /// Sends heartbeats and loads to some of the peers; to be called every `round_length`. Only the first
     /// `loads_per_message` targets of `load_reports` are sent.
     void send_round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping,
-                    bool reaches_table, load_update load_reports, crash_news crash_reports);
+                    bool reaches_table, load_update load_reports, crash_update crash_reports);
     /// At 16 bytes each and 20 messages per second, 5 KB/s of the 8 KB/s that control traffic may use per
     /// daemon.
     static constexpr std::size_t loads_per_message = 16;
@@ -108,16 +108,16 @@
     static constexpr std::size_t reader_group_size = 64;
 
     void receive(const peer_message& message);
-    void welcome(const member_identity& sender);
+    void send_known_crashes(const member_identity& sender);
     [[nodiscard]] static std::size_t group_of(const std::string& name, std::size_t daemons);
 
     std::vector<std::string> seeds;
     manifest_handler manifest;
     news_handler news;
     loads_handler loads = [](std::uint64_t, const load_update&) {};
-    crashes_handler crashes = [](const crash_news&) {};
-    std::function<crash_news()> known_crashes = [] { return crash_news{}; };
-    std::map<std::string, std::uint64_t> welcomed; ///< Incarnations of the peers heard of, by name.
+    crashes_handler crashes = [](const crash_update&) {};
+    std::function<crash_update()> known_crashes = [] { return crash_update{}; };
+    std::map<std::string, std::uint64_t> informed_peers; ///< Incarnations of the peers heard of, by name.
     permits_handler permits = [](const std::string&, const permit_message&) {};
     std::size_t limit_cursor = 0;
     losses_handler losses = [](std::span<const lost_host>) {};
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -96,8 +96,8 @@
                 return wire::CreateCrashSuspectDirect(this->builder, one.crash, clamped_age(one.age),
                                                       one.had_started, &one.fingerprints);
             });
-        const auto sound = converted<wire::SoundPrint>(message.crashes.sound, [](const auto& one) {
-            return wire::SoundPrint{one.print, clamped_age(one.age)};
+        const auto cleared = converted<wire::ClearedPrint>(message.crashes.cleared, [](const auto& one) {
+            return wire::ClearedPrint{one.print, clamped_age(one.age)};
         });
         const auto limits = converted<wire::RateLimit>(message.loads.limits, wire_limit);
         const auto permit_requests =
@@ -112,7 +112,7 @@
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(
             this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
-            &lost_hosts, &suspects, &sound, &limits, &permit_requests, &permit_answers));
+            &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -220,9 +220,9 @@
                 {one->crash(), one->had_started(), std::move(prints), time_ms{one->age_ms()}});
         }
     }
-    if (const auto* sound = root.sound_prints()) {
-        for (const auto* one : *sound) {
-            message.crashes.sound.push_back({one->print(), time_ms{one->age_ms()}});
+    if (const auto* cleared = root.cleared_prints()) {
+        for (const auto* one : *cleared) {
+            message.crashes.cleared.push_back({one->print(), time_ms{one->age_ms()}});
         }
     }
 }
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -34,7 +34,7 @@
     std::optional<table_delta> news;
     load_update loads;
     std::vector<lost_host> lost_hosts; ///< Hosts that the sender has detected as lost.
-    crash_news crashes;
+    crash_update crashes;
     permit_message permits;
 };
 
--- a/src/relay/answer_trials.cpp
+++ b/src/relay/answer_trials.cpp
@@ -35,7 +35,7 @@
     const auto writing = now - one->started_at;
     const bool is_progressing =
         writing >= this->settings.min_writing_time && events >= this->settings.min_events;
-    one->is_sound = is_progressing || writing >= this->settings.max_crash_delay;
+    one->is_cleared = is_progressing || writing >= this->settings.max_crash_delay;
 }
 
 void answer_trials::on_complete(id trial, time_ms now)
@@ -56,20 +56,20 @@
     }
 }
 
-std::vector<sound_request> answer_trials::take_sound(time_ms now)
+std::vector<cleared_request> answer_trials::take_cleared(time_ms now)
 {
-    std::vector<sound_request> sound;
+    std::vector<cleared_request> cleared;
     std::erase_if(this->open, [&](auto& item) {
         auto& one = item.second;
         const bool has_outlasted_crash =
             one.state != phase::running && now - one.ended_at >= this->settings.max_crash_delay;
-        if (one.is_sound || (one.state == phase::complete && has_outlasted_crash)) {
-            sound.push_back({std::move(one.prints), one.started_at});
+        if (one.is_cleared || (one.state == phase::complete && has_outlasted_crash)) {
+            cleared.push_back({std::move(one.prints), one.started_at});
             return true;
         }
         return has_outlasted_crash;
     });
-    return sound;
+    return cleared;
 }
 
 std::vector<crash_suspect> answer_trials::take_suspects(const std::string& host, std::uint64_t crash,
@@ -81,7 +81,7 @@
         if (one.host != host) {
             return false;
         }
-        if (!one.is_sound) {
+        if (!one.is_cleared) {
             suspects.push_back({crash, one.has_started, std::move(one.prints), age});
         }
         return true;
--- a/src/relay/crash_quarantine.cpp
+++ b/src/relay/crash_quarantine.cpp
@@ -36,46 +36,46 @@
     this->is_outdated = true;
 }
 
-void crash_quarantine::on_sound(std::span<const fingerprint> prints, time_ms started_at, time_ms now)
+void crash_quarantine::on_cleared(std::span<const fingerprint> prints, time_ms started_at, time_ms now)
 {
     for (const auto print : prints) {
-        auto& latest = this->sound.try_emplace(print, started_at).first->second;
+        auto& latest = this->cleared.try_emplace(print, started_at).first->second;
         latest = std::max(latest, started_at);
         this->is_outdated = this->is_outdated || this->contested.contains(print);
     }
-    this->limit_sound(now);
+    this->limit_cleared(now);
 }
 
-void crash_quarantine::limit_sound(time_ms now)
+void crash_quarantine::limit_cleared(time_ms now)
 {
-    if (this->sound.size() <= this->settings.max_sound) {
+    if (this->cleared.size() <= this->settings.max_cleared) {
         return;
     }
     std::vector<time_ms> times;
-    times.reserve(this->sound.size());
-    for (const auto& [print, at] : this->sound) {
+    times.reserve(this->cleared.size());
+    for (const auto& [print, at] : this->cleared) {
         times.push_back(at);
     }
     const auto quarter = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 4);
     std::nth_element(times.begin(), quarter, times.end());
     const auto oldest_kept = std::max(*quarter, now - this->settings.retention);
-    std::erase_if(this->sound, [&](const auto& item) { return item.second <= oldest_kept; });
+    std::erase_if(this->cleared, [&](const auto& item) { return item.second <= oldest_kept; });
 }
 
-void crash_quarantine::merge(const crash_news& news, time_ms now)
+void crash_quarantine::merge(const crash_update& update, time_ms now)
 {
-    for (const auto& suspect : news.suspects) {
+    for (const auto& suspect : update.suspects) {
         this->add(suspect, now);
     }
-    for (const auto& report : news.sound) {
-        this->on_sound({&report.print, 1}, now - report.age, now);
+    for (const auto& report : update.cleared) {
+        this->on_cleared({&report.print, 1}, now - report.age, now);
     }
 }
 
 bool crash_quarantine::is_cleared(fingerprint print, time_ms crashed_at) const
 {
-    const auto found = this->sound.find(print);
-    return found != this->sound.end() && found->second > crashed_at;
+    const auto found = this->cleared.find(print);
+    return found != this->cleared.end() && found->second > crashed_at;
 }
 
 crash_quarantine::evidence_map crash_quarantine::collect_evidence(time_ms now)
@@ -85,7 +85,7 @@
     for (const auto& one : this->records) {
         const auto reported_at = one.at + this->settings.report_delay;
         for (const auto print : one.suspect.fingerprints) {
-            if (this->sound.contains(print) && now < reported_at) {
+            if (this->cleared.contains(print) && now < reported_at) {
                 this->pending_until = this->pending_until == time_ms{}
                                           ? reported_at
                                           : std::min(this->pending_until, reported_at);
@@ -102,7 +102,7 @@
 
 bool crash_quarantine::qualifies(fingerprint print, const evidence& found) const
 {
-    const bool has_succeeded = this->sound.contains(print);
+    const bool has_succeeded = this->cleared.contains(print);
     const auto min_crashes =
         has_succeeded ? this->settings.min_crashes_after_success : this->settings.min_crashes;
     const auto min_span = has_succeeded ? this->settings.min_span_after_success : this->settings.min_span;
@@ -115,10 +115,10 @@
     return last->second - first->second >= min_span;
 }
 
-std::optional<fingerprint> crash_quarantine::strongest(const evidence_map& found) const
+std::optional<fingerprint> crash_quarantine::best_explanation(const evidence_map& found) const
 {
     const auto strength = [this](fingerprint print, const evidence& own) {
-        return std::tuple{own.crashes.size(), !this->sound.contains(print), own.started};
+        return std::tuple{own.crashes.size(), !this->cleared.contains(print), own.started};
     };
     const evidence_map::value_type* best = nullptr;
     for (const auto& item : found) {
@@ -132,7 +132,8 @@
 }
 
 /// The fingerprints that can't be told apart from `chosen`: in each of its crashes, one request had them all.
-std::vector<fingerprint> crash_quarantine::companions(fingerprint chosen, const evidence_map& found) const
+std::vector<fingerprint> crash_quarantine::indistinguishable_prints(fingerprint chosen,
+                                                                    const evidence_map& found) const
 {
     const auto& crashes = found.at(chosen).crashes;
     std::vector<const crash_suspect*> with_chosen;
@@ -150,11 +151,11 @@
         }
         return seen.size() == crashes.size();
     };
-    const bool has_succeeded = this->sound.contains(chosen);
+    const bool has_succeeded = this->cleared.contains(chosen);
     std::vector<fingerprint> together{chosen};
     for (const auto& [print, own] : found) {
         if (print == chosen || own.crashes.size() != crashes.size() ||
-            this->sound.contains(print) != has_succeeded) {
+            this->cleared.contains(print) != has_succeeded) {
             continue;
         }
         together.push_back(print);
@@ -174,8 +175,8 @@
     this->explained.clear();
     this->contested = this->find_contested(now);
     auto found = this->collect_evidence(now);
-    while (const auto chosen = this->strongest(found)) {
-        quarantine_entry entry{this->companions(*chosen, found), 0, {}};
+    while (const auto chosen = this->best_explanation(found)) {
+        quarantine_entry entry{this->indistinguishable_prints(*chosen, found), 0, {}};
         const auto crashes = found.at(*chosen).crashes;
         entry.crashes = crashes.size();
         for (const auto& [crash, at] : crashes) {
@@ -217,7 +218,7 @@
     return result;
 }
 
-bool crash_quarantine::update(time_ms now)
+bool crash_quarantine::evaluate(time_ms now)
 {
     const auto dropped = std::erase_if(
         this->records, [&](const record& one) { return now - one.at >= this->settings.retention; });
@@ -269,64 +270,64 @@
     return std::any_of(this->records.begin(), this->records.end(), [&](const record& one) {
         const auto& own = one.suspect.fingerprints;
         return std::any_of(own.begin(), own.end(), [&](fingerprint print) {
-            return !this->sound.contains(print) &&
+            return !this->cleared.contains(print) &&
                    std::find(prints.begin(), prints.end(), print) != prints.end();
         });
     });
 }
 
-crash_news crash_quarantine::newest(std::size_t limit, time_ms now) const
+crash_update crash_quarantine::newest(std::size_t limit, time_ms now) const
 {
-    crash_news news;
+    crash_update update;
     for (const auto& one : this->records) {
-        this->append_suspect(news, one, now);
+        this->append_suspect(update, one, now);
     }
-    std::sort(news.suspects.begin(), news.suspects.end(),
+    std::sort(update.suspects.begin(), update.suspects.end(),
               [](const auto& a, const auto& b) { return a.age < b.age; });
-    news.suspects.resize(std::min(news.suspects.size(), limit));
-    this->append_sound(news, limit, now);
-    return news;
+    update.suspects.resize(std::min(update.suspects.size(), limit));
+    this->append_cleared(update, limit, now);
+    return update;
 }
 
-void crash_quarantine::append_suspect(crash_news& news, const record& one, time_ms now) const
+void crash_quarantine::append_suspect(crash_update& update, const record& one, time_ms now) const
 {
     if (!this->is_obsolete(one.suspect, now - one.at)) {
-        news.suspects.push_back(one.suspect);
-        news.suspects.back().age = now - one.at;
+        update.suspects.push_back(one.suspect);
+        update.suspects.back().age = now - one.at;
     }
 }
 
-void crash_quarantine::append_sound(crash_news& news, std::size_t limit, time_ms now) const
+void crash_quarantine::append_cleared(crash_update& update, std::size_t limit, time_ms now) const
 {
     std::set<fingerprint> prints = this->contested;
-    for (const auto& suspect : news.suspects) {
+    for (const auto& suspect : update.suspects) {
         prints.insert(suspect.fingerprints.begin(), suspect.fingerprints.end());
     }
     for (const auto print : prints) {
-        const auto found = this->sound.find(print);
-        if (found != this->sound.end() && news.sound.size() < limit) {
-            news.sound.push_back({print, now - found->second});
+        const auto found = this->cleared.find(print);
+        if (found != this->cleared.end() && update.cleared.size() < limit) {
+            update.cleared.push_back({print, now - found->second});
         }
     }
 }
 
-crash_news crash_quarantine::news_to_send(std::size_t limit, time_ms now)
+crash_update crash_quarantine::next_update(std::size_t limit, time_ms now)
 {
-    crash_news news;
+    crash_update update;
     for (auto& one : this->records) {
-        if (one.copies_left > 0 && news.suspects.size() < limit) {
+        if (one.copies_left > 0 && update.suspects.size() < limit) {
             --one.copies_left;
-            this->append_suspect(news, one, now);
+            this->append_suspect(update, one, now);
         }
     }
     for (std::size_t i = 0; i < std::min(repeated_reports, this->records.size()); ++i) {
         const auto& one = this->records[this->repeat_cursor++ % this->records.size()];
-        if (news.suspects.size() < limit) {
-            this->append_suspect(news, one, now);
+        if (update.suspects.size() < limit) {
+            this->append_suspect(update, one, now);
         }
     }
-    this->append_sound(news, limit, now);
-    return news;
+    this->append_cleared(update, limit, now);
+    return update;
 }
 
 } // namespace coriander
--- a/test/e2e/crashing_part_test.sh
+++ b/test/e2e/crashing_part_test.sh
@@ -12,23 +12,23 @@
 start_calls 2 40
 end_calls
 
-echo "== requests with a deadly part come at all gateways"
-wish '{"deadly_part":"dead"}'
-start_calls 6 60 --deadly_part=dead --deadly_share=0.15 --seed=2
+echo "== requests with a part that crashes replicas come at all gateways"
+wish '{"crashing_part":"dead"}'
+start_calls 6 60 --crashing_part=dead --crashing_share=0.15 --seed=2
 end_calls
 expect_promises
 expect "the part is quarantined by all gateways" \
   "$(grep -l "E2013 quarantine_changed entries=1 prints=[0-9a-f]* " "$RUN_DIR"/gateway-*.log | wc -l)" "${#GATEWAYS[@]}"
 
 echo "== more of them come, while a gateway restarts without its memory"
-before=$(status deadly_arrivals)
+before=$(status crashing_arrivals)
 send_signal gateway-1 KILL
 start_gateway 1 false
 wait_until 20 ready 1
-start_calls 5 60 --deadly_part=dead --deadly_share=0.15 --seed=3
+start_calls 5 60 --crashing_part=dead --crashing_share=0.15 --seed=3
 end_calls
 expect_promises
-expect "none reaches a host any more" "$(($(status deadly_arrivals) - before))" 0
+expect "none reaches a host any more" "$(($(status crashing_arrivals) - before))" 0
 expect "the others are served" "$(($(calls gave_up) + $(calls no_answer) + $(calls unknown)))" 0
 
 finish
--- a/test/gateway/crash_response_test.cpp
+++ b/test/gateway/crash_response_test.cpp
@@ -8,11 +8,11 @@
 namespace coriander {
 namespace {
 
-constexpr fingerprint deadly_part = 2;
+constexpr fingerprint crashing_part = 2;
 
 /// A daemon with a request on `d-h0`, whose connection closes.
 struct closed_connection : two_hosts {
-    closed_connection() { (void)this->context.trials.begin("d-h0", {1, deadly_part}); }
+    closed_connection() { (void)this->context.trials.begin("d-h0", {1, crashing_part}); }
 
     void close()
     {
@@ -99,14 +99,14 @@
 TEST_CASE("crash response: reports of a peer put requests into quarantine")
 {
     closed_connection daemon;
-    crash_news news;
+    crash_update update;
     for (std::uint64_t crash = 1; crash <= 3; ++crash) {
-        news.suspects.push_back(
-            {crash, true, {deadly_part, 10 + crash}, time_ms{static_cast<std::int64_t>(1000 * crash)}});
+        update.suspects.push_back(
+            {crash, true, {crashing_part, 10 + crash}, time_ms{static_cast<std::int64_t>(1000 * crash)}});
     }
-    daemon.crashes.merge(news);
+    daemon.crashes.merge(update);
     REQUIRE(daemon.context.quarantine.entries().size() == 1);
-    CHECK(daemon.context.quarantine.entries().front().prints == std::vector{deadly_part});
+    CHECK(daemon.context.quarantine.entries().front().prints == std::vector{crashing_part});
 }
 
 } // namespace coriander
--- a/test/gateway/relay_session_permission_test.cpp
+++ b/test/gateway/relay_session_permission_test.cpp
@@ -146,7 +146,7 @@
         relay.context.quarantine.add(
             {crash, true, {part, crash}, time_ms{static_cast<std::int64_t>(300 * crash)}}, now);
     }
-    relay.context.quarantine.update(now);
+    relay.context.quarantine.evaluate(now);
     CHECK(relay.exchange("Coriander-Prompt: 5a:40,dead:30,01:10\r\n") == exchange_end::complete);
     CHECK(relay.caller->head.status == 503);
     CHECK_FALSE(relay.caller->head.header("Retry-After").empty());
@@ -160,7 +160,7 @@
     relay_fixture relay{repetition::idempotent, respond_and_close(""), respond_with(ok_response)};
     const auto now = relay.context.clock.now();
     relay.context.quarantine.add({1, true, {stable_hash("dead")}, {}}, now);
-    relay.context.quarantine.update(now);
+    relay.context.quarantine.evaluate(now);
     CHECK(relay.exchange("Coriander-Prompt: 5a:40,dead:30,01:10\r\n") == exchange_end::complete);
     CHECK(relay.caller->head.status == 502);
     CHECK(relay.requests_sent() == 1);
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -101,9 +101,9 @@
     CHECK(suspect.had_started);
     CHECK(suspect.fingerprints == std::vector<fingerprint>{1, 2});
     CHECK(suspect.age == 70_ms);
-    REQUIRE(read.value().crashes.sound.size() == 1);
-    CHECK(read.value().crashes.sound.front().print == 9);
-    CHECK(read.value().crashes.sound.front().age == 80_ms);
+    REQUIRE(read.value().crashes.cleared.size() == 1);
+    CHECK(read.value().crashes.cleared.front().print == 9);
+    CHECK(read.value().crashes.cleared.front().age == 80_ms);
 }
 
 TEST_CASE("peer message: rate limits and permits are decoded as they were encoded")
--- a/test/relay/answer_trials_test.cpp
+++ b/test/relay/answer_trials_test.cpp
@@ -26,16 +26,16 @@
     SECTION("little progress")
     {
         trials.on_progress(trial, 3, start + 400_ms);
-        CHECK(trials.take_sound(start + 400_ms).empty());
+        CHECK(trials.take_cleared(start + 400_ms).empty());
         CHECK(suspects_on(trials, "a") == 1);
     }
     SECTION("enough events")
     {
         trials.on_progress(trial, 4, start + 400_ms);
-        const auto sound = trials.take_sound(start + 400_ms);
-        REQUIRE(sound.size() == 1);
-        CHECK(sound.front().prints == std::vector<fingerprint>{1, 2});
-        CHECK(sound.front().started_at == start);
+        const auto cleared = trials.take_cleared(start + 400_ms);
+        REQUIRE(cleared.size() == 1);
+        CHECK(cleared.front().prints == std::vector<fingerprint>{1, 2});
+        CHECK(cleared.front().started_at == start);
         CHECK(suspects_on(trials, "a") == 0);
     }
 }
@@ -46,10 +46,10 @@
     const auto trial = trials.begin("a", {1});
     trials.on_started(trial, start);
     trials.on_complete(trial, start + 40_ms);
-    CHECK(trials.take_sound(start + 1039_ms).empty());
+    CHECK(trials.take_cleared(start + 1039_ms).empty());
     SECTION("no crash follows")
     {
-        CHECK(trials.take_sound(start + 1040_ms).size() == 1);
+        CHECK(trials.take_cleared(start + 1040_ms).size() == 1);
     }
     SECTION("a crash follows")
     {
@@ -69,7 +69,7 @@
     }
     SECTION("none follows")
     {
-        CHECK(trials.take_sound(start + 1000_ms).empty());
+        CHECK(trials.take_cleared(start + 1000_ms).empty());
         CHECK(suspects_on(trials, "a") == 0);
     }
 }
--- a/test/relay/crash_quarantine_test.cpp
+++ b/test/relay/crash_quarantine_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr fingerprint shared_part = 1;
-constexpr fingerprint deadly_part = 2;
+constexpr fingerprint crashing_part = 2;
 constexpr fingerprint other_part = 3;
 
 const std::function<bool(fingerprint)> never_probe = [](fingerprint) { return false; };
@@ -24,7 +24,7 @@
             prints.push_back(++this->last_request);
             this->quarantine.add({this->crash_count, true, prints, {}}, this->now);
         }
-        this->quarantine.update(this->now);
+        this->quarantine.evaluate(this->now);
     }
     void crash_repeatedly(unsigned times, const std::vector<std::vector<fingerprint>>& suspects)
     {
@@ -35,8 +35,8 @@
     }
     void succeed(const std::vector<fingerprint>& prints)
     {
-        this->quarantine.on_sound(prints, this->now, this->now);
-        this->quarantine.update(this->now);
+        this->quarantine.on_cleared(prints, this->now, this->now);
+        this->quarantine.evaluate(this->now);
     }
     quarantine_verdict verdict(const std::vector<fingerprint>& prints,
                                const std::function<bool(fingerprint)>& may_probe = never_probe)
@@ -60,45 +60,46 @@
 {
     crashing_fleet fleet;
     fleet.succeed({shared_part});
-    fleet.crash_repeatedly(2, {{shared_part, deadly_part}});
-    CHECK_FALSE(fleet.is_blocked({shared_part, deadly_part}));
-    fleet.crash_repeatedly(1, {{shared_part, deadly_part}});
-    CHECK(fleet.is_blocked({shared_part, deadly_part}));
+    fleet.crash_repeatedly(2, {{shared_part, crashing_part}});
+    CHECK_FALSE(fleet.is_blocked({shared_part, crashing_part}));
+    fleet.crash_repeatedly(1, {{shared_part, crashing_part}});
+    CHECK(fleet.is_blocked({shared_part, crashing_part}));
 }
 
-TEST_CASE("crash quarantine: requests that share only the sound parts of the deadly ones are not blocked")
+TEST_CASE(
+    "crash quarantine: requests that share only the harmless parts of the crashing ones are not blocked")
 {
     crashing_fleet fleet;
-    SECTION("the parts were sound before")
+    SECTION("the parts ran without a crash before")
     {
         fleet.succeed({shared_part, other_part});
     }
     SECTION("nothing is known of them") {}
-    fleet.crash_repeatedly(20, {{shared_part, deadly_part, other_part}});
-    CHECK(fleet.is_blocked({shared_part, deadly_part, other_part}));
+    fleet.crash_repeatedly(20, {{shared_part, crashing_part, other_part}});
+    CHECK(fleet.is_blocked({shared_part, crashing_part, other_part}));
     CHECK_FALSE(fleet.is_blocked({shared_part, other_part}));
 }
 
-TEST_CASE("crash quarantine: a sound request that was on three crashed targets is not blocked")
+TEST_CASE("crash quarantine: a harmless request that was on three crashed targets is not blocked")
 {
     crashing_fleet fleet;
     constexpr fingerprint unlucky_request = 77;
-    fleet.crash_repeatedly(3, {{shared_part, deadly_part}, {shared_part, other_part, unlucky_request}});
-    fleet.crash({{shared_part, deadly_part}});
-    CHECK(fleet.is_blocked({shared_part, deadly_part}));
+    fleet.crash_repeatedly(3, {{shared_part, crashing_part}, {shared_part, other_part, unlucky_request}});
+    fleet.crash({{shared_part, crashing_part}});
+    CHECK(fleet.is_blocked({shared_part, crashing_part}));
     CHECK_FALSE(fleet.is_blocked({shared_part, other_part, unlucky_request}));
     CHECK_FALSE(fleet.is_blocked({shared_part, other_part}));
 }
 
-TEST_CASE("crash quarantine: two deadly parts at the same time are both quarantined")
+TEST_CASE("crash quarantine: two crashing parts at the same time are both quarantined")
 {
     crashing_fleet fleet;
     for (unsigned i = 0; i < 4; ++i) {
-        fleet.crash_repeatedly(1, {{shared_part, deadly_part}});
+        fleet.crash_repeatedly(1, {{shared_part, crashing_part}});
         fleet.crash_repeatedly(1, {{other_part, 8}, {shared_part, 9}});
         fleet.succeed({shared_part});
     }
-    CHECK(fleet.is_blocked({shared_part, deadly_part}));
+    CHECK(fleet.is_blocked({shared_part, crashing_part}));
     CHECK(fleet.is_blocked({other_part, 8}));
     CHECK_FALSE(fleet.is_blocked({shared_part, other_part}));
 }
@@ -133,33 +134,34 @@
     CHECK_FALSE(fleet.is_blocked({shared_part, other_part}));
 }
 
-TEST_CASE("crash quarantine: a part that was sound until now is quarantined after more crashes")
+TEST_CASE("crash quarantine: a part that was harmless until now is quarantined after more crashes")
 {
     crashing_fleet fleet;
-    fleet.succeed({deadly_part});
-    fleet.crash_repeatedly(5, {{deadly_part}});
-    CHECK_FALSE(fleet.is_blocked({deadly_part}));
+    fleet.succeed({crashing_part});
+    fleet.crash_repeatedly(5, {{crashing_part}});
+    CHECK_FALSE(fleet.is_blocked({crashing_part}));
     fleet.now = fleet.now + 1_s;
-    fleet.quarantine.update(fleet.now);
-    CHECK(fleet.is_blocked({deadly_part}));
+    fleet.quarantine.evaluate(fleet.now);
+    CHECK(fleet.is_blocked({crashing_part}));
 }
 
-TEST_CASE("crash quarantine: a sound part is not blocked while reports of the deadly one are still to come")
+TEST_CASE(
+    "crash quarantine: a harmless part is not blocked while reports of the crashing one are still to come")
 {
     crashing_fleet fleet;
     fleet.succeed({shared_part});
-    fleet.crash_repeatedly(4, {{shared_part, deadly_part}});
+    fleet.crash_repeatedly(4, {{shared_part, crashing_part}});
     fleet.now = fleet.now + 1_s;
     fleet.crash({{shared_part, other_part}});
-    CHECK(fleet.is_blocked({shared_part, deadly_part}));
+    CHECK(fleet.is_blocked({shared_part, crashing_part}));
     CHECK_FALSE(fleet.is_blocked({shared_part}));
 }
 
 TEST_CASE("crash quarantine: a caller is told to wait the longer the quarantine has lasted")
 {
     crashing_fleet fleet;
-    fleet.crash_repeatedly(3, {{deadly_part}});
-    const std::vector prints{deadly_part};
+    fleet.crash_repeatedly(3, {{crashing_part}});
+    const std::vector prints{crashing_part};
     CHECK(fleet.quarantine.retry_after(prints, fleet.now) == 1_s);
     CHECK(fleet.quarantine.retry_after(prints, fleet.now + 60_s) >= 60_s);
     CHECK(fleet.quarantine.retry_after(prints, fleet.now + 300_s) == 120_s);
@@ -168,40 +170,40 @@
 TEST_CASE("crash quarantine: after the block time one daemon tests with one request at a time")
 {
     crashing_fleet fleet;
-    fleet.crash_repeatedly(3, {{deadly_part}});
-    CHECK(fleet.verdict({deadly_part}, always_probe) == quarantine_verdict::blocked);
+    fleet.crash_repeatedly(3, {{crashing_part}});
+    CHECK(fleet.verdict({crashing_part}, always_probe) == quarantine_verdict::blocked);
     fleet.now = fleet.now + 121_s;
-    CHECK(fleet.verdict({deadly_part}, never_probe) == quarantine_verdict::blocked);
-    CHECK(fleet.verdict({deadly_part}, always_probe) == quarantine_verdict::probe);
-    CHECK(fleet.verdict({deadly_part}, always_probe) == quarantine_verdict::blocked);
+    CHECK(fleet.verdict({crashing_part}, never_probe) == quarantine_verdict::blocked);
+    CHECK(fleet.verdict({crashing_part}, always_probe) == quarantine_verdict::probe);
+    CHECK(fleet.verdict({crashing_part}, always_probe) == quarantine_verdict::blocked);
     SECTION("a success ends the quarantine")
     {
-        fleet.succeed({deadly_part});
-        CHECK(fleet.verdict({deadly_part}) == quarantine_verdict::clear);
+        fleet.succeed({crashing_part});
+        CHECK(fleet.verdict({crashing_part}) == quarantine_verdict::clear);
     }
     SECTION("a crash renews it")
     {
-        fleet.crash({{deadly_part}});
+        fleet.crash({{crashing_part}});
         fleet.now = fleet.now + 100_s;
-        CHECK(fleet.verdict({deadly_part}, always_probe) == quarantine_verdict::blocked);
+        CHECK(fleet.verdict({crashing_part}, always_probe) == quarantine_verdict::blocked);
     }
 }
 
 TEST_CASE("crash quarantine: a quarantine ends for good when nothing has crashed for the retention time")
 {
     crashing_fleet fleet;
-    fleet.crash_repeatedly(3, {{deadly_part}});
+    fleet.crash_repeatedly(3, {{crashing_part}});
     fleet.now = fleet.now + 600_s;
-    fleet.quarantine.update(fleet.now);
-    CHECK(fleet.verdict({deadly_part}) == quarantine_verdict::clear);
+    fleet.quarantine.evaluate(fleet.now);
+    CHECK(fleet.verdict({crashing_part}) == quarantine_verdict::clear);
 }
 
 TEST_CASE("crash quarantine: a retry after a crash is suspect if a request like it was on another target")
 {
     crashing_fleet fleet;
     fleet.succeed({shared_part});
-    fleet.crash({{shared_part, deadly_part}});
-    CHECK(fleet.quarantine.is_suspect(std::vector<fingerprint>{shared_part, deadly_part}));
+    fleet.crash({{shared_part, crashing_part}});
+    CHECK(fleet.quarantine.is_suspect(std::vector<fingerprint>{shared_part, crashing_part}));
     CHECK_FALSE(fleet.quarantine.is_suspect(std::vector<fingerprint>{shared_part, other_part}));
 }
 
@@ -213,22 +215,22 @@
         daemons[i].last_request = 1000 + 10 * i;
         daemons[i].now = 1000_s + time_ms{static_cast<std::int64_t>(100 * (i % 5))};
         daemons[i].succeed({shared_part});
-        daemons[i].crash({{shared_part, deadly_part}});
+        daemons[i].crash({{shared_part, crashing_part}});
     }
     for (unsigned round = 0; round < 4; ++round) {
         for (std::size_t i = 0; i < daemons.size(); ++i) {
             daemons[i].now = 1001_s;
-            const auto news = daemons[i].quarantine.news_to_send(32, daemons[i].now);
+            const auto update = daemons[i].quarantine.next_update(32, daemons[i].now);
             for (std::size_t peer = 1; peer <= 8; ++peer) {
                 auto& to = daemons[(i + peer * (3 + round)) % daemons.size()];
                 to.now = 1001_s;
-                to.quarantine.merge(news, to.now);
-                to.quarantine.update(to.now);
+                to.quarantine.merge(update, to.now);
+                to.quarantine.evaluate(to.now);
             }
         }
     }
     for (auto& daemon : daemons) {
-        CHECK(daemon.is_blocked({shared_part, deadly_part}));
+        CHECK(daemon.is_blocked({shared_part, crashing_part}));
         CHECK_FALSE(daemon.is_blocked({shared_part}));
     }
 }
@@ -238,7 +240,7 @@
     crashing_fleet fleet;
     fleet.succeed({shared_part});
     fleet.succeed({other_part});
-    fleet.crash_repeatedly(5, {{shared_part, deadly_part, other_part}, {shared_part, other_part}});
+    fleet.crash_repeatedly(5, {{shared_part, crashing_part, other_part}, {shared_part, other_part}});
     fleet.now = fleet.now + 5_s;
     crashing_fleet restarted;
     SECTION("at once")
@@ -248,11 +250,11 @@
     SECTION("from the periodic messages")
     {
         for (unsigned i = 0; i < 20; ++i) {
-            restarted.quarantine.merge(fleet.quarantine.news_to_send(32, fleet.now), restarted.now);
+            restarted.quarantine.merge(fleet.quarantine.next_update(32, fleet.now), restarted.now);
         }
     }
-    restarted.quarantine.update(restarted.now);
-    CHECK(restarted.is_blocked({deadly_part}));
+    restarted.quarantine.evaluate(restarted.now);
+    CHECK(restarted.is_blocked({crashing_part}));
     CHECK_FALSE(restarted.is_blocked({shared_part, other_part}));
 }
 
@@ -265,9 +267,9 @@
     }
     fleet.crash(suspects);
     for (unsigned i = 0; i < 2; ++i) {
-        CHECK(fleet.quarantine.news_to_send(32, fleet.now).suspects.size() >= 20);
+        CHECK(fleet.quarantine.next_update(32, fleet.now).suspects.size() >= 20);
     }
-    CHECK(fleet.quarantine.news_to_send(32, fleet.now).suspects.size() == 2);
+    CHECK(fleet.quarantine.next_update(32, fleet.now).suspects.size() == 2);
 }
 
 TEST_CASE("crash quarantine: memory is bounded whatever callers and peers send")
@@ -279,19 +281,19 @@
     CHECK(fleet.quarantine.newest(10000, fleet.now).suspects.size() <= 512);
 }
 
-TEST_CASE("crash quarantine: sound requests among random crashes are never blocked once they have run")
+TEST_CASE("crash quarantine: harmless requests among random crashes are never blocked once they have run")
 {
-    rc::prop("sound parts are not blocked", [] {
+    rc::prop("harmless parts are not blocked", [] {
         crashing_fleet fleet;
         const auto parts =
             *rc::gen::container<std::vector<fingerprint>>(30, rc::gen::inRange<fingerprint>(10, 16));
         for (const auto part : parts) {
-            fleet.crash({{shared_part, deadly_part}, {shared_part, part}});
+            fleet.crash({{shared_part, crashing_part}, {shared_part, part}});
             fleet.now = fleet.now + 100_ms;
             fleet.succeed({shared_part, part});
             fleet.now = fleet.now + 200_ms;
         }
-        RC_ASSERT(fleet.is_blocked({shared_part, deadly_part}));
+        RC_ASSERT(fleet.is_blocked({shared_part, crashing_part}));
         for (const auto part : parts) {
             RC_ASSERT(!fleet.is_blocked({shared_part, part}));
         }
--- a/testing/platform/relay_caller_main.cpp
+++ b/testing/platform/relay_caller_main.cpp
@@ -18,8 +18,8 @@
 DEFINE_string(directories, "", "addresses of gateways that list the entry hosts, comma-separated");
 DEFINE_double(rate, 40.0, "requests per second");
 DEFINE_double(seconds, 5.0, "for how many seconds requests are started");
-DEFINE_string(deadly_part, "", "prompt part that some requests contain beside parts that others have too");
-DEFINE_double(deadly_share, 0.0, "share of the streams that contain it");
+DEFINE_string(crashing_part, "", "prompt part that some requests contain beside parts that others have too");
+DEFINE_double(crashing_share, 0.0, "share of the streams that contain it");
 DEFINE_int32(seed, 1, "seed of the random mix of requests");
 
 namespace {
@@ -83,9 +83,9 @@
           kind{std::move(kind)}, name{std::move(name)}
     {
         if (this->kind == "chat") {
-            this->is_deadly = std::uniform_real_distribution<double>{}(this->random) < FLAGS_deadly_share;
+            this->is_crashing = std::uniform_real_distribution<double>{}(this->random) < FLAGS_crashing_share;
             this->model = this->random() % 2 == 0 ? "large" : "small";
-            this->parts = make_parts(this->name, this->is_deadly, this->random);
+            this->parts = make_parts(this->name, this->is_crashing, this->random);
         }
     }
 
@@ -130,8 +130,8 @@
         const auto guard = this->shared_from_this();
         this->timer.cancel();
         constexpr int refused = 503;
-        if (this->is_deadly && how != exchange_end::not_sent) {
-            this->finish("deadly");
+        if (this->is_crashing && how != exchange_end::not_sent) {
+            this->finish("crashed_target");
             return;
         }
         if (how == exchange_end::complete && this->head.status / 100 == 2) {
@@ -158,12 +158,13 @@
 
 private:
     /// A part that all streams share, one of a few subjects, and a part of the request's own.
-    static std::string make_parts(const std::string& name, bool is_deadly, std::mt19937& random)
+    static std::string make_parts(const std::string& name, bool is_crashing, std::mt19937& random)
     {
         constexpr unsigned subjects = 6;
         const auto subject = "5b" + std::to_string(random() % subjects);
-        const auto deadly = is_deadly ? FLAGS_deadly_part + ":30," : std::string{};
-        return "5a:40," + deadly + subject + ":60," + std::to_string(std::hash<std::string>{}(name)) + ":10";
+        const auto crashing = is_crashing ? FLAGS_crashing_part + ":30," : std::string{};
+        return "5a:40," + crashing + subject + ":60," + std::to_string(std::hash<std::string>{}(name)) +
+               ":10";
     }
 
     void send_after(time_ms delay)
@@ -220,7 +221,7 @@
     std::string name;
     std::string model;
     std::string parts;
-    bool is_deadly = false;
+    bool is_crashing = false;
     std::string attempt;
     std::shared_ptr<http_channel> channel;
     std::shared_ptr<caller_request> self;
--- a/testing/platform/standin_fleet_main.cpp
+++ b/testing/platform/standin_fleet_main.cpp
@@ -105,8 +105,8 @@
 
     /// `POST /fault` with `{"host":ID,"do":"dark"|"restart"|"drain"|"pause"|"wake"}`,
     /// `{"store":"sound"|"busy"|"silent"}`, `{"lose_answers":N}`, `{"forget_history":true}`,
-    /// `{"manifest":VERSION}`, `{"deadly_part":ID}` or `{"limit":PER_SECOND,"domains":PREFIXES}`, which sets
-    /// the rate limit of the hosts whose ids begin with one of the prefixes; `GET /status`.
+    /// `{"manifest":VERSION}`, `{"crashing_part":ID}` or `{"limit":PER_SECOND,"domains":PREFIXES}`, which
+    /// sets the rate limit of the hosts whose ids begin with one of the prefixes; `GET /status`.
     void handle_command(caller_connection& caller, const incoming_request& request)
     {
         if (request.head.target == "/status") {
@@ -137,8 +137,8 @@
             this->set_rate_limit(command["limit"].get<double>(),
                                  command.value("domains", std::vector<std::string>{}));
         }
-        if (command.contains("deadly_part")) {
-            this->fleet.deadly_part = text_member(command, "deadly_part");
+        if (command.contains("crashing_part")) {
+            this->fleet.crashing_part = text_member(command, "crashing_part");
         }
         if (const auto version = integer_member(command, "manifest"); version > 0) {
             this->store.put("op", "config", to_text(make_manifest(static_cast<std::uint64_t>(version))));
@@ -177,7 +177,7 @@
                 {"joined_while_open", this->fleet.joined_while_open},
                 {"most_arrivals", this->fleet.most_arrivals},
                 {"crashes", this->fleet.crashes},
-                {"deadly_arrivals", this->fleet.deadly_arrivals},
+                {"crashing_arrivals", this->fleet.crashing_arrivals},
                 {"runs", this->fleet.run_counts.size()}};
     }
 
--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -314,10 +314,10 @@
         ++this->fleet.run_counts[attempt];
     }
     const auto parts = request.head.header("Prefix-Hash");
-    const bool is_deadly = !this->fleet.deadly_part.empty() &&
-                           parts.find(this->fleet.deadly_part + ':') != std::string_view::npos;
-    if (is_deadly) {
-        ++this->fleet.deadly_arrivals;
+    const bool is_crashing = !this->fleet.crashing_part.empty() &&
+                             parts.find(this->fleet.crashing_part + ':') != std::string_view::npos;
+    if (is_crashing) {
+        ++this->fleet.crashing_arrivals;
         this->run_after(this->fleet.settings.crash_delay, [this] { this->die(); });
     }
     const auto last = request.head.header("Last-Event-Id");
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -26,7 +26,7 @@
     time_ms open_time{60};
     time_ms event_interval{20};  ///< Between events of one stream.
     time_ms stall_timeout{1500}; ///< The leader cuts its streams this long after a host is lost.
-    time_ms crash_delay{30};     ///< From the start of a deadly request to the crash.
+    time_ms crash_delay{30};     ///< From the start of such a request to the crash.
     time_ms crash_downtime{1500};
     unsigned events_per_answer = 12;
     unsigned slots = 26;
@@ -37,8 +37,8 @@
     engine_settings settings;
     std::map<std::string, class standin_host*> hosts;
     std::map<std::string, unsigned> run_counts; ///< How often each attempt was started, by attempt id.
-    std::string deadly_part;        ///< Requests with this prompt part crash the leader; empty for none.
-    unsigned deadly_arrivals = 0;   ///< Such requests that reached a host.
+    std::string crashing_part;      ///< Requests with this prompt part crash the leader; empty for none.
+    unsigned crashing_arrivals = 0; ///< Such requests that reached a host.
     unsigned crashes = 0;           ///< Hosts that they crashed.
     std::size_t most_arrivals = 0;  ///< At a host in a time window, a while after it stated a rate limit.
     unsigned joined_while_open = 0; ///< Joins of hosts whose previous leader still accepted requests.
