End-to-end tests: failed expectations are printed last

A run of all tests prints the end of its log. The failed expectations of an end-to-end test stood before the logs of its processes, so that a failure of named_limit_test beside other load showed only "1 expectations failed".

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -210,26 +210,27 @@
   cat "$RUN_DIR/load.txt"
 }
 
-FAILURES=0
+FAILED=()
 # expect DESCRIPTION ACTUAL EXPECTED: EXPECTED is a shell pattern.
 expect() {
   # shellcheck disable=SC2053
   if [[ "$2" == $3 ]]; then
     echo "ok: $1"
   else
-    echo "NOT OK: $1: expected '$3', got '$2'"
-    FAILURES=$((FAILURES + 1))
+    FAILED+=("NOT OK: $1: expected '$3', got '$2'")
+    echo "${FAILED[-1]}"
   fi
 }
 
-# finish: prints the test's result and exits with 1 if an expectation failed.
+# finish: prints the test's result and exits with 1 if an expectation failed. The failed expectations come last, since
+# test runners show the end of the output.
 finish() {
-  if [ "$FAILURES" -gt 0 ]; then
+  if [ "${#FAILED[@]}" -gt 0 ]; then
     for log in "$RUN_DIR"/*.log; do
       echo "--- $log"
       tail -n 40 "$log"
     done
-    echo "$FAILURES expectations failed"
+    printf '%s\n' "${FAILED[@]}" "${#FAILED[@]} expectations failed"
     exit 1
   fi
   echo "all expectations met"
