Callers' connections: the handler of an earlier timer no longer ends the connection

Seen by callers: a request whose first bytes arrive in the turn in which the connection's idle time ends is answered 408 before the rest can arrive; a pipelined request behind one that was answered at once gets no answer, as the connection is closed.

Cause: once a timer has expired and its handler is queued, expires_after and cancel don't stop it. The handler only looked at whether a request was pending, not at whether the timer had been set anew since. A process that stood still or was busy with a new configuration has the expired timer and the request ready in the same turn of the loop.

The tests let the time-out pass and send the request while the loop does not run.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -42,9 +42,10 @@
 void caller_connection::arm_timer(time_ms limit)
 {
     this->timer.expires_after(std::chrono::milliseconds{limit.count()});
-    this->timer.async_wait([self = this->weak_from_this()](const asio::error_code& cancelled) {
+    const auto armed = ++this->timer_generation;
+    this->timer.async_wait([self = this->weak_from_this(), armed](const asio::error_code& cancelled) {
         const auto connection = self.lock();
-        if (cancelled || !connection || connection->is_pending) {
+        if (cancelled || !connection || connection->timer_generation != armed) {
             return;
         }
         if (connection->parser.has_begun()) {
@@ -56,6 +57,12 @@
     });
 }
 
+void caller_connection::disarm_timer()
+{
+    ++this->timer_generation;
+    this->timer.cancel();
+}
+
 void caller_connection::on_bytes(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
@@ -86,7 +93,7 @@
         this->reject(bad_request_status);
     }
     else if (this->parser.is_complete()) {
-        this->timer.cancel();
+        this->disarm_timer();
         this->is_pending = true;
         this->request.arrived = monotonic_clock{}.now();
         this->handlers->on_request(this->shared_from_this(), std::exchange(this->request, {}));
@@ -110,7 +117,7 @@
 void caller_connection::on_link_end(link_end /*how*/)
 {
     const auto self = this->shared_from_this();
-    this->timer.cancel();
+    this->disarm_timer();
     if (const auto listener = std::exchange(this->disconnected, nullptr); listener && this->is_pending) {
         listener();
     }
@@ -171,7 +178,7 @@
     this->is_pending = false;
     this->link->on_drained(nullptr);
     if (this->closes_after_response) {
-        this->timer.cancel();
+        this->disarm_timer();
         this->link->close_when_sent();
         return;
     }
@@ -193,7 +200,7 @@
 {
     this->disconnected = nullptr;
     this->is_pending = false;
-    this->timer.cancel();
+    this->disarm_timer();
     this->link->close();
 }
 
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -5,6 +5,7 @@
 #include "net/tcp_link.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -85,11 +86,15 @@
     [[nodiscard]] bool should_close() const;
     void add_connection_header(std::vector<http_header>& headers);
     void arm_timer(time_ms limit);
+    void disarm_timer();
 
     std::shared_ptr<tcp_link> link;
     std::shared_ptr<const connection_handlers> handlers;
     message_parser parser;
     asio::steady_timer timer;
+    /// The handler of an expired timer can't be cancelled once it is queued; one of an earlier generation is
+    /// ignored.
+    std::uint64_t timer_generation = 0;
     std::string unparsed;
     incoming_request request;
     connection_limits limits;
--- /dev/null
+++ b/test/net/caller_connection_end_test.cpp
@@ -0,0 +1,106 @@
+#include "net/caller_connection.hpp"
+#include "net/http_listener.hpp"
+
+#include "support/event_loop.hpp"
+#include "support/raw_caller.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <thread>
+
+namespace coriander {
+namespace {
+
+constexpr time_ms short_timeout{20};
+const std::string ok_line = "HTTP/1.1 200";
+
+/// Lets the server's timers expire while its loop does not run, as when the process stands still.
+void stand_still()
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds{2 * short_timeout.count()});
+}
+
+/// A listener that answers at once or, if `answers` is cleared, leaves the answer to the test.
+struct stalling_server {
+    stalling_server()
+    {
+        connection_handlers handlers;
+        handlers.on_request = [this](const std::shared_ptr<caller_connection>& caller,
+                                     const incoming_request& one) {
+            this->callers.push_back(caller);
+            this->targets.push_back(one.head.target);
+            if (this->answers) {
+                caller->send(200, {}, one.head.target);
+            }
+        };
+        handlers.limits = [this] {
+            ++this->limits_read;
+            return this->limits;
+        };
+        handlers.is_closing = [this] { return this->is_closing; };
+        this->listener = std::make_shared<http_listener>(
+            this->loop.context(), asio::ip::tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0}, handlers);
+        this->listener->start();
+    }
+    ~stalling_server() { this->listener->stop(); }
+    stalling_server(const stalling_server&) = delete;
+    stalling_server& operator=(const stalling_server&) = delete;
+
+    /// A connection that the server has just accepted; the loop has not run since.
+    raw_caller accept()
+    {
+        const auto before = this->limits_read;
+        raw_caller caller{this->listener->port()};
+        REQUIRE(this->loop.run_until([&] { return this->limits_read > before; }));
+        return caller;
+    }
+
+    /// Runs the loop until the caller got `text` or its connection ended.
+    bool reaches(raw_caller& caller, std::string_view text)
+    {
+        return this->loop.run_until([&] { return caller.has_received(text) || caller.is_closed(); }) &&
+               caller.has_received(text);
+    }
+
+    event_loop loop;
+    connection_limits limits;
+    std::size_t limits_read = 0;
+    bool answers = true;
+    bool is_closing = false;
+    std::shared_ptr<http_listener> listener;
+    std::vector<std::shared_ptr<caller_connection>> callers;
+    std::vector<std::string> targets;
+};
+
+} // namespace
+
+TEST_CASE("caller connection: part of a request that arrives as the idle time ends is not answered 408")
+{
+    stalling_server server;
+    server.limits.idle_timeout = short_timeout;
+    auto caller = server.accept();
+    stand_still();
+    caller.send("GET /1 HTTP/1.1\r\nX: ");
+    const auto before = server.limits_read;
+    REQUIRE(server.loop.run_until([&] { return server.limits_read > before || caller.is_closed(); }));
+    server.loop.run_ready();
+    caller.send("y\r\n\r\n");
+    CHECK(server.reaches(caller, ok_line));
+}
+
+TEST_CASE("caller connection: the timer of an earlier request does not close a connection")
+{
+    stalling_server server;
+    server.limits.idle_timeout = short_timeout;
+    auto caller = server.accept();
+    server.limits.idle_timeout = 60_s;
+    stand_still();
+    caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    CHECK(server.reaches(caller, "/2"));
+    server.loop.run_ready();
+    caller.send("GET /3 HTTP/1.1\r\n\r\n");
+    CHECK(server.reaches(caller, "/3"));
+}
+
+} // namespace coriander
--- a/test/support/event_loop.hpp
+++ b/test/support/event_loop.hpp
@@ -27,6 +27,13 @@
         return true;
     }
 
+    /// Runs the handlers that are ready, without waiting.
+    void run_ready()
+    {
+        this->loop.restart();
+        this->loop.poll();
+    }
+
 private:
     asio::io_context loop{1};
 };
