Callers' connections: look at the socket before a time-out ends the connection

Seen by callers: a whole request that had arrived in time is answered 408, or its connection is closed without an answer.

Cause: the handler of an expired timer acted on what had been read so far. After the process stood still, or with more ready connections than one call of epoll returns (128 in asio), the timer's handler runs before the request is read from the socket.

Tests: more than 128 ready connections before the one whose time has passed.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -48,15 +48,26 @@
         if (cancelled || !connection || connection->timer_generation != armed) {
             return;
         }
-        if (connection->parser.has_begun()) {
-            connection->reject(request_timeout_status);
-        }
-        else {
-            connection->link->close();
-        }
+        connection->on_timeout();
     });
 }
 
+void caller_connection::on_timeout()
+{
+    // After a stall of this process, the timer's handler may run before that of bytes that arrived in time.
+    const auto expired = this->timer_generation;
+    this->link->read_available();
+    if (this->timer_generation != expired || !this->link->is_open()) {
+        return;
+    }
+    if (this->parser.has_begun()) {
+        this->reject(request_timeout_status);
+    }
+    else {
+        this->link->close();
+    }
+}
+
 void caller_connection::disarm_timer()
 {
     ++this->timer_generation;
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -87,6 +87,7 @@
     void add_connection_header(std::vector<http_header>& headers);
     void arm_timer(time_ms limit);
     void disarm_timer();
+    void on_timeout();
 
     std::shared_ptr<tcp_link> link;
     std::shared_ptr<const connection_handlers> handlers;
--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -108,28 +108,36 @@
                                 self->is_waiting_to_read = false;
                                 if (!failed && self->is_open()) {
                                     self->read_some();
+                                    self->wait_readable();
                                 }
                             });
 }
 
-void tcp_link::read_some()
+/// Returns whether bytes were received.
+bool tcp_link::read_some()
 {
     asio::error_code problem;
     auto& buffer = read_buffer();
     const auto count = this->socket.read_some(asio::buffer(buffer), problem);
     if (problem == asio::error::would_block || problem == asio::error::try_again) {
-        this->wait_readable();
-        return;
+        return false;
     }
     if (problem) {
         this->end(problem == asio::error::eof ? link_end::finished : link_end::reset);
-        return;
+        return false;
     }
     if (this->bytes) {
         const auto receiver = this->bytes; // The callback may replace or clear the callbacks.
         receiver({buffer.data(), count});
     }
-    this->wait_readable();
+    return true;
+}
+
+void tcp_link::read_available()
+{
+    const auto self = this->shared_from_this(); // The callbacks may release the link.
+    while (this->bytes && this->is_open() && !this->is_paused && this->read_some()) {
+    }
 }
 
 bool tcp_link::has_peer_closed()
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -54,6 +54,9 @@
     /// Queued bytes that are not yet written to the socket.
     [[nodiscard]] std::size_t unsent() const noexcept { return this->queue.size() - this->queue_begin; }
 
+    /// Reports the bytes that the socket has already received, and the end if it is known, without waiting.
+    void read_available();
+
     /// Pauses and resumes reading, which applies back-pressure to the peer.
     void pause_reading() noexcept { this->is_paused = true; }
     void resume_reading();
@@ -78,7 +81,7 @@
 private:
     void prepare();
     void wait_readable();
-    void read_some();
+    bool read_some();
     void wait_writable();
     void write_some();
     void end(link_end how);
--- a/test/net/caller_connection_end_test.cpp
+++ b/test/net/caller_connection_end_test.cpp
@@ -103,4 +103,43 @@
     CHECK(server.reaches(caller, "/3"));
 }
 
+TEST_CASE("caller connection: a request in the socket is read before an idle connection is closed")
+{
+    constexpr std::size_t more_than_a_batch = 200;
+    stalling_server server;
+    std::vector<raw_caller> others;
+    for (std::size_t i = 0; i < more_than_a_batch; ++i) {
+        others.push_back(server.accept());
+    }
+    server.limits.idle_timeout = short_timeout;
+    auto caller = server.accept();
+    stand_still();
+    for (auto& other : others) {
+        other.send("GET /other HTTP/1.1\r\n\r\n");
+    }
+    caller.send("GET /1 HTTP/1.1\r\n\r\n");
+    CHECK(server.reaches(caller, ok_line));
+}
+
+TEST_CASE("caller connection: a whole request in the socket is not answered 408 when the header time ends")
+{
+    constexpr std::size_t more_than_a_batch = 200;
+    stalling_server server;
+    std::vector<raw_caller> others;
+    for (std::size_t i = 0; i < more_than_a_batch; ++i) {
+        others.push_back(server.accept());
+    }
+    server.limits.header_timeout = short_timeout;
+    auto caller = server.accept();
+    caller.send("GET /1 HTTP/1.1\r\n");
+    const auto before = server.limits_read;
+    REQUIRE(server.loop.run_until([&] { return server.limits_read > before; }));
+    stand_still();
+    for (auto& other : others) {
+        other.send("GET /other HTTP/1.1\r\n\r\n");
+    }
+    caller.send("\r\n");
+    CHECK(server.reaches(caller, ok_line));
+}
+
 } // namespace coriander
