Callers' connections: idle connections last as long as the idle time in force

Seen by callers: after a change to a longer idle time, connections are closed at the shorter one, while callers rely on the longer one: a request that is sent meanwhile meets a closed connection.

Cause: the idle timer was set with the limits of the connection's last request (or of its start) and not compared with those in force when it expired. Before: caller_connection_end_test.cpp:154: FAILED: CHECK_FALSE( caller.is_closed() ) caller_connection_end_test.cpp:156: FAILED: CHECK( server.reaches(caller, ok_line) ) false The time is now counted from when the connection became idle, by the limits in force at its start and again at its end. A connection that became idle before a change to a shorter time closes at the longer one, on which its caller may rely.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -34,8 +34,7 @@
     auto self = this->shared_from_this();
     this->link->listen([self](std::string_view bytes) { self->on_bytes(bytes); },
                        [self](link_end how) { self->on_link_end(how); });
-    this->limits = this->handlers->limits();
-    this->arm_timer(this->limits.idle_timeout);
+    this->wait_for_request();
     this->link->start();
 }
 
@@ -62,10 +61,20 @@
     }
     if (this->parser.has_begun()) {
         this->reject(request_timeout_status);
+        return;
     }
-    else {
-        this->link->close();
+    const auto left = this->idle_since + this->handlers->limits().idle_timeout - monotonic_clock{}.now();
+    if (left > time_ms{}) {
+        this->arm_timer(left);
+        return;
     }
+    this->link->close();
+}
+
+void caller_connection::wait_for_request()
+{
+    this->idle_since = monotonic_clock{}.now();
+    this->arm_timer(this->handlers->limits().idle_timeout);
 }
 
 void caller_connection::disarm_timer()
@@ -197,7 +206,7 @@
     this->request = {};
     this->link->resume_reading();
     if (this->unparsed.empty()) {
-        this->arm_timer(this->limits.idle_timeout);
+        this->wait_for_request();
         return;
     }
     asio::post(this->link->executor(), [self = this->shared_from_this()] {
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -85,6 +85,7 @@
     void finish_response();
     [[nodiscard]] bool should_close() const;
     void add_connection_header(std::vector<http_header>& headers);
+    void wait_for_request();
     void arm_timer(time_ms limit);
     void disarm_timer();
     void on_timeout();
@@ -96,9 +97,10 @@
     /// The handler of an expired timer can't be cancelled once it is queued; one of an earlier generation is
     /// ignored.
     std::uint64_t timer_generation = 0;
+    time_ms idle_since;
     std::string unparsed;
     incoming_request request;
-    connection_limits limits;
+    connection_limits limits; ///< Of the request that is being read.
     std::function<void()> disconnected;
     bool is_pending = false; ///< A request has not been answered completely.
     bool caller_keeps_alive = true;
--- a/test/net/caller_connection_end_test.cpp
+++ b/test/net/caller_connection_end_test.cpp
@@ -142,4 +142,18 @@
     CHECK(server.reaches(caller, ok_line));
 }
 
+TEST_CASE("caller connection: an idle connection lasts as long as the idle time in force")
+{
+    stalling_server server;
+    server.limits.idle_timeout = short_timeout;
+    auto caller = server.accept();
+    server.limits.idle_timeout = 60_s;
+    stand_still();
+    const auto before = server.limits_read;
+    REQUIRE(server.loop.run_until([&] { return server.limits_read > before || caller.is_closed(); }));
+    CHECK_FALSE(caller.is_closed());
+    caller.send("GET /1 HTTP/1.1\r\n\r\n");
+    CHECK(server.reaches(caller, ok_line));
+}
+
 } // namespace coriander
