Connections: closing after an answer no longer resets the connection

Seen by callers: an answer that ends the connection while the caller is still sending (413, 408, 400, 431, or one with Connection: close before a pipelined request) is followed by a reset. A reset discards what the caller has not read yet: the caller has sent a whole request and gets neither an answer nor a refusal.

Cause: close_when_sent closed the socket as soon as the kernel had taken the answer; a socket that is closed with unread bytes is reset. Before: caller_connection_end_test.cpp:175: FAILED: CHECK_FALSE( caller.is_reset ) The link now ends its writing side, discards what arrives, and closes when the peer does, at the latest after two seconds. A failed write closes it at once: with reading paused, nothing else would have noticed that the connection has ended.

--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -21,6 +21,9 @@
 constexpr int probe_count = 2;
 constexpr int user_timeout_ms = 4000;
 
+/// How long a closing connection waits for the peer to close too.
+constexpr std::chrono::seconds linger_timeout{2};
+
 std::array<char, read_size>& read_buffer()
 {
     thread_local std::array<char, read_size> buffer;
@@ -44,10 +47,10 @@
 
 } // namespace
 
-tcp_link::tcp_link(asio::io_context& loop) : socket{loop}, connect_timer{loop} {}
+tcp_link::tcp_link(asio::io_context& loop) : socket{loop}, timer{loop} {}
 
 tcp_link::tcp_link(asio::ip::tcp::socket accepted)
-    : socket{std::move(accepted)}, connect_timer{this->socket.get_executor()}, established{true}
+    : socket{std::move(accepted)}, timer{this->socket.get_executor()}, established{true}
 {
     set_options(this->socket);
 }
@@ -66,8 +69,8 @@
         set_options(this->socket);
     }
     auto self = this->shared_from_this();
-    this->connect_timer.expires_after(std::chrono::milliseconds{timeout.count()});
-    this->connect_timer.async_wait([self](const asio::error_code& cancelled) {
+    this->timer.expires_after(std::chrono::milliseconds{timeout.count()});
+    this->timer.async_wait([self](const asio::error_code& cancelled) {
         if (!cancelled && !self->established) {
             self->end(link_end::not_connected);
         }
@@ -81,7 +84,7 @@
             return;
         }
         self->established = true;
-        self->connect_timer.cancel();
+        self->timer.cancel();
         if (connected) {
             connected();
         }
@@ -181,6 +184,9 @@
             // The next read reports how the connection ended, after the bytes that were already received.
             this->queue.clear();
             this->queue_begin = 0;
+            if (this->closes_when_sent) {
+                this->close();
+            }
             return;
         }
         this->queue_begin += count;
@@ -188,7 +194,7 @@
     this->queue.clear();
     this->queue_begin = 0;
     if (this->closes_when_sent) {
-        this->close();
+        this->send_end();
         return;
     }
     if (this->drained) {
@@ -226,20 +232,41 @@
     this->bytes = nullptr;
     this->ended = nullptr;
     this->drained = nullptr;
-    this->connect_timer.cancel();
+    this->timer.cancel();
     asio::error_code ignored; // Closing a closed socket is harmless.
     this->socket.close(ignored);
 }
 
 void tcp_link::close_when_sent()
 {
-    if (this->unsent() == 0 || !this->established) {
+    if (!this->established) {
         this->close();
         return;
     }
     this->closes_when_sent = true;
     this->bytes = nullptr;
     this->ended = nullptr;
+    this->drained = nullptr;
+    if (this->unsent() == 0) {
+        this->send_end();
+    }
+}
+
+void tcp_link::send_end()
+{
+    asio::error_code failed;
+    this->socket.shutdown(asio::socket_base::shutdown_send, failed);
+    if (failed) {
+        this->close();
+        return;
+    }
+    this->timer.expires_after(linger_timeout);
+    this->timer.async_wait([self = this->weak_from_this()](const asio::error_code& cancelled) {
+        if (const auto link = self.lock(); link && !cancelled) {
+            link->close();
+        }
+    });
+    this->resume_reading();
 }
 
 } // namespace coriander
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -67,7 +67,9 @@
     /// Closes at once without calling any callback. Queued bytes are discarded.
     void close();
 
-    /// Closes when the queue has been sent; received bytes and the end are no longer reported.
+    /// Sends the queue and its end, then closes when the peer does or after a time-out. Received bytes are
+    /// discarded: unread ones would reset the connection, and the peer would lose what it has not read yet.
+    /// The callbacks are not called any more.
     void close_when_sent();
 
     [[nodiscard]] asio::any_io_executor executor() { return this->socket.get_executor(); }
@@ -84,10 +86,11 @@
     bool read_some();
     void wait_writable();
     void write_some();
+    void send_end();
     void end(link_end how);
 
     asio::ip::tcp::socket socket;
-    asio::steady_timer connect_timer;
+    asio::steady_timer timer; ///< Bounds connecting, and waiting for the peer's end.
     on_bytes bytes;
     on_end ended;
     std::function<void()> drained;
--- a/test/net/caller_connection_end_test.cpp
+++ b/test/net/caller_connection_end_test.cpp
@@ -156,4 +156,23 @@
     CHECK(server.reaches(caller, ok_line));
 }
 
+TEST_CASE("caller connection: a refusal reaches a caller that is still sending its request")
+{
+    stalling_server server;
+    server.limits.max_body_bytes = 10;
+    auto caller = server.accept();
+    const std::string body(4000000, 'b');
+    caller.send("POST /1 HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+    std::size_t sent = caller.send_some(body);
+    REQUIRE(server.loop.run_until([&] {
+        if (!caller.is_closed() || !caller.is_reset) {
+            sent += caller.send_some(std::string_view{body}.substr(sent));
+        }
+        return sent == body.size() || caller.is_reset;
+    }));
+    CHECK(server.reaches(caller, "413"));
+    CHECK(server.loop.run_until([&] { return caller.is_closed(); }));
+    CHECK_FALSE(caller.is_reset);
+}
+
 } // namespace coriander
