Callers' connections: a chunked body over the limit is always refused

A request whose chunk passes max_body_bytes was accepted if a smaller chunk followed in the same read: the oversized chunk was left out, and the request went on with a body that the caller had not sent.

Cause: each piece of the body overwrote the mark that the body is too large. Before: caller_connection_end_test.cpp:184: FAILED: CHECK( server.reaches(caller, "413") ) false caller_connection_end_test.cpp:185: FAILED: CHECK( server.targets.empty() ) false

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -128,7 +128,8 @@
 
 void caller_connection::on_message_body(std::string_view bytes)
 {
-    this->is_body_too_large = this->request.body.size() + bytes.size() > this->limits.max_body_bytes;
+    this->is_body_too_large =
+        this->is_body_too_large || this->request.body.size() + bytes.size() > this->limits.max_body_bytes;
     if (!this->is_body_too_large) {
         this->request.body.append(bytes);
     }
--- a/test/net/caller_connection_end_test.cpp
+++ b/test/net/caller_connection_end_test.cpp
@@ -175,4 +175,15 @@
     CHECK_FALSE(caller.is_reset);
 }
 
+TEST_CASE("caller connection: chunks after an oversized one are not taken for the rest of the body")
+{
+    stalling_server server;
+    server.limits.max_body_bytes = 10;
+    auto caller = server.accept();
+    caller.send(
+        "POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n12345678901\r\n1\r\nx\r\n0\r\n\r\n");
+    CHECK(server.reaches(caller, "413"));
+    CHECK(server.targets.empty());
+}
+
 } // namespace coriander
