Callers' connections: a graceful shutdown answers the pipelined requests that were read

Seen by callers: during a stop, a pipelined request that the gateway has read whole gets neither an answer nor a refusal.

Cause: the answer before it closed the connection, whatever waited behind it.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -147,7 +147,9 @@
 
 bool caller_connection::should_close() const
 {
-    return !this->caller_keeps_alive || this->closes_after_response || this->handlers->is_closing();
+    // Pipelined requests that have been read are answered before a shutdown closes the connection.
+    return !this->caller_keeps_alive || this->closes_after_response ||
+           (this->handlers->is_closing() && this->unparsed.empty());
 }
 
 void caller_connection::add_connection_header(std::vector<http_header>& headers)
--- a/test/net/caller_connection_end_test.cpp
+++ b/test/net/caller_connection_end_test.cpp
@@ -186,4 +186,19 @@
     CHECK(server.targets.empty());
 }
 
+TEST_CASE("caller connection: a request that was read before a graceful shutdown is answered")
+{
+    stalling_server server;
+    server.answers = false;
+    auto caller = server.accept();
+    caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    REQUIRE(server.loop.run_until([&] { return server.targets.size() == 1; }));
+    server.is_closing = true;
+    server.answers = true;
+    server.callers[0]->send(200, {}, "/1");
+    CHECK(server.reaches(caller, "/2"));
+    CHECK(server.loop.run_until([&] { return caller.is_closed(); }));
+    CHECK(caller.received.find("Connection: close") > caller.received.find("/1"));
+}
+
 } // namespace coriander
