--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -34,28 +34,55 @@
     auto self = this->shared_from_this();
     this->link->listen([self](std::string_view bytes) { self->on_bytes(bytes); },
                        [self](link_end how) { self->on_link_end(how); });
-    this->limits = this->handlers->limits();
-    this->arm_timer(this->limits.idle_timeout);
+    this->wait_for_request();
     this->link->start();
 }
 
 void caller_connection::arm_timer(time_ms limit)
 {
     this->timer.expires_after(std::chrono::milliseconds{limit.count()});
-    this->timer.async_wait([self = this->weak_from_this()](const asio::error_code& cancelled) {
+    const auto armed = ++this->timer_generation;
+    this->timer.async_wait([self = this->weak_from_this(), armed](const asio::error_code& cancelled) {
         const auto connection = self.lock();
-        if (cancelled || !connection || connection->is_pending) {
+        if (cancelled || !connection || connection->timer_generation != armed) {
             return;
         }
-        if (connection->parser.has_begun()) {
-            connection->reject(request_timeout_status);
-        }
-        else {
-            connection->link->close();
-        }
+        connection->on_timeout();
     });
 }
 
+void caller_connection::on_timeout()
+{
+    // After a stall of this process, the timer's handler may run before that of bytes that arrived in time.
+    const auto expired = this->timer_generation;
+    this->link->read_available();
+    if (this->timer_generation != expired || !this->link->is_open()) {
+        return;
+    }
+    if (this->parser.has_begun()) {
+        this->reject(request_timeout_status);
+        return;
+    }
+    const auto left = this->idle_since + this->handlers->limits().idle_timeout - monotonic_clock{}.now();
+    if (left > time_ms{}) {
+        this->arm_timer(left);
+        return;
+    }
+    this->link->close();
+}
+
+void caller_connection::wait_for_request()
+{
+    this->idle_since = monotonic_clock{}.now();
+    this->arm_timer(this->handlers->limits().idle_timeout);
+}
+
+void caller_connection::disarm_timer()
+{
+    ++this->timer_generation;
+    this->timer.cancel();
+}
+
 void caller_connection::on_bytes(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
@@ -86,7 +113,7 @@
         this->reject(bad_request_status);
     }
     else if (this->parser.is_complete()) {
-        this->timer.cancel();
+        this->disarm_timer();
         this->is_pending = true;
         this->request.arrived = monotonic_clock{}.now();
         this->handlers->on_request(this->shared_from_this(), std::exchange(this->request, {}));
@@ -101,7 +128,8 @@
 
 void caller_connection::on_message_body(std::string_view bytes)
 {
-    this->is_body_too_large = this->request.body.size() + bytes.size() > this->limits.max_body_bytes;
+    this->is_body_too_large =
+        this->is_body_too_large || this->request.body.size() + bytes.size() > this->limits.max_body_bytes;
     if (!this->is_body_too_large) {
         this->request.body.append(bytes);
     }
@@ -110,7 +138,7 @@
 void caller_connection::on_link_end(link_end /*how*/)
 {
     const auto self = this->shared_from_this();
-    this->timer.cancel();
+    this->disarm_timer();
     if (const auto listener = std::exchange(this->disconnected, nullptr); listener && this->is_pending) {
         listener();
     }
@@ -119,7 +147,9 @@
 
 bool caller_connection::should_close() const
 {
-    return !this->caller_keeps_alive || this->closes_after_response || this->handlers->is_closing();
+    // Pipelined requests that have been read are answered before a shutdown closes the connection.
+    return !this->caller_keeps_alive || this->closes_after_response ||
+           (this->handlers->is_closing() && this->unparsed.empty());
 }
 
 void caller_connection::add_connection_header(std::vector<http_header>& headers)
@@ -171,7 +201,7 @@
     this->is_pending = false;
     this->link->on_drained(nullptr);
     if (this->closes_after_response) {
-        this->timer.cancel();
+        this->disarm_timer();
         this->link->close_when_sent();
         return;
     }
@@ -179,7 +209,7 @@
     this->request = {};
     this->link->resume_reading();
     if (this->unparsed.empty()) {
-        this->arm_timer(this->limits.idle_timeout);
+        this->wait_for_request();
         return;
     }
     asio::post(this->link->executor(), [self = this->shared_from_this()] {
@@ -193,7 +223,7 @@
 {
     this->disconnected = nullptr;
     this->is_pending = false;
-    this->timer.cancel();
+    this->disarm_timer();
     this->link->close();
 }
 
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -5,6 +5,7 @@
 #include "net/tcp_link.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -84,15 +85,22 @@
     void finish_response();
     [[nodiscard]] bool should_close() const;
     void add_connection_header(std::vector<http_header>& headers);
+    void wait_for_request();
     void arm_timer(time_ms limit);
+    void disarm_timer();
+    void on_timeout();
 
     std::shared_ptr<tcp_link> link;
     std::shared_ptr<const connection_handlers> handlers;
     message_parser parser;
     asio::steady_timer timer;
+    /// The handler of an expired timer can't be cancelled once it is queued; one of an earlier generation is
+    /// ignored.
+    std::uint64_t timer_generation = 0;
+    time_ms idle_since;
     std::string unparsed;
     incoming_request request;
-    connection_limits limits;
+    connection_limits limits; ///< Of the request that is being read.
     std::function<void()> disconnected;
     bool is_pending = false; ///< A request has not been answered completely.
     bool caller_keeps_alive = true;
