Callers' connections: nothing follows the answer that closes the connection

Found while testing stops: after an answer with Connection: close, a caller that pipelines and reads slowly got answers (404) to requests that it had not sent.

Cause: each answer with requests behind it posts a handler that goes on with them, and so does reading; one that ran after the last answer, while the link was still open to send it, found the parser at the end of the last request and handed over an empty request. Before: caller_connection_end_test.cpp:219: FAILED: CHECK( server.targets.size() == more_than_one_read + 1 ), 4002 == 4001 It could happen before as long as bytes were unsent, and more often since connections linger after the last answer.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -213,7 +213,7 @@
         return;
     }
     asio::post(this->link->executor(), [self = this->shared_from_this()] {
-        if (!self->is_pending && self->link->is_open()) {
+        if (!self->is_pending && !self->closes_after_response && self->link->is_open()) {
             self->parse();
         }
     });
--- a/test/net/caller_connection_end_test.cpp
+++ b/test/net/caller_connection_end_test.cpp
@@ -31,7 +31,7 @@
             this->callers.push_back(caller);
             this->targets.push_back(one.head.target);
             if (this->answers) {
-                caller->send(200, {}, one.head.target);
+                caller->send(200, {}, one.head.target + this->padding);
             }
         };
         handlers.limits = [this] {
@@ -67,6 +67,7 @@
     connection_limits limits;
     std::size_t limits_read = 0;
     bool answers = true;
+    std::string padding; ///< Added to each answer.
     bool is_closing = false;
     std::shared_ptr<http_listener> listener;
     std::vector<std::shared_ptr<caller_connection>> callers;
@@ -201,4 +202,21 @@
     CHECK(caller.received.find("Connection: close") > caller.received.find("/1"));
 }
 
+TEST_CASE("caller connection: nothing follows the answer that closes the connection")
+{
+    constexpr std::size_t more_than_one_read = 4000;
+    stalling_server server;
+    server.padding = std::string(1000, 'b');
+    auto caller = server.accept();
+    std::string requests;
+    for (std::size_t i = 0; i < more_than_one_read; ++i) {
+        requests += "GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+    }
+    caller.send(requests + "GET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK(server.reaches(caller, "/2"));
+    CHECK(server.loop.run_until([&] { return caller.is_closed(); }));
+    server.loop.run_ready();
+    CHECK(server.targets.size() == more_than_one_read + 1);
+}
+
 } // namespace coriander
