A planned stop waits for connections, not only for open requests

Seen by callers: an answer that a slow caller is still reading when the gateway stops ends in the middle, without an error.

Cause: the process ended as soon as no request was open. The end of a connection that lingers is reported, so that it can be counted until then.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -85,7 +85,7 @@
         if (!this->values.metrics_address.empty()) {
             this->listen(this->values.metrics_address, this->page_handlers());
         }
-        this->callers = this->listen(this->values.callers_address, this->caller_handlers());
+        this->listen(this->values.callers_address, this->caller_handlers());
         this->run_control();
         this->run_peers();
         this->run_housekeeping();
@@ -157,13 +157,12 @@
     /// Some callers cache a directory response for this many times its TTL.
     static constexpr std::int64_t max_cached_ttls = 3;
 
-    std::shared_ptr<http_listener> listen(const std::string& address, connection_handlers handlers)
+    void listen(const std::string& address, connection_handlers handlers)
     {
         auto listener =
             std::make_shared<http_listener>(this->loop, parse_endpoint(address), std::move(handlers));
         listener->start();
-        this->listeners.push_back(listener);
-        return listener;
+        this->listeners.push_back(std::move(listener));
     }
 
     connection_handlers caller_handlers()
@@ -342,10 +341,14 @@
         this->relay.rejects_new_requests = since >= stop_accept_period;
         const auto listen_period =
             std::min(this->values.directory_ttl * max_cached_ttls, this->values.stop_limit - stop_margin);
-        const bool is_done = since >= listen_period && this->relay.open_requests == 0;
+        std::size_t busy = 0;
+        for (const auto& listener : this->listeners) {
+            busy += listener->count_busy_connections();
+        }
+        const bool is_done = since >= listen_period && this->relay.open_requests == 0 && busy == 0;
         if (is_done || since >= this->values.stop_limit - stop_margin) {
             if (!is_done) {
-                log_event(event::stop_limit_reached, {{"open", this->relay.open_requests}});
+                log_event(event::stop_limit_reached, {{"open", this->relay.open_requests}, {"busy", busy}});
             }
             this->loop.stop();
             return;
@@ -377,7 +380,6 @@
                                 this->peers->send_permits(address, message);
                             }};
     std::vector<std::shared_ptr<http_listener>> listeners;
-    std::shared_ptr<http_listener> callers;
     std::string manifest_text;
     std::uint64_t targets_change_count = 0; ///< The view's change count when targets were set.
     asio::steady_timer stall_check_timer;
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -219,6 +219,22 @@
     });
 }
 
+void caller_connection::read_available()
+{
+    const auto self = this->shared_from_this();
+    this->link->read_available();
+}
+
+bool caller_connection::is_busy() const
+{
+    if (!this->link->is_open()) {
+        return false;
+    }
+    const bool is_closing = this->closes_after_response && !this->is_pending;
+    const bool is_reading = this->parser.has_begun() || !this->unparsed.empty();
+    return this->link->unsent() > 0 || this->is_pending || (is_reading && !is_closing);
+}
+
 void caller_connection::abort()
 {
     this->disconnected = nullptr;
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -74,6 +74,13 @@
     /// Sets the callback for an empty send queue.
     void on_drained(std::function<void()> listener) { this->link->on_drained(std::move(listener)); }
 
+    /// Reads what the socket has received, and handles a request that this completes.
+    void read_available();
+
+    /// Whether a request is being read or answered, or an answer has not been written to the socket
+    /// completely.
+    [[nodiscard]] bool is_busy() const;
+
     void on_message_head(message_head head) override;
     void on_message_body(std::string_view bytes) override;
 
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -1,6 +1,8 @@
 #include "net/http_listener.hpp"
 
+#include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace coriander {
 namespace {
@@ -29,7 +31,7 @@
                 return;
             }
             if (!failed) {
-                std::make_shared<caller_connection>(std::move(socket), self->handlers)->start();
+                self->add(std::make_shared<caller_connection>(std::move(socket), self->handlers));
                 self->accept_next();
                 return;
             }
@@ -42,6 +44,30 @@
         });
 }
 
+void http_listener::add(std::shared_ptr<caller_connection> connection)
+{
+    if (this->connections.size() >= this->cleanup_size) {
+        const auto ended = std::remove_if(this->connections.begin(), this->connections.end(),
+                                          [](const auto& one) { return one.expired(); });
+        this->connections.erase(ended, this->connections.end());
+        this->cleanup_size = std::max(min_cleanup_size, 2 * this->connections.size());
+    }
+    this->connections.push_back(connection);
+    connection->start();
+}
+
+std::size_t http_listener::count_busy_connections()
+{
+    std::size_t count = 0;
+    for (const auto& one : this->connections) {
+        if (const auto connection = one.lock()) {
+            connection->read_available();
+            count += connection->is_busy() ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 void http_listener::stop()
 {
     asio::error_code ignored; // The acceptor is closed in any case.
--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -245,7 +245,6 @@
     }
     this->closes_when_sent = true;
     this->bytes = nullptr;
-    this->ended = nullptr;
     this->drained = nullptr;
     if (this->unsent() == 0) {
         this->send_end();
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -69,7 +69,7 @@
 
     /// Sends the queue and its end, then closes when the peer does or after a time-out. Received bytes are
     /// discarded: unread ones would reset the connection, and the peer would lose what it has not read yet.
-    /// The callbacks are not called any more.
+    /// The end is reported if the peer causes it.
     void close_when_sent();
 
     [[nodiscard]] asio::any_io_executor executor() { return this->socket.get_executor(); }
--- a/test/net/caller_connection_end_test.cpp
+++ b/test/net/caller_connection_end_test.cpp
@@ -219,4 +219,49 @@
     CHECK(server.targets.size() == more_than_one_read + 1);
 }
 
+TEST_CASE("http listener: a connection is busy until its answer has been written to the socket")
+{
+    constexpr int small_buffer = 4096;
+    constexpr std::size_t more_than_the_socket_takes = 16000000;
+    stalling_server server;
+    server.answers = false;
+    server.is_closing = GENERATE(false, true);
+    raw_caller caller{server.listener->port(), small_buffer};
+    caller.send("GET /1 HTTP/1.1\r\n\r\n");
+    REQUIRE(server.loop.run_until([&] { return server.targets.size() == 1; }));
+    CHECK(server.listener->count_busy_connections() == 1);
+    const std::string body(more_than_the_socket_takes, 'b');
+    server.callers[0]->send(200, {}, body);
+    server.callers.clear();
+    CHECK(server.listener->count_busy_connections() == 1);
+    REQUIRE(server.loop.run_until([&] {
+        caller.receive();
+        return caller.received.size() > body.size();
+    }));
+    server.loop.run_ready();
+    CHECK(server.listener->count_busy_connections() == 0);
+}
+
+TEST_CASE("http listener: a request in the socket is read before its connection counts as idle")
+{
+    stalling_server server;
+    server.answers = false;
+    auto caller = server.accept();
+    CHECK(server.listener->count_busy_connections() == 0);
+    const auto is_whole = GENERATE(false, true);
+    caller.send(is_whole ? "GET /1 HTTP/1.1\r\n\r\n" : "GET /1 HT");
+    CHECK(server.listener->count_busy_connections() == 1);
+    CHECK(server.targets.size() == (is_whole ? 1 : 0));
+}
+
+TEST_CASE("http listener: a refused request does not keep its connection busy")
+{
+    stalling_server server;
+    server.limits.max_body_bytes = 10;
+    auto caller = server.accept();
+    caller.send("POST /1 HTTP/1.1\r\nContent-Length: 20\r\n\r\n01234567890123456789");
+    CHECK(server.reaches(caller, "413"));
+    CHECK(server.listener->count_busy_connections() == 0);
+}
+
 } // namespace coriander
