--- a/test/net/caller_connection_end_test.cpp
+++ b/test/net/caller_connection_end_test.cpp
@@ -31,7 +31,7 @@
             this->callers.push_back(caller);
             this->targets.push_back(one.head.target);
             if (this->answers) {
-                caller->send(200, {}, one.head.target);
+                caller->send(200, {}, one.head.target + this->padding);
             }
         };
         handlers.limits = [this] {
@@ -67,6 +67,7 @@
     connection_limits limits;
     std::size_t limits_read = 0;
     bool answers = true;
+    std::string padding; ///< Added to each answer.
     bool is_closing = false;
     std::shared_ptr<http_listener> listener;
     std::vector<std::shared_ptr<caller_connection>> callers;
@@ -201,4 +202,66 @@
     CHECK(caller.received.find("Connection: close") > caller.received.find("/1"));
 }
 
+TEST_CASE("caller connection: nothing follows the answer that closes the connection")
+{
+    constexpr std::size_t more_than_one_read = 4000;
+    stalling_server server;
+    server.padding = std::string(1000, 'b');
+    auto caller = server.accept();
+    std::string requests;
+    for (std::size_t i = 0; i < more_than_one_read; ++i) {
+        requests += "GET /1 HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+    }
+    caller.send(requests + "GET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK(server.reaches(caller, "/2"));
+    CHECK(server.loop.run_until([&] { return caller.is_closed(); }));
+    server.loop.run_ready();
+    CHECK(server.targets.size() == more_than_one_read + 1);
+}
+
+TEST_CASE("http listener: a connection is busy until its answer has been written to the socket")
+{
+    constexpr int small_buffer = 4096;
+    constexpr std::size_t more_than_the_socket_takes = 16000000;
+    stalling_server server;
+    server.answers = false;
+    server.is_closing = GENERATE(false, true);
+    raw_caller caller{server.listener->port(), small_buffer};
+    caller.send("GET /1 HTTP/1.1\r\n\r\n");
+    REQUIRE(server.loop.run_until([&] { return server.targets.size() == 1; }));
+    CHECK(server.listener->count_busy_connections() == 1);
+    const std::string body(more_than_the_socket_takes, 'b');
+    server.callers[0]->send(200, {}, body);
+    server.callers.clear();
+    CHECK(server.listener->count_busy_connections() == 1);
+    REQUIRE(server.loop.run_until([&] {
+        caller.receive();
+        return caller.received.size() > body.size();
+    }));
+    server.loop.run_ready();
+    CHECK(server.listener->count_busy_connections() == 0);
+}
+
+TEST_CASE("http listener: a request in the socket is read before its connection counts as idle")
+{
+    stalling_server server;
+    server.answers = false;
+    auto caller = server.accept();
+    CHECK(server.listener->count_busy_connections() == 0);
+    const auto is_whole = GENERATE(false, true);
+    caller.send(is_whole ? "GET /1 HTTP/1.1\r\n\r\n" : "GET /1 HT");
+    CHECK(server.listener->count_busy_connections() == 1);
+    CHECK(server.targets.size() == (is_whole ? 1 : 0));
+}
+
+TEST_CASE("http listener: a refused request does not keep its connection busy")
+{
+    stalling_server server;
+    server.limits.max_body_bytes = 10;
+    auto caller = server.accept();
+    caller.send("POST /1 HTTP/1.1\r\nContent-Length: 20\r\n\r\n01234567890123456789");
+    CHECK(server.reaches(caller, "413"));
+    CHECK(server.listener->count_busy_connections() == 0);
+}
+
 } // namespace coriander
