gateway: log why a request stays at a target that stalls or retires

A decision not to move a request left no line, so that a request that waits for its target could not be told apart from one that was never considered.

--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -102,6 +102,15 @@
                                     {"manifest", request.routes->manifest().version}});
 }
 
+void log_request_kept(const relay_request& request, const relay_target& target, const char* why)
+{
+    log_event(event::request_kept, {{"request", request.attempt_id},
+                                    {"target", target.id},
+                                    {"host", target.host},
+                                    {"generation", target.generation},
+                                    {"why", why}});
+}
+
 void log_attempt_end(const relay_request& request, const attempt_report& report)
 {
     log_event(event::attempt_failed, {{"request", request.attempt_id},
--- a/src/gateway/relay_events.hpp
+++ b/src/gateway/relay_events.hpp
@@ -51,6 +51,7 @@
 void log_permit(const relay_request& request, const target_choice& choice, permit_decision decision);
 void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
                 std::optional<std::uint64_t> after_event);
+void log_request_kept(const relay_request& request, const relay_target& target, const char* why);
 void log_attempt_end(const relay_request& request, const attempt_report& report);
 void log_request_end(const relay_request& request, const request_report& report);
 
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -60,6 +60,7 @@
         answer_trials::id trial = 0;
         std::size_t events_before = 0;       ///< Events that earlier attempts had forwarded.
         std::optional<double> reported_load; ///< Requests on the target, as reported in its response.
+        const char* stays_because = nullptr; ///< Why the last move was not possible, as logged.
         time_ms sent_at;
         time_ms begun_at;
     };
@@ -80,6 +81,8 @@
     /// Moves the request to a target with a rate limit once it has a permit; stays where it is without one.
     void move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason);
     void on_move_permit(const target_choice& choice, permit_decision decision, const char* reason);
+    /// Logs why the request stays at its target, unless that was the reason the last time.
+    void log_stay(const char* why);
     void dispatch(const target_choice& choice);
     [[nodiscard]] std::string request_text(const target_choice& choice) const;
     /// The best target that is not in `excluded`, a list of target ids.
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -182,8 +182,13 @@
     // Without another target the request keeps waiting: its replica may recover.
     auto others = this->tried_targets;
     others.push_back(this->current.choice.target.id);
-    const auto next = may_move && !this->may_crash_next_target() ? this->choose_target(others) : std::nullopt;
+    if (!may_move || this->may_crash_next_target()) {
+        this->log_stay("not_repeatable");
+        return;
+    }
+    const auto next = this->choose_target(others);
     if (!next) {
+        this->log_stay("no_target");
         return;
     }
     if (const auto limit = this->state->board.limit_of(next->target.id, now)) {
@@ -193,6 +198,13 @@
     this->end_attempt(attempt_end::lost, reason);
 }
 
+void relay_session::log_stay(const char* why)
+{
+    if (std::exchange(this->current.stays_because, why) != why) {
+        log_request_kept(this->request, this->current.choice.target, why);
+    }
+}
+
 void relay_session::move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason)
 {
     if (std::exchange(this->is_asking_to_move, true)) {
@@ -216,6 +228,7 @@
     log_permit(this->request, choice, decision);
     if (!decision.is_granted) {
         this->state->board.defer(choice.target.id, this->context.clock.now() + decision.wait);
+        this->log_stay("no_permit");
         return;
     }
     this->reserved = choice;
