gateway: a request leaves a silent target only once its next attempt is secured

What callers saw: a stream broke off, or a request got 502, although its target was silent for a moment only or was sound and about to be withdrawn, for instance beside a change of the configuration, after which replicas retire.

Cause: check and act used different conditions. `fail_over` checked the attempts, the time and that another target could be chosen, closed the running attempt, and only then `end_attempt` asked for a retry in the budget, asked the quarantine once more (with the request now counted as one that may have run) and chose the target a second time. If one of these said no, the running attempt was already closed, and `decide_next` broke the stream off. A stream that has begun and can't be resumed was closed in the same way.

Now everything that the next attempt needs is secured while the current one runs, by the same conditions that `end_attempt` uses: the attempts, the time, the kind of the request, the quarantine, the target, its permit, and last the retry itself. Without one of them the request keeps waiting for its target; the check is repeated as long as the target is silent.

Evidence: on the code before, all five tests of relay_session_move_test.cpp fail: a stream whose target is silent for a moment is not cut for lack of a retry: *caller->end == complete: 2 == 0 a request whose target is silent for a moment does not fail for lack of a retry: head.status == 200: 502 == 200 a stream that may crash its next target is not cut while its target is silent: 2 == 0 a stream is not cut if the last retry is used while it waits for a permit to move: 2 == 0 a begun stream that can't be resumed is not cut while its target is silent: 2 == 0 (2 is `exchange_end::lost`.) With the fix they pass, with the other tests of requests, retries and stalls.

--- a/include/coriander/relay/retry_window.hpp
+++ b/include/coriander/relay/retry_window.hpp
@@ -28,16 +28,22 @@
         this->requests.push_back(now);
     }
 
-    /// Consumes one retry. Returns false if the share of this daemon, one of `daemons`, is used up.
-    /// Precondition: `daemons` > 0.
-    [[nodiscard]] bool try_retry(time_ms now, std::size_t daemons)
+    /// Whether the share of this daemon, one of `daemons`, contains another retry. Precondition: `daemons` >
+    /// 0.
+    [[nodiscard]] bool has_retry(time_ms now, std::size_t daemons)
     {
         this->discard_expired(now);
         const double allowance_share = this->settings.allowance / static_cast<double>(daemons);
         const double limit =
             safety_factor *
             (this->settings.ratio * static_cast<double>(this->requests.size()) + allowance_share);
-        if (static_cast<double>(this->retries.size()) + 1.0 > std::max(1.0, limit)) {
+        return static_cast<double>(this->retries.size()) + 1.0 <= std::max(1.0, limit);
+    }
+
+    /// Consumes one retry. Returns false if there is none. Precondition: `daemons` > 0.
+    [[nodiscard]] bool try_retry(time_ms now, std::size_t daemons)
+    {
+        if (!this->has_retry(now, daemons)) {
             return false;
         }
         this->retries.push_back(now);
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -28,9 +28,8 @@
     /// Starts processing the request. Precondition: owned by a `shared_ptr`.
     void start();
 
-    /// Moves the request to another target if the route, the time left and the other targets allow it;
-    /// otherwise keeps waiting for the current target, which has stalled or is being withdrawn. `reason` is
-    /// logged.
+    /// Moves the request to another target once everything that an attempt there needs is secured; otherwise
+    /// keeps waiting for the current target, which has stalled or is being withdrawn. `reason` is logged.
     void fail_over(const char* reason = "the target has stalled");
 
     /// Ends the request if it has been quarantined since it was sent and its response has not started.
@@ -69,7 +68,7 @@
     void try_admit();
     [[nodiscard]] quarantine_verdict check_quarantine();
     void refuse_quarantined();
-    [[nodiscard]] bool may_crash_next_target();
+    [[nodiscard]] bool may_crash_next_target(const attempt_state& after);
     void end_trial(attempt_end end);
     /// Sends the request to the chosen target, or to another one if that has a rate limit and no permit is
     /// available.
@@ -78,9 +77,13 @@
     void on_permit_denied();
     /// Ends the request, whose attempts so far have failed or that has not been sent at all.
     void end_without_target();
+    /// Whether the request could be sent to another target if the current attempt ended now.
+    [[nodiscard]] bool may_move();
     /// Moves the request to a target with a rate limit once it has a permit; stays where it is without one.
     void move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason);
     void on_move_permit(const target_choice& choice, permit_decision decision, const char* reason);
+    /// Moves the request to the target if a retry can be consumed. Precondition: `may_move()`.
+    void move_to(const target_choice& choice, const char* reason);
     /// Logs why the request stays at its target, unless that was the reason the last time.
     void log_stay(const char* why);
     void dispatch(const target_choice& choice);
@@ -96,7 +99,10 @@
     void on_response_complete();
     void end_attempt(attempt_end end, const char* reason);
     void close_attempt(bool is_failure);
-    [[nodiscard]] attempt_state record_attempt_end(attempt_end end);
+    /// The state of the request if the current attempt ends like this.
+    [[nodiscard]] attempt_state state_after(attempt_end end) const;
+    /// Whether the time left, the number of tried targets and the quarantine allow another attempt.
+    [[nodiscard]] bool may_retry(const attempt_state& after, std::size_t tried);
     void execute(next_step step, const std::optional<target_choice>& next);
     void send_local_reply(local_reply reply, time_ms retry_after = {});
     void forward_response();
@@ -117,7 +123,7 @@
     unsigned attempts_sent = 0;
     unsigned denied_permits = 0;
     bool is_asking_to_move = false;
-    std::optional<target_choice> reserved; ///< Target to move to, with a permit.
+    std::optional<target_choice> reserved; ///< Target to move to, with a retry and any permit it needs.
     time_ms permit_wait;                   ///< Shortest wait of the denied permits.
     std::optional<attempt_state> last_end; ///< State after the last attempt, while another is prepared.
     bool may_have_run = false;
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -38,23 +38,27 @@
     this->state->board.on_ended(id, this->current.has_begun, is_failure, this->context.clock.now());
 }
 
-attempt_state relay_session::record_attempt_end(attempt_end end)
+attempt_state relay_session::state_after(attempt_end end) const
 {
     const bool was_sent = end != attempt_end::not_sent;
     const bool has_run =
         end == attempt_end::failed || end == attempt_end::lost || end == attempt_end::timed_out;
-    this->attempts_sent += was_sent ? 1 : 0;
-    this->may_have_run = this->may_have_run || has_run;
     attempt_state state;
     state.end = end;
     state.kind = this->request.route->kind;
-    state.attempts_sent = this->attempts_sent;
+    state.attempts_sent = this->attempts_sent + (was_sent ? 1 : 0);
     state.max_attempts = this->request.route->max_attempts;
-    state.may_have_run = this->may_have_run;
+    state.may_have_run = this->may_have_run || has_run;
     state.response_started = this->stream.has_begun();
     return state;
 }
 
+bool relay_session::may_retry(const attempt_state& after, std::size_t tried)
+{
+    return this->request.deadline - this->context.clock.now() > min_attempt_time &&
+           tried < max_connect_failures + after.attempts_sent && !this->may_crash_next_target(after);
+}
+
 quarantine_verdict relay_session::check_quarantine()
 {
     return this->context.quarantine.classify(this->request.prints, this->context.may_probe_quarantine,
@@ -69,10 +73,10 @@
 }
 
 /// A request that may have crashed a target is sent to another one only if nothing else speaks against it.
-bool relay_session::may_crash_next_target()
+bool relay_session::may_crash_next_target(const attempt_state& after)
 {
     return this->check_quarantine() == quarantine_verdict::blocked ||
-           (this->may_have_run && this->context.quarantine.is_suspect(this->request.prints));
+           (after.may_have_run && this->context.quarantine.is_suspect(this->request.prints));
 }
 
 void relay_session::end_if_quarantined()
@@ -113,16 +117,16 @@
     }
     this->tried_targets.push_back(target.id);
     this->stream.end_attempt();
-    auto state = this->record_attempt_end(end);
-    state.is_retry_allowed = this->request.deadline - now > min_attempt_time &&
-                             this->tried_targets.size() < max_connect_failures + this->attempts_sent &&
-                             !this->may_crash_next_target();
+    auto state = this->state_after(end);
+    this->attempts_sent = state.attempts_sent;
+    this->may_have_run = state.may_have_run;
+    auto next = this->reserved;
+    state.is_retry_allowed = next || this->may_retry(state, this->tried_targets.size());
     auto step = decide_next(state);
     this->last_end = state;
-    std::optional<target_choice> next;
-    if (step == next_step::try_again || step == next_step::resume) {
+    if (!next && (step == next_step::try_again || step == next_step::resume)) {
         const bool costs_budget = this->attempts_sent > 0;
-        next = this->reserved ? this->reserved : this->choose_target(this->tried_targets);
+        next = this->choose_target(this->tried_targets);
         state.is_retry_allowed =
             next && (!costs_budget || this->state->retries.try_retry(now, this->context.daemons));
         step = decide_next(state);
@@ -169,73 +173,6 @@
     }
 }
 
-void relay_session::fail_over(const char* reason)
-{
-    if (this->has_ended || !this->current.is_open) {
-        return;
-    }
-    const auto now = this->context.clock.now();
-    const auto& route = *this->request.route;
-    const bool may_move = route.kind != repetition::non_idempotent &&
-                          this->attempts_sent + 1 < route.max_attempts &&
-                          this->request.deadline - now > min_attempt_time;
-    // Without another target the request keeps waiting: its replica may recover.
-    auto others = this->tried_targets;
-    others.push_back(this->current.choice.target.id);
-    if (!may_move || this->may_crash_next_target()) {
-        this->log_stay("not_repeatable");
-        return;
-    }
-    const auto next = this->choose_target(others);
-    if (!next) {
-        this->log_stay("no_target");
-        return;
-    }
-    if (const auto limit = this->state->board.limit_of(next->target.id, now)) {
-        this->move_with_permit(*next, *limit, reason);
-        return;
-    }
-    this->end_attempt(attempt_end::lost, reason);
-}
-
-void relay_session::log_stay(const char* why)
-{
-    if (std::exchange(this->current.stays_because, why) != why) {
-        log_request_kept(this->request, this->current.choice.target, why);
-    }
-}
-
-void relay_session::move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason)
-{
-    if (std::exchange(this->is_asking_to_move, true)) {
-        return;
-    }
-    this->context.request_permit(limit, [weak = this->weak_from_this(), choice, reason,
-                                         moved = this->current.trial](permit_decision decision) {
-        const auto session = weak.lock();
-        if (!session) {
-            return;
-        }
-        session->is_asking_to_move = false;
-        if (!session->has_ended && session->current.is_open && session->current.trial == moved) {
-            session->on_move_permit(choice, decision, reason);
-        }
-    });
-}
-
-void relay_session::on_move_permit(const target_choice& choice, permit_decision decision, const char* reason)
-{
-    log_permit(this->request, choice, decision);
-    if (!decision.is_granted) {
-        this->state->board.defer(choice.target.id, this->context.clock.now() + decision.wait);
-        this->log_stay("no_permit");
-        return;
-    }
-    this->reserved = choice;
-    this->end_attempt(attempt_end::lost, reason);
-    this->reserved.reset();
-}
-
 void relay_session::send_local_reply(local_reply reply, time_ms retry_after)
 {
     const int status = status_of(reply);
--- /dev/null
+++ b/src/gateway/relay_session_move.cpp
@@ -0,0 +1,97 @@
+#include "gateway/relay_events.hpp"
+#include "gateway/relay_session.hpp"
+
+#include <utility>
+
+// Moves of requests from targets that are still working on them.
+namespace coriander {
+
+void relay_session::fail_over(const char* reason)
+{
+    if (this->has_ended || !this->current.is_open || !this->may_move()) {
+        return;
+    }
+    const auto now = this->context.clock.now();
+    auto others = this->tried_targets;
+    others.push_back(this->current.choice.target.id);
+    const auto next = this->choose_target(others);
+    if (!next) {
+        this->log_stay("no_target");
+        return;
+    }
+    if (const auto limit = this->state->board.limit_of(next->target.id, now)) {
+        this->move_with_permit(*next, *limit, reason);
+        return;
+    }
+    this->move_to(*next, reason);
+}
+
+bool relay_session::may_move()
+{
+    auto after = this->state_after(attempt_end::lost);
+    after.is_retry_allowed = this->may_retry(after, this->tried_targets.size() + 1);
+    const auto step = decide_next(after);
+    if (step != next_step::try_again && step != next_step::resume) {
+        this->log_stay("not_repeatable");
+        return false;
+    }
+    if (!this->state->retries.has_retry(this->context.clock.now(), this->context.daemons)) {
+        this->log_stay("no_retry");
+        return false;
+    }
+    return true;
+}
+
+void relay_session::log_stay(const char* why)
+{
+    if (std::exchange(this->current.stays_because, why) != why) {
+        log_request_kept(this->request, this->current.choice.target, why);
+    }
+}
+
+void relay_session::move_with_permit(const target_choice& choice, const rate_limit& limit, const char* reason)
+{
+    if (std::exchange(this->is_asking_to_move, true)) {
+        return;
+    }
+    this->context.request_permit(limit, [weak = this->weak_from_this(), choice, reason,
+                                         moved = this->current.trial](permit_decision decision) {
+        const auto session = weak.lock();
+        if (!session) {
+            return;
+        }
+        session->is_asking_to_move = false;
+        if (!session->has_ended && session->current.is_open && session->current.trial == moved) {
+            session->on_move_permit(choice, decision, reason);
+        }
+    });
+}
+
+void relay_session::on_move_permit(const target_choice& choice, permit_decision decision, const char* reason)
+{
+    log_permit(this->request, choice, decision);
+    if (!decision.is_granted) {
+        this->state->board.defer(choice.target.id, this->context.clock.now() + decision.wait);
+        this->log_stay("no_permit");
+        return;
+    }
+    if (!this->state->board.is_listed(choice.target.id)) {
+        this->log_stay("no_target");
+        return;
+    }
+    if (this->may_move()) {
+        this->move_to(choice, reason);
+    }
+}
+
+void relay_session::move_to(const target_choice& choice, const char* reason)
+{
+    if (!this->state->retries.try_retry(this->context.clock.now(), this->context.daemons)) {
+        this->log_stay("no_retry");
+        return;
+    }
+    this->reserved = choice;
+    this->end_attempt(attempt_end::lost, reason);
+}
+
+} // namespace coriander
--- /dev/null
+++ b/test/gateway/relay_session_move_test.cpp
@@ -0,0 +1,125 @@
+#include "coriander/digest.hpp"
+
+#include "support/relay_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+// Requests that may move from a target that is still working on them.
+namespace coriander {
+namespace {
+
+const std::string begun = stream_head + chunk_of_event(1);
+const std::string whole_stream = "id: 1\ndata: t\n\nid: 2\ndata: t\n\n";
+
+/// A request on its first target, which has sent part of its response or nothing and can go on later.
+struct moving_request {
+    moving_request(repetition kind, std::string sent_first, relay_fixture::script second_script,
+                   const std::string& headers = {})
+        : relay{kind,
+                [this, sent_first](tcp_link& link, const std::string& /*request*/) {
+                    this->target = link.shared_from_this();
+                    link.write(sent_first);
+                },
+                std::move(second_script)}
+    {
+        auto manifest = this->relay.context.routes->manifest();
+        manifest.routes.front().is_stream = !sent_first.empty();
+        this->relay.context.routes = std::make_shared<const route_table>(std::move(manifest));
+        this->relay.send(headers);
+        REQUIRE(this->relay.loop.run_until(
+            [&] { return this->target && this->relay.caller->body.empty() == sent_first.empty(); }));
+    }
+
+    [[nodiscard]] service_state& state() { return this->relay.context.service("desk"); }
+    [[nodiscard]] std::shared_ptr<relay_session> session()
+    {
+        auto& sessions = this->state().sessions["first"];
+        REQUIRE(sessions.size() == 1);
+        return (*sessions.begin())->shared_from_this();
+    }
+    /// Lets the first target send the rest of its response, and waits for the end of the request.
+    void go_on(const std::string& rest)
+    {
+        this->target->write(rest);
+        REQUIRE(this->relay.loop.run_until([this] { return this->relay.caller->end.has_value(); }));
+    }
+
+    std::shared_ptr<tcp_link> target;
+    relay_fixture relay;
+};
+
+/// Leaves no retry in the service's budget.
+void exhaust_retries(service_state& state, time_ms now)
+{
+    state.retries = retry_window{{0.0, 0.0, 60_s}};
+    REQUIRE(state.retries.try_retry(now, 1));
+}
+
+} // namespace
+
+TEST_CASE("relay session: a stream whose target is silent for a moment is not cut for lack of a retry")
+{
+    moving_request request{repetition::resumable, begun, respond_with(ok_response)};
+    exhaust_retries(request.state(), request.relay.context.clock.now());
+    request.session()->fail_over();
+    request.go_on(chunk_of_event(2) + last_chunk);
+    CHECK(*request.relay.caller->end == exchange_end::complete);
+    CHECK(request.relay.caller->body == whole_stream);
+    CHECK(request.relay.second.requests().empty());
+}
+
+TEST_CASE("relay session: a request whose target is silent for a moment does not fail for lack of a retry")
+{
+    moving_request request{repetition::idempotent, "", respond_with(ok_response)};
+    exhaust_retries(request.state(), request.relay.context.clock.now());
+    request.session()->fail_over();
+    request.go_on(ok_response);
+    CHECK(request.relay.caller->head.status == 200);
+    CHECK(request.relay.second.requests().empty());
+}
+
+TEST_CASE("relay session: a stream that may crash its next target is not cut while its target is silent")
+{
+    moving_request request{repetition::resumable, begun, respond_with(ok_response),
+                           "Coriander-Prompt: 5a:40,dead:30,01:10\r\n"};
+    auto& quarantine = request.relay.context.quarantine;
+    quarantine.add({1, true, {stable_hash("dead")}, {}}, request.relay.context.clock.now());
+    quarantine.evaluate(request.relay.context.clock.now());
+    request.session()->fail_over();
+    request.go_on(chunk_of_event(2) + last_chunk);
+    CHECK(*request.relay.caller->end == exchange_end::complete);
+    CHECK(request.relay.caller->body == whole_stream);
+}
+
+TEST_CASE("relay session: a stream is not cut if the last retry is used while it waits for a permit to move")
+{
+    moving_request request{repetition::resumable, begun, respond_with(ok_response)};
+    auto& relay = request.relay;
+    std::function<void(permit_decision)> answer;
+    relay.context.request_permit = [&](const rate_limit& /*limit*/,
+                                       const std::function<void(permit_decision)>& done) { answer = done; };
+    request.state().board.on_rate_limit("second", 3.5, relay.context.clock.now());
+    request.session()->fail_over();
+    REQUIRE(answer != nullptr);
+    exhaust_retries(request.state(), relay.context.clock.now());
+    answer({true, {}});
+    request.go_on(chunk_of_event(2) + last_chunk);
+    CHECK(*relay.caller->end == exchange_end::complete);
+    CHECK(relay.caller->body == whole_stream);
+    CHECK(relay.second.requests().empty());
+}
+
+TEST_CASE("relay session: a begun stream that can't be resumed is not cut while its target is silent")
+{
+    moving_request request{repetition::idempotent, begun, respond_with(ok_response)};
+    request.session()->fail_over();
+    request.go_on(chunk_of_event(2) + last_chunk);
+    CHECK(*request.relay.caller->end == exchange_end::complete);
+    CHECK(request.relay.caller->body == whole_stream);
+}
+
+} // namespace coriander
