gateway: a request that waits for a permit is answered at its deadline at the latest

What callers saw: none is known to have seen it. A request that waited for a permit had no end of its own: its deadline's timer did nothing while no attempt was open, so that a decision that never came left the caller without an answer or a refusal.

Evidence: before, the new test waited in vain for both cases (nothing sent yet, and one attempt lost): a request that waits for a permit is answered at its deadline if no decision comes: run_until(caller->end.has_value()): false Now the caller gets 503 if nothing has run, and 502 after a lost attempt, and nothing more is sent.

--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -212,9 +212,14 @@
 
 void relay_session::on_deadline()
 {
-    if (!this->has_ended && this->current.is_open) {
+    if (this->has_ended) {
+        return;
+    }
+    if (this->current.is_open) {
         this->end_attempt(attempt_end::timed_out, "the time limit was reached");
+        return;
     }
+    this->end_without_target();
 }
 
 void relay_session::on_caller_gone()
--- a/test/gateway/relay_session_permission_test.cpp
+++ b/test/gateway/relay_session_permission_test.cpp
@@ -94,6 +94,26 @@
     CHECK(relay.requests_sent() == expected.sent);
 }
 
+TEST_CASE("relay session: a request that waits for a permit is answered at its deadline if no decision comes")
+{
+    struct permit_case {
+        const char* limited;
+        int status;
+        unsigned sent;
+    };
+    const auto expected = GENERATE(permit_case{"first", 503, 0}, permit_case{"second", 502, 1});
+    CAPTURE(expected.limited);
+    relay_fixture relay{repetition::idempotent, respond_and_close(""), respond_with(ok_response)};
+    relay.context.request_permit = [](const rate_limit& /*limit*/,
+                                      const std::function<void(permit_decision)>& /*done*/) {};
+    relay.context.service("desk").board.on_rate_limit(expected.limited, 3.5, relay.context.clock.now());
+    relay.caller->send("GET / HTTP/1.1\r\nHost: desk.example\r\nCoriander-Attempt: a1\r\n"
+                       "Authorization: Bearer key\r\nCoriander-Deadline-Ms: 400\r\n\r\n");
+    REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
+    CHECK(relay.caller->head.status == expected.status);
+    CHECK(relay.requests_sent() == expected.sent);
+}
+
 TEST_CASE("relay session: a response without a rate limit ends the limit")
 {
     relay_fixture relay{repetition::idempotent, respond_with(ok_response), respond_with(ok_response)};
