Router: a retry before the first token waits for a target as a resumed stream does

Seen by callers: a request that was sent to a replica less than its first token's time before the replica's death failed at once, while streams that had begun went on elsewhere (e2e.whole_answers_test, 96 of 97 whole).

Cause: a request that ran on a target when it died needs a target on which nothing else runs. A resumed stream waits for one; a retry before the first token did not, since each call of dispatcher::retry took a retry from the budget, whether it found a target or not. Before: dispatcher_test.cpp:175: FAILED: CHECK( router.retry(request, start) ) The budget is charged only for a retry that is sent. A retry waits until its deadline, and ends at once if its strikes, the budget or the lack of any serving target rule it out.

--- a/include/coriander/dispatcher.hpp
+++ b/include/coriander/dispatcher.hpp
@@ -96,16 +96,24 @@
         return {admission_verdict::queued, {}, {}, {}};
     }
 
+    /// Whether a request whose last attempt failed may be retried: it is not refused because of its strikes,
+    /// the retry budget is not used up, and there is a serving target.
+    [[nodiscard]] bool may_retry(const route_request& request, time_ms now) const
+    {
+        return this->strikes.classify(request.digest, now) != strike_verdict::refused &&
+               this->retries.has_retry() && this->serving_count() > 0;
+    }
+
     /// Assigns a request whose last attempt failed to another target. A retry is never queued, so that it
-    /// does not wait behind new requests. Returns nothing if the request is refused because of its strikes,
-    /// no target has room or the retry budget is used up.
+    /// does not wait behind new requests. Returns nothing, and leaves the retry budget as it is, if the
+    /// request may not be retried or no target has room.
     [[nodiscard]] std::optional<route_assignment> retry(const route_request& request, time_ms now)
     {
-        const bool is_refused = this->strikes.classify(request.digest, now) == strike_verdict::refused;
-        if (is_refused || !this->retries.try_retry()) {
-            return std::nullopt;
+        auto assignment = this->may_retry(request, now) ? this->try_assign(request, now) : std::nullopt;
+        if (assignment) {
+            this->retries.take_retry();
         }
-        return this->try_assign(request, now);
+        return assignment;
     }
 
     /// Assigns a request whose answer is already being streamed to the caller to another target. Does not use
--- a/include/coriander/retry_budget.hpp
+++ b/include/coriander/retry_budget.hpp
@@ -18,15 +18,11 @@
     /// Counts a first attempt.
     void on_request() { this->available = std::min(this->max_retries, this->available + this->share); }
 
-    /// Takes one retry from the budget. Returns false if none is left.
-    [[nodiscard]] bool try_retry()
-    {
-        if (this->available < 1.0) {
-            return false;
-        }
-        this->available -= 1.0;
-        return true;
-    }
+    /// Whether a retry is left.
+    [[nodiscard]] bool has_retry() const noexcept { return this->available >= 1.0; }
+
+    /// Takes one retry from the budget. Precondition: `has_retry()`.
+    void take_retry() { this->available -= 1.0; }
 
 private:
     double share;
--- a/src/router/completion_session.cpp
+++ b/src/router/completion_session.cpp
@@ -224,8 +224,7 @@
     this->try_next_target(this->now());
 }
 
-/// Retries on another target. If none is available, a stream that has already delivered tokens keeps waiting
-/// until `request_deadline` has passed since its last activity; otherwise the request fails at once.
+/// Retries on another target, or keeps waiting for one if none is available.
 void completion_session::try_next_target(time_ms now)
 {
     if (this->attempts >= max_attempts) {
@@ -233,8 +232,7 @@
         return;
     }
     if (!this->reassign(this->has_tokens())) {
-        const bool may_wait = this->has_tokens() && now - this->last_activity < this->rules.request_deadline;
-        if (!may_wait) {
+        if (!this->may_wait_for_target(now)) {
             this->end_with_failure();
             return;
         }
@@ -248,6 +246,17 @@
     this->begin_attempt();
 }
 
+/// A stream that has already delivered tokens waits until `request_deadline` has passed since its last
+/// activity, any other request until its deadline.
+bool completion_session::may_wait_for_target(time_ms now)
+{
+    if (this->has_tokens()) {
+        return now - this->last_activity < this->rules.request_deadline;
+    }
+    const std::scoped_lock lock{this->route->mutex};
+    return now < this->routing.deadline && this->route->requests.may_retry(this->routing, now);
+}
+
 void completion_session::end_with_failure()
 {
     const auto run = this->may_have_run ? run_state::failed : run_state::not_run;
--- a/src/router/completion_session.hpp
+++ b/src/router/completion_session.hpp
@@ -31,6 +31,7 @@
     void finish_answer();
     void on_attempt_failed(attempt_outcome outcome, run_state run);
     void try_next_target(time_ms now);
+    [[nodiscard]] bool may_wait_for_target(time_ms now);
     void end_with_failure();
     void probe_target();
     void on_probe(std::uint64_t attempt, const http_result& end);
--- a/test/dispatcher_test.cpp
+++ b/test/dispatcher_test.cpp
@@ -160,6 +160,22 @@
     CHECK(retried >= 20);
 }
 
+TEST_CASE("dispatcher: a request that waits for a target does not use up the retry budget")
+{
+    auto router = dispatcher_with(2, 16);
+    auto request = request_of(1);
+    const auto decision = router.submit(request, start);
+    REQUIRE(decision.verdict == admission_verdict::dispatched);
+    router.finish(1, attempt_outcome::abandoned, start);
+    request.tried = {"assistant/0", "assistant/1"};
+    for (int poll = 0; poll < 100; ++poll) {
+        REQUIRE_FALSE(router.retry(request, start));
+    }
+    CHECK(router.may_retry(request, start));
+    request.tried = {decision.assignment.target};
+    CHECK(router.retry(request, start));
+}
+
 TEST_CASE("dispatcher: a target that fails fast is ejected, and tried again later")
 {
     auto router = dispatcher_with(3, 1000);
