--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -44,7 +44,7 @@
         });
 }
 
-void http_listener::add(std::shared_ptr<caller_connection> connection)
+void http_listener::add(const std::shared_ptr<caller_connection>& connection)
 {
     if (this->connections.size() >= this->cleanup_size) {
         const auto ended = std::remove_if(this->connections.begin(), this->connections.end(),
--- a/src/net/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -34,7 +34,7 @@
 
 private:
     void accept_next();
-    void add(std::shared_ptr<caller_connection> connection);
+    void add(const std::shared_ptr<caller_connection>& connection);
 
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer retry_timer; ///< Delays the next accept after a failure, such as too many open files.
