gateway: a request that moves keeps its old attempt until the new target has taken it

What callers saw: a stream left a target that was silent for a moment, the next target answered 503 (not run), and the stream broke off, although its first target could have gone on.

The old attempt was closed before its replacement was certain; whether the next target takes the request is known only from its response, and the route's `max_attempts` is used up by then.

Now the old attempt stays open, without being read, until the new one's response has begun as a success. If the new target declines, fails, refuses the connection or closes it before that, the request goes back to its old attempt with what has arrived there meanwhile; it can move again later if the route allows it. Both are cancelled when the caller leaves and at the deadline. The number of targets that a request is sent to does not change, and neither does the retry budget: a move is charged when it is made.

--- a/include/coriander/relay/attempt_decision.hpp
+++ b/include/coriander/relay/attempt_decision.hpp
@@ -32,6 +32,7 @@
     pass_failure,    ///< Forward the target's error to the caller.
     report_unknown,  ///< Tell the caller that it may have run.
     report_time_out, ///< Tell the caller that it timed out and may have run.
+    go_back,         ///< Continue with the attempt that the request left for this one.
     break_off,       ///< Abort the started response so that the caller detects that it is incomplete.
 };
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -257,6 +257,10 @@
     this->current.head = std::move(head);
     if (this->current.head_result == attempt_end::lost) {
         this->end_attempt(attempt_end::lost, "the response does not belong to this request");
+        return;
+    }
+    if (!this->current.head_result) {
+        this->drop_held(true);
     }
 }
 
@@ -354,7 +358,7 @@
         this->end_attempt(attempt_end::lost, "the stream ended inside an event");
         return;
     }
-    ++this->attempts_sent;
+    this->attempts_sent += this->current.is_counted ? 0 : 1;
     this->close_attempt(false);
     const auto now = this->context.clock.now();
     this->context.trials.on_complete(this->current.trial, now);
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -53,6 +53,7 @@
         bool is_open = false;
         bool has_begun = false; ///< The response head has been received.
         bool was_reused = false;
+        bool is_counted = false; ///< Included in `attempts_sent` and `tried_targets`.
         message_head head;
         std::string body;                       ///< Buffered body of a response that is not streamed.
         std::optional<attempt_end> head_result; ///< Set if the head already rules out success.
@@ -64,6 +65,20 @@
         time_ms begun_at;
     };
 
+    /// An attempt that the request has left but that can be continued until the next one is accepted. Records
+    /// what is still received.
+    struct held_attempt final : response_receiver {
+        attempt left;
+        std::string partial; ///< Start of an event that was not complete yet.
+        std::optional<message_head> head;
+        std::string body;
+        std::optional<exchange_end> end;
+
+        void on_response_head(message_head received) override { this->head = std::move(received); }
+        void on_response_body(std::string_view bytes) override { this->body += bytes; }
+        void on_exchange_end(exchange_end how) override { this->end = how; }
+    };
+
     void admit();
     void try_admit();
     [[nodiscard]] quarantine_verdict check_quarantine();
@@ -97,6 +112,14 @@
     [[nodiscard]] bool is_event_stream() const;
     [[nodiscard]] std::string_view prompt_parts() const;
     void on_response_complete();
+    /// Leaves the current attempt open until the next one has been accepted. Precondition: none is held.
+    void hold_attempt(const char* reason);
+    /// Closes the held attempt, if there is one.
+    void drop_held(bool is_failure);
+    /// Continues with the held attempt. Precondition: there is one, and the current one has ended.
+    void go_back();
+    void leave_target(const std::string& id);
+    void log_end(attempt_end end, const char* reason, next_step step);
     void end_attempt(attempt_end end, const char* reason);
     void close_attempt(bool is_failure);
     /// The state of the request if the current attempt ends like this.
@@ -118,6 +141,7 @@
     asio::steady_timer deadline_timer;
     std::shared_ptr<relay_session> self; ///< Keeps the session alive until the request has ended.
     attempt current;
+    std::unique_ptr<held_attempt> held;
     std::vector<std::string> tried_targets;
     response_stream stream;
     unsigned attempts_sent = 0;
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -28,6 +28,12 @@
     }
     this->current.is_open = false;
     const auto& id = this->current.choice.target.id;
+    this->leave_target(id);
+    this->state->board.on_ended(id, this->current.has_begun, is_failure, this->context.clock.now());
+}
+
+void relay_session::leave_target(const std::string& id)
+{
     const auto open = this->state->sessions.find(id);
     if (open != this->state->sessions.end()) {
         open->second.erase(this);
@@ -35,12 +41,11 @@
             this->state->sessions.erase(open);
         }
     }
-    this->state->board.on_ended(id, this->current.has_begun, is_failure, this->context.clock.now());
 }
 
 attempt_state relay_session::state_after(attempt_end end) const
 {
-    const bool was_sent = end != attempt_end::not_sent;
+    const bool was_sent = end != attempt_end::not_sent && !this->current.is_counted;
     const bool has_run =
         end == attempt_end::failed || end == attempt_end::lost || end == attempt_end::timed_out;
     attempt_state state;
@@ -115,11 +120,21 @@
     if (end == attempt_end::declined) {
         this->state->board.suspend(target.id, suspension::declined, now + declined_backoff);
     }
-    this->tried_targets.push_back(target.id);
+    if (!this->current.is_counted) {
+        this->tried_targets.push_back(target.id);
+    }
     this->stream.end_attempt();
     auto state = this->state_after(end);
     this->attempts_sent = state.attempts_sent;
     this->may_have_run = state.may_have_run;
+    if (end == attempt_end::timed_out) {
+        this->drop_held(false);
+    }
+    if (this->held && !this->reserved) {
+        this->log_end(end, reason, next_step::go_back);
+        this->go_back();
+        return;
+    }
     auto next = this->reserved;
     state.is_retry_allowed = next || this->may_retry(state, this->tried_targets.size());
     auto step = decide_next(state);
@@ -131,11 +146,17 @@
             next && (!costs_budget || this->state->retries.try_retry(now, this->context.daemons));
         step = decide_next(state);
     }
-    log_attempt_end(this->request, {target, end, reason, this->current.head.status, this->current.was_reused,
-                                    now - this->current.sent_at,
+    this->log_end(end, reason, step);
+    this->execute(step, next);
+}
+
+void relay_session::log_end(attempt_end end, const char* reason, next_step step)
+{
+    const auto now = this->context.clock.now();
+    log_attempt_end(this->request, {this->current.choice.target, end, reason, this->current.head.status,
+                                    this->current.was_reused, now - this->current.sent_at,
                                     this->current.has_begun ? now - this->current.begun_at : time_ms{},
                                     this->stream.events(), this->prompt_parts(), step});
-    this->execute(step, next);
 }
 
 void relay_session::execute(next_step step, const std::optional<target_choice>& next)
@@ -150,6 +171,9 @@
         }
         this->send_to(*next);
         return;
+    case next_step::go_back:
+        this->go_back();
+        return;
     case next_step::refuse:
         if (this->check_quarantine() == quarantine_verdict::blocked) {
             this->refuse_quarantined();
@@ -187,6 +211,7 @@
 void relay_session::finish(const char* outcome, int status)
 {
     this->has_ended = true;
+    this->drop_held(false);
     this->deadline_timer.cancel();
     const auto now = this->context.clock.now();
     const auto took = now - this->request.raw.arrived;
@@ -228,7 +253,7 @@
         return;
     }
     const auto keep_alive = this->shared_from_this();
-    this->attempts_sent += this->current.is_open ? 1 : 0;
+    this->attempts_sent += this->current.is_open && !this->current.is_counted ? 1 : 0;
     if (this->current.channel) {
         this->current.channel->close();
     }
--- a/src/gateway/relay_session_move.cpp
+++ b/src/gateway/relay_session_move.cpp
@@ -90,8 +90,75 @@
         this->log_stay("no_retry");
         return;
     }
-    this->reserved = choice;
-    this->end_attempt(attempt_end::lost, reason);
+    if (this->held) {
+        this->reserved = choice;
+        this->end_attempt(attempt_end::lost, reason);
+        return;
+    }
+    this->hold_attempt(reason);
+    this->context.counters.add("coriander_retries_total", "service=\"" + this->request.service + "\"");
+    this->dispatch(choice);
+}
+
+void relay_session::hold_attempt(const char* reason)
+{
+    const auto after = this->state_after(attempt_end::lost);
+    this->log_end(attempt_end::lost, reason,
+                  after.response_started ? next_step::resume : next_step::try_again);
+    this->last_end = after;
+    this->attempts_sent = after.attempts_sent;
+    this->may_have_run = after.may_have_run;
+    const auto id = this->current.choice.target.id;
+    if (!std::exchange(this->current.is_counted, true)) {
+        this->tried_targets.push_back(id);
+    }
+    this->leave_target(id);
+    this->held = std::make_unique<held_attempt>();
+    this->held->partial = this->stream.suspend_attempt();
+    this->held->left = std::exchange(this->current, attempt{});
+    this->held->left.channel->redirect(*this->held);
+    this->held->left.channel->pause_reading();
+}
+
+void relay_session::drop_held(bool is_failure)
+{
+    if (!this->held) {
+        return;
+    }
+    const auto dropped = std::move(this->held);
+    const auto& left = dropped->left;
+    const auto now = this->context.clock.now();
+    left.channel->close();
+    this->context.buffered_bytes -= left.body.size();
+    this->context.trials.on_broken_off(left.trial, now);
+    this->state->board.on_ended(left.choice.target.id, left.has_begun, is_failure, now);
+}
+
+void relay_session::go_back()
+{
+    const auto keep_alive = this->shared_from_this();
+    const auto resumed = std::move(this->held);
+    this->release_buffer();
+    this->current = std::move(resumed->left);
+    this->state->sessions[this->current.choice.target.id].insert(this);
+    const auto channel = this->current.channel;
+    channel->redirect(*this);
+    const auto is_open = [&] { return this->current.is_open && this->current.channel == channel; };
+    if (!resumed->partial.empty()) {
+        this->stream.pass(resumed->partial, this->current.head, this->context.clock.now());
+    }
+    if (resumed->head) {
+        this->on_response_head(std::move(*resumed->head));
+    }
+    if (is_open() && !resumed->body.empty()) {
+        this->on_response_body(resumed->body);
+    }
+    if (is_open() && resumed->end) {
+        this->on_exchange_end(*resumed->end);
+    }
+    if (is_open()) {
+        channel->resume_reading();
+    }
 }
 
 } // namespace coriander
--- a/src/gateway/response_stream.hpp
+++ b/src/gateway/response_stream.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace coriander {
@@ -34,6 +35,9 @@
     /// Discards an incomplete event at the end of an attempt.
     void end_attempt() { this->framer.reset(); }
 
+    /// Ends an attempt that may continue later; returns the bytes of an incomplete event.
+    [[nodiscard]] std::string suspend_attempt() { return this->framer.take_partial(); }
+
     /// Whether an event exceeds the size limit.
     [[nodiscard]] bool is_too_long() const noexcept { return this->framer.is_too_long(); }
     [[nodiscard]] bool has_begun() const noexcept { return this->begun; }
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -51,6 +51,13 @@
     this->link->write(request);
 }
 
+void http_channel::redirect(response_receiver& to) noexcept
+{
+    if (this->receiver != nullptr) {
+        this->receiver = &to;
+    }
+}
+
 void http_channel::close()
 {
     this->receiver = nullptr;
--- a/src/net/http_channel.hpp
+++ b/src/net/http_channel.hpp
@@ -41,6 +41,9 @@
     /// exchange or call `close`.
     void send(std::string_view request, response_receiver& receiver, bool is_head_request = false);
 
+    /// Passes the rest of the response to another receiver, to which the same conditions apply.
+    void redirect(response_receiver& to) noexcept;
+
     /// Aborts the exchange and closes the connection without calling the receiver.
     void close();
 
--- a/src/relay/attempt_decision.cpp
+++ b/src/relay/attempt_decision.cpp
@@ -60,6 +60,8 @@
         return "try_again";
     case next_step::resume:
         return "resume";
+    case next_step::go_back:
+        return "go_back";
     case next_step::refuse:
         return "refuse";
     case next_step::pass_failure:
--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -122,4 +122,85 @@
     CHECK(request.relay.caller->body == whole_stream);
 }
 
+TEST_CASE("relay session: a stream that moved is not cut if the new target does not take it")
+{
+    const auto answer = GENERATE(respond_with(not_run_response), respond_and_close(""),
+                                 respond_with("HTTP/1.1 500 Error\r\nCoriander-Attempt: a1\r\n"
+                                              "Coriander-Signature: s\r\nContent-Length: 0\r\n\r\n"),
+                                 respond_with("not HTTP\r\n\r\n"));
+    moving_request request{repetition::resumable, begun, answer};
+    request.session()->fail_over();
+    REQUIRE(request.relay.loop.run_until([&] { return request.state().sessions.count("first") == 1; }));
+    CHECK(request.relay.second.requests().size() == 1);
+    CHECK_FALSE(request.relay.caller->end);
+    request.go_on(chunk_of_event(2) + last_chunk);
+    CHECK(*request.relay.caller->end == exchange_end::complete);
+    CHECK(request.relay.caller->body == whole_stream);
+    CHECK(request.relay.context.open_requests == 0);
+}
+
+TEST_CASE(
+    "relay session: a stream that moved goes on with the first event that its old target had not completed")
+{
+    const std::string part = "5\r\nid: 2\r\n";
+    moving_request request{repetition::resumable, begun + part, respond_with(not_run_response)};
+    request.session()->fail_over();
+    REQUIRE(request.relay.loop.run_until([&] { return request.state().sessions.count("first") == 1; }));
+    request.go_on("a\r\n\ndata: t\n\n\r\n" + last_chunk);
+    CHECK(*request.relay.caller->end == exchange_end::complete);
+    CHECK(request.relay.caller->body == whole_stream);
+}
+
+TEST_CASE("relay session: what a target sends while the request tries another one is not lost")
+{
+    tcp_link* old_target = nullptr;
+    moving_request request{repetition::resumable, begun,
+                           [&old_target](tcp_link& link, const std::string& /*request*/) {
+                               old_target->write(chunk_of_event(2) + last_chunk);
+                               link.write(not_run_response);
+                           }};
+    old_target = request.target.get();
+    request.session()->fail_over();
+    REQUIRE(request.relay.loop.run_until([&] { return request.relay.caller->end.has_value(); }));
+    CHECK(*request.relay.caller->end == exchange_end::complete);
+    CHECK(request.relay.caller->body == whole_stream);
+}
+
+TEST_CASE(
+    "relay session: a request that has left its target is cancelled there once another one has taken it")
+{
+    moving_request request{repetition::resumable, begun, respond_with(stream_head)};
+    request.session()->fail_over();
+    CHECK(request.relay.loop.run_until([&] { return request.relay.first.closed() == 1; }));
+    CHECK(request.state().board.own_requests("first") == 0);
+    CHECK_FALSE(request.relay.caller->end);
+}
+
+TEST_CASE("relay session: a caller's disconnect cancels the request at the target that it has left, too")
+{
+    moving_request request{repetition::resumable, begun, [](tcp_link&, const std::string&) {}};
+    auto& relay = request.relay;
+    request.session()->fail_over();
+    REQUIRE(relay.loop.run_until([&] { return relay.second.requests().size() == 1; }));
+    CHECK(relay.first.closed() == 0);
+    relay.caller->disconnect();
+    CHECK(relay.loop.run_until([&] { return relay.first.closed() == 1 && relay.second.closed() == 1; }));
+    CHECK(relay.context.open_requests == 0);
+    CHECK(request.state().board.own_requests("first") == 0);
+}
+
+TEST_CASE(
+    "relay session: a request that went back to its target is not sent more often than its route allows")
+{
+    moving_request request{repetition::resumable, begun, respond_with(not_run_response)};
+    auto& relay = request.relay;
+    request.session()->fail_over();
+    REQUIRE(relay.loop.run_until([&] { return request.state().sessions.count("first") == 1; }));
+    request.session()->fail_over();
+    request.target->close();
+    REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
+    CHECK(*relay.caller->end == exchange_end::lost);
+    CHECK(relay.requests_sent() == 2);
+}
+
 } // namespace coriander
