--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -55,6 +55,8 @@
     table_back = 6002,
     host_list_unreachable = 6003,
     log_lines_dropped = 6004,
+    table_restored = 6005,
+    table_reread = 6006,
 };
 
 /// An entry of the event catalogue.
@@ -110,6 +112,8 @@
     event_entry{event::table_back, "table_back", log_level::info},
     event_entry{event::host_list_unreachable, "host_list_unreachable", log_level::warn},
     event_entry{event::log_lines_dropped, "log_lines_dropped", log_level::warn},
+    event_entry{event::table_restored, "table_restored", log_level::warn},
+    event_entry{event::table_reread, "table_reread", log_level::info},
 };
 
 /// The catalogue entry of an event. Every event has one.
