Followers: versions carry the store's era and are compared only within it

After a restore the store gives out versions again. Followers compared the numbers alone: a store that had passed the known version before the next poll gave no 410, so that rows changed since the copy were missed for good; an answer from before the restore, or a peer's changes from there, raised a follower's version over rows of the new era; and hosts whose rows the copy lacked were removed at once if no poll had failed.

A version is now a pair of era and number, from the store's client to the peers' messages. The client notices a new era in any answer, rejects answers of an earlier one, and makes every follower read its table anew without waiting for a 410 or the end of a long poll. Changes of an earlier era from a peer are ignored; those of a later one make the follower read its table anew, and are applied if it can't reach the store. An answer without Store-Era changes nothing.

--- a/include/coriander/table_delta.hpp
+++ b/include/coriander/table_delta.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "coriander/row_version.hpp"
 #include "coriander/time_ms.hpp"
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,17 +13,17 @@
 struct changed_row {
     std::string key;
     std::optional<std::string> value; ///< Decoded bytes.
-    std::uint64_t version = 0;
+    row_version version;
 };
 
 /// The rows of a table that changed between two versions, as read by one daemon and sent to the others.
 struct table_delta {
     std::string table;
-    std::uint64_t from =
-        0; ///< A reader that knows the table up to this version can apply the delta without a gap.
-    std::uint64_t to = 0;
-    time_ms
-        grace; ///< Set after an outage of the table: for this long, deleted rows may still be written again.
+    /// A reader that knows the table up to this version can apply the delta without a gap.
+    row_version from;
+    row_version to; ///< Of the same era as `from`.
+    /// Set after an outage of the table: for this long, deleted rows may still be written again.
+    time_ms grace;
     std::vector<changed_row> rows;
 };
 
--- a/src/gateway/controller_io.hpp
+++ b/src/gateway/controller_io.hpp
@@ -47,7 +47,7 @@
 /// the given timeout; `check_port` finds out whether the host's process listens.
 template <typename T>
 concept controller_io = requires(T& io, const domain_key& key, const domain_record& record,
-                                 std::uint64_t version, const listed_host& host, const host_order& order)
+                                 row_version version, const listed_host& host, const host_order& order)
 {
     io.commit(key, record, version, std::function<void(commit_state)>{});
     io.order(host, order, std::function<void(order_answer)>{});
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -154,7 +154,7 @@
     bool is_my_turn(const domain_key& key, const versioned_domain& current, const domain_decision& decision,
                     domain_work& work, time_ms now)
     {
-        auto due = std::to_string(current.version);
+        auto due = std::to_string(current.version.era) + "." + std::to_string(current.version.number);
         for (const auto& reason : decision.reasons) {
             due += "|" + reason.text;
         }
@@ -206,7 +206,7 @@
         this->commit(key, current.version, std::move(decision), work, now);
     }
 
-    void commit(const domain_key& key, std::uint64_t version, domain_decision decision, domain_work& work,
+    void commit(const domain_key& key, row_version version, domain_decision decision, domain_work& work,
                 time_ms now)
     {
         work.is_committing = true;
--- a/src/gateway/fleet_events.cpp
+++ b/src/gateway/fleet_events.cpp
@@ -28,14 +28,15 @@
 
 } // namespace
 
-void log_placement(const domain_key& key, const domain_reason& reason, std::uint64_t row_version,
+void log_placement(const domain_key& key, const domain_reason& reason, row_version version,
                    const fleet_view& view, time_ms now)
 {
     const bool has_host = !reason.host.empty();
     log_event(event::placement_decided,
               {{"domain", key.row_key()},
                {"decision", reason.text},
-               {"row_version", row_version},
+               {"row_version", version.number},
+               {"era", version.era},
                {"owner", view.domain(key).record.owner},
                {"hosts", view.hosts_of(key).size()},
                {"silent", view.silent().size()},
--- a/src/gateway/fleet_events.hpp
+++ b/src/gateway/fleet_events.hpp
@@ -14,7 +14,7 @@
 
 /// Each of these functions logs one event. They log decisions on a domain's replicas and changes of the
 /// assumed state of a host. Thread-safe.
-void log_placement(const domain_key& key, const domain_reason& reason, std::uint64_t row_version,
+void log_placement(const domain_key& key, const domain_reason& reason, row_version version,
                    const fleet_view& view, time_ms now);
 /// Logs that a host is treated as lost after `unanswered` consecutive probes or orders without an answer.
 void log_silent_host(const std::string& host, const char* reason, unsigned unanswered, const fleet_view& view,
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -165,7 +165,7 @@
     });
 }
 
-bool fleet_view::set_domain(const domain_key& key, domain_record record, std::uint64_t version)
+bool fleet_view::set_domain(const domain_key& key, domain_record record, row_version version)
 {
     auto& current = this->records[key];
     if (version <= current.version) {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -5,6 +5,7 @@
 #include "coriander/replicas/domain_planner.hpp"
 #include "coriander/replicas/domain_record.hpp"
 #include "coriander/replicas/listed_host.hpp"
+#include "coriander/row_version.hpp"
 #include "coriander/time_ms.hpp"
 
 #include <cstdint>
@@ -45,10 +46,10 @@
 /// Creates a host from its entry in the record of its replica.
 [[nodiscard]] listed_host host_of(const domain_key& key, const replica_host& member);
 
-/// A domain's record with the version of its row; version 0 means that the row does not exist yet.
+/// A domain's record with the version of its row; number 0 means that the row does not exist yet.
 struct versioned_domain {
     domain_record record;
-    std::uint64_t version = 0;
+    row_version version;
 };
 
 /// This daemon's view of hosts and replicas, merged from the platform's host list, the rows of the table and
@@ -71,7 +72,7 @@
                       time_ms now);
 
     /// Applies a domain's row. Returns false and ignores it if its version is not newer than the known one.
-    bool set_domain(const domain_key& key, domain_record record, std::uint64_t version);
+    bool set_domain(const domain_key& key, domain_record record, row_version version);
 
     /// Marks a host as not answering, until it answers or restarts.
     void mark_silent(const std::string& id);
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -136,10 +136,10 @@
         for (const auto& one : news->rows) {
             const auto key = this->builder.CreateString(one.key);
             const auto value = this->builder.CreateString(one.value.value_or(std::string{}));
-            rows.push_back(wire::CreateRow(this->builder, key, value, !one.value, one.version));
+            rows.push_back(wire::CreateRow(this->builder, key, value, !one.value, one.version.number));
         }
-        return wire::CreateNewsDirect(this->builder, news->table.c_str(), news->from, news->to,
-                                      static_cast<std::uint32_t>(news->grace.count()), &rows);
+        return wire::CreateNewsDirect(this->builder, news->table.c_str(), news->from.number, news->to.number,
+                                      static_cast<std::uint32_t>(news->grace.count()), &rows, news->to.era);
     }
 
     flatbuffers::FlatBufferBuilder builder;
@@ -257,12 +257,16 @@
     if (news == nullptr) {
         return;
     }
-    message.news =
-        table_delta{text_of(news->table_name()), news->from(), news->to(), time_ms{news->grace_ms()}, {}};
+    message.news = table_delta{text_of(news->table_name()),
+                               {news->era(), news->from()},
+                               {news->era(), news->to()},
+                               time_ms{news->grace_ms()},
+                               {}};
     if (const auto* rows = news->rows()) {
         for (const auto* one : *rows) {
             auto value = one->is_deleted() ? std::nullopt : std::optional{text_of(one->value())};
-            message.news->rows.push_back({text_of(one->key()), std::move(value), one->version()});
+            message.news->rows.push_back(
+                {text_of(one->key()), std::move(value), {news->era(), one->version()}});
         }
     }
 }
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -16,8 +16,8 @@
 /// A mock of the controller's I/O.
 class mock_io {
 public:
-    MAKE_MOCK4(commit, void(const domain_key&, const domain_record&, std::uint64_t,
-                            std::function<void(commit_state)>));
+    MAKE_MOCK4(commit,
+               void(const domain_key&, const domain_record&, row_version, std::function<void(commit_state)>));
     MAKE_MOCK3(order, void(const listed_host&, const host_order&, std::function<void(order_answer)>));
     MAKE_MOCK2(request_status, void(const listed_host&, std::function<void(std::optional<host_status>)>));
     MAKE_MOCK3(probe, void(const listed_host&, time_ms, std::function<void(std::optional<host_status>)>));
@@ -60,7 +60,7 @@
     ALLOW_CALL(io, daemons()).RETURN(std::vector<std::string>{"edge-0"});
     FORBID_CALL(
         io, order(ANY(const listed_host&), ANY(const host_order&), ANY(std::function<void(order_answer)>)));
-    REQUIRE_CALL(io, commit(ANY(const domain_key&), ANY(const domain_record&), 0U,
+    REQUIRE_CALL(io, commit(ANY(const domain_key&), ANY(const domain_record&), row_version{},
                             ANY(std::function<void(commit_state)>)))
         .WITH(_1.row_key() == "assistant/d" && _2.owner == "edge-0" && _2.replicas.size() == 1);
     const auto service = samples::assistant();
@@ -80,7 +80,7 @@
         host.part.reset();
         view.set_host(host, now);
     }
-    view.set_domain({"assistant", "d"}, {"edge-0", 1, {replica}, {}}, 7);
+    view.set_domain({"assistant", "d"}, {"edge-0", 1, {replica}, {}}, {0, 7});
     std::vector<std::function<void(std::optional<host_status>)>> answers;
     ALLOW_CALL(io, daemons()).RETURN(std::vector<std::string>{"edge-0"});
     const auto service = samples::assistant();
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -17,7 +17,7 @@
         for (const auto& host : this->hosts) {
             this->view.set_host(host, start);
         }
-        this->view.set_domain({"assistant", "d"}, {"edge", 1, {replica}, {}}, 10);
+        this->view.set_domain({"assistant", "d"}, {"edge", 1, {replica}, {}}, {0, 10});
     }
     [[nodiscard]] std::size_t targets() const { return this->view.targets_of(samples::assistant()).size(); }
 
@@ -87,9 +87,9 @@
 TEST_CASE("fleet view: an older row of a domain is ignored")
 {
     view_fixture fleet;
-    CHECK_FALSE(fleet.view.set_domain({"assistant", "d"}, {}, 9));
+    CHECK_FALSE(fleet.view.set_domain({"assistant", "d"}, {}, {0, 9}));
     CHECK(fleet.targets() == 1);
-    CHECK(fleet.view.set_domain({"assistant", "d"}, {}, 11));
+    CHECK(fleet.view.set_domain({"assistant", "d"}, {}, {0, 11}));
     CHECK(fleet.targets() == 0);
 }
 
--- a/test/gateway/loss_exchange_test.cpp
+++ b/test/gateway/loss_exchange_test.cpp
@@ -70,7 +70,7 @@
 {
     notified_daemon daemon;
     const domain_key key{"assistant", "d"};
-    daemon.view.set_domain(key, {"edge-3", 1, {}, {}}, 5);
+    daemon.view.set_domain(key, {"edge-3", 1, {}, {}}, {0, 5});
     std::size_t without_recipients = 0;
     for (const auto& self : daemon.world.daemons) {
         const auto recipients = daemon.losses.recipients(key, self);
--- a/test/gateway/stall_response_test.cpp
+++ b/test/gateway/stall_response_test.cpp
@@ -29,7 +29,7 @@
             this->view.set_host(host, this->start);
             record.replicas.front().hosts.push_back({id, host.address, 7, false});
         }
-        this->view.set_domain({service_name, "d0"}, record, 1);
+        this->view.set_domain({service_name, "d0"}, record, {0, 1});
         const relay_target target{replica_name, "a", "a:1", {}, "m", 1, 8, 1.0};
         this->board().set_targets({&target, 1});
         this->board().on_sent(replica_name, this->start - 5_s);
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -171,4 +171,16 @@
     CHECK(received == std::vector<std::uint32_t>{1, 2, 3});
 }
 
+TEST_CASE("peer messages: a table's changes keep the era of their versions")
+{
+    peer_message message;
+    message.news = table_delta{"replicas", {3, 5}, {3, 9}, {}, {{"a", "1", {3, 8}}}};
+    const auto decoded = decode_peer_message(encode_peer_message(message));
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().news);
+    CHECK(decoded.value().news->from == row_version{3, 5});
+    CHECK(decoded.value().news->to == row_version{3, 9});
+    CHECK(decoded.value().news->rows.front().version == row_version{3, 8});
+}
+
 } // namespace coriander
--- a/test/platform/row_client_test.cpp
+++ b/test/platform/row_client_test.cpp
@@ -11,7 +11,8 @@
 {
     scripted_store store{{scripted}};
     std::optional<commit_state> state;
-    store.rows.write({"t", "k", "v", 3}, [&](commit_state how, std::uint64_t /*version*/) { state = how; });
+    store.rows.write({"t", "k", "v", {0, 3}},
+                     [&](commit_state how, row_version /*version*/) { state = how; });
     REQUIRE(store.loop.run_until([&] { return state.has_value(); }));
     return *state;
 }
@@ -45,6 +46,21 @@
     CHECK(outcome_of_write(one.scripted) == one.expected);
 }
 
+TEST_CASE("row client: an answer without an era, as of an older store, changes nothing")
+{
+    scripted_store store{{page("", 1), in_era(3, page("", 2)), page("", 3)}};
+    std::vector<row_version> versions;
+    unsigned restores = 0;
+    store.rows.add_restore_listener([&] { ++restores; });
+    for (std::size_t i = 1; i <= 3; ++i) {
+        store.rows.read("t", {},
+                        [&](const result<row_page>& got) { versions.push_back(got.value().version); });
+        REQUIRE(store.loop.run_until([&] { return versions.size() == i; }));
+    }
+    CHECK(versions == std::vector<row_version>{{0, 1}, {3, 2}, {3, 3}});
+    CHECK(restores == 1);
+}
+
 TEST_CASE("row client: a row that can't be decoded counts as deleted and does not affect the others")
 {
     scripted_store store{{page(R"({"key":"bad","value":"%%","ver":1},17,)" + row("good", "v", 2), 5)}};
@@ -54,7 +70,7 @@
     REQUIRE(read->rows.size() == 2);
     CHECK_FALSE(read->rows[0].value);
     CHECK(read->rows[1].value == "v");
-    CHECK(read->version == 5);
+    CHECK(read->version.number == 5);
 }
 
 } // namespace coriander::platform
--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -67,6 +67,39 @@
     CHECK(store.server.requests()[3].find("after=7") != std::string::npos);
 }
 
+TEST_CASE("table follower: misses no row when a restored store has passed the known version again")
+{
+    followed_table table{{in_era(1, page(row("a", "1", 1) + "," + row("b", "1", 2), 5)),
+                          in_era(2, page(row("c", "2", 6), 6)),
+                          in_era(2, page(row("a", "2", 4) + "," + row("c", "2", 6), 6))},
+                         {"t", 1_s, {}, {}, {}}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 4; }));
+    CHECK(table.rows == std::map<std::string, std::string>{{"a", "2"}, {"b", "gone"}, {"c", "2"}});
+    CHECK(table.store.server.requests()[3].find("after=6") != std::string::npos);
+}
+
+TEST_CASE("table follower: an answer from before a restore that arrives after it is not applied")
+{
+    followed_table table{{in_era(2, page(row("a", "2", 4), 4)), in_era(1, page(row("a", "1", 9), 9)),
+                          in_era(2, page(row("a", "2", 4), 4))},
+                         {"t", 1_s, {}, {}, {}}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 4; }));
+    CHECK(table.rows["a"] == "2");
+    CHECK(table.store.server.requests()[3].find("after=4") != std::string::npos);
+}
+
+TEST_CASE("table follower: rows that a restored store lacks are kept for the grace period")
+{
+    followed_table table{
+        {in_era(1, page(row("a", "1", 1), 5)), in_era(2, answer(410, "")), in_era(2, page("", 3))},
+        {"t", 1_s, {}, long_interval, {}}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 4; }));
+    CHECK(table.rows["a"] == "1");
+}
+
 TEST_CASE("table follower: retries while the store is unreachable, and keeps the known rows")
 {
     scripted_store store{{page(row("a", "1", 1), 5), "cut", answer(503, ""), page(row("a", "2", 8), 8)}};
@@ -117,8 +150,8 @@
     table.start();
     REQUIRE(table.store.loop.run_until([&] { return table.published.size() == 2; }));
     CHECK(table.published[0].table == "t");
-    CHECK(table.published[0].from == 5);
-    CHECK(table.published[0].to == 7);
+    CHECK(table.published[0].from == row_version{0, 5});
+    CHECK(table.published[0].to == row_version{0, 7});
     REQUIRE(table.published[0].rows.size() == 1);
     CHECK(table.published[0].rows[0].value == "2");
     // A response without changes is published as well, so that the others need not poll.
@@ -130,13 +163,13 @@
     followed_table table{{page(row("a", "1", 1) + "," + row("b", "1", 2), 5)},
                          {"t", {}, long_interval, {}, long_interval}};
     table.start();
-    table.follower.apply_news({"t", 5, 9, {}, {{"a", "2", 8}, {"b", std::nullopt, 9}}});
+    table.follower.apply_news({"t", {0, 5}, {0, 9}, {}, {{"a", "2", {0, 8}}, {"b", std::nullopt, {0, 9}}}});
     CHECK(table.rows["a"] == "2");
     CHECK(table.rows["b"] == "gone");
-    table.follower.apply_news({"t", 9, 12, {}, {{"a", "3", 12}}});
+    table.follower.apply_news({"t", {0, 9}, {0, 12}, {}, {{"a", "3", {0, 12}}}});
     CHECK(table.rows["a"] == "3");
     // Stale and duplicate news have no effect.
-    table.follower.apply_news({"t", 5, 9, {}, {{"a", "2", 8}}});
+    table.follower.apply_news({"t", {0, 5}, {0, 9}, {}, {{"a", "2", {0, 8}}}});
     CHECK(table.rows["a"] == "3");
     CHECK(table.request_count() == 1);
     CHECK(table.published.empty());
@@ -147,7 +180,7 @@
     followed_table table{{page(row("a", "1", 1), 5), page(row("a", "2", 7), 9)},
                          {"t", {}, long_interval, {}, long_interval}};
     table.start();
-    table.follower.apply_news({"t", 8, 9, {}, {}});
+    table.follower.apply_news({"t", {0, 8}, {0, 9}, {}, {}});
     REQUIRE(table.store.loop.run_until([&] { return table.rows["a"] == "2"; }));
     CHECK(table.store.server.requests()[1].find("after=5") != std::string::npos);
 }
@@ -157,7 +190,7 @@
     followed_table table{{page(row("a", "1", 1), 5), page(row("a", "2", 7), 7)},
                          {"t", {}, long_interval, {}, 20_ms}};
     table.start();
-    table.follower.apply_news({"t", 5, 5, {}, {}});
+    table.follower.apply_news({"t", {0, 5}, {0, 5}, {}, {}});
     REQUIRE(table.store.loop.run_until([&] { return table.rows["a"] == "2"; }));
 }
 
@@ -166,10 +199,55 @@
     followed_table table{{page(row("a", "1", 1) + "," + row("b", "1", 1), 5)},
                          {"t", {}, long_interval, 3600_s, long_interval}};
     table.start();
-    table.follower.apply_news({"t", 5, 6, 3600_s, {{"a", std::nullopt, 6}, {"b", std::nullopt, 6}}});
-    table.follower.apply_news({"t", 6, 7, 3600_s, {{"a", "2", 7}}});
+    table.follower.apply_news(
+        {"t", {0, 5}, {0, 6}, 3600_s, {{"a", std::nullopt, {0, 6}}, {"b", std::nullopt, {0, 6}}}});
+    table.follower.apply_news({"t", {0, 6}, {0, 7}, 3600_s, {{"a", "2", {0, 7}}}});
     CHECK(table.rows["a"] == "2");
     CHECK(table.rows["b"] == "1");
 }
 
+TEST_CASE("table follower: a delta from before a restore does not hide rows of the new era")
+{
+    followed_table table{{in_era(2, page(row("a", "2", 4), 4)), in_era(2, page(row("a", "3", 6), 6))},
+                         {"t", {}, long_interval, {}, long_interval}};
+    table.start();
+    table.follower.apply_news({"t", {1, 4}, {1, 9}, {}, {{"a", "1", {1, 9}}}});
+    CHECK(table.rows["a"] == "2");
+    table.follower.poll_now();
+    REQUIRE(table.store.loop.run_until([&] { return table.rows["a"] == "3"; }));
+    CHECK(table.store.server.requests()[1].find("after=4") != std::string::npos);
+}
+
+TEST_CASE("table follower: a delta from after a restore leads to a new snapshot, not to a gap")
+{
+    followed_table table{{in_era(1, page(row("a", "1", 1) + "," + row("b", "1", 2), 5)),
+                          in_era(2, page(row("a", "2", 3) + "," + row("c", "2", 7), 7))},
+                         {"t", {}, long_interval, {}, long_interval}};
+    table.start();
+    table.follower.apply_news({"t", {2, 5}, {2, 7}, {}, {{"c", "2", {2, 7}}}});
+    REQUIRE(table.store.loop.run_until([&] { return table.rows["c"] == "2"; }));
+    CHECK(table.rows == std::map<std::string, std::string>{{"a", "2"}, {"b", "gone"}, {"c", "2"}});
+    CHECK(table.store.server.requests()[1].find("rows-get") != std::string::npos);
+}
+
+TEST_CASE("table follower: a delta from after a restore is applied while the store is unreachable from here")
+{
+    followed_table table{{in_era(1, page(row("a", "1", 1), 5)), "cut"}, {"t", {}, long_interval, {}, 3600_s}};
+    table.start();
+    table.follower.poll_now();
+    REQUIRE(table.store.loop.run_until([&] { return table.follower.is_failing(); }));
+    table.follower.apply_news({"t", {2, 3}, {2, 4}, {}, {{"a", "2", {2, 4}}}});
+    CHECK(table.rows["a"] == "2");
+}
+
+TEST_CASE("table follower: a snapshot that breaks off is read again from its first page")
+{
+    followed_table table{{page(row("a", "1", 1), 5), answer(410, ""), page(row("a", "2", 7), 9, true), "cut",
+                          page(row("a", "2", 7), 9, true), page(row("b", "2", 8), 9)},
+                         {"t", 1_s, {}, {}, {}}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 7; }));
+    CHECK(table.rows["b"] == "2");
+}
+
 } // namespace coriander::platform
--- a/test/support/fake_controller_io.hpp
+++ b/test/support/fake_controller_io.hpp
@@ -16,7 +16,7 @@
 /// A domain's row in the table, shared by several controllers.
 struct shared_row {
     domain_record record;
-    std::uint64_t version = 0;
+    row_version version;
 };
 
 /// An in-memory implementation of `controller_io`: versioned rows, and hosts that execute orders. Callbacks
@@ -29,7 +29,7 @@
         std::map<std::string, listed_host> hosts;
         std::vector<std::string> daemons;
         std::vector<host_order> orders; ///< Executed orders, oldest first.
-        std::uint64_t last_version = 0;
+        row_version last_version;
         std::vector<std::string> unreachable;    ///< Hosts that answer neither requests nor orders.
         std::vector<std::string> ended;          ///< Hosts whose process has ended: nothing listens.
         std::vector<std::string> ignores_orders; ///< Hosts that answer status requests but no orders.
@@ -38,7 +38,7 @@
 
     explicit fake_controller_io(world& shared) : shared{shared} {}
 
-    void commit(const domain_key& key, const domain_record& record, std::uint64_t version,
+    void commit(const domain_key& key, const domain_record& record, row_version version,
                 const std::function<void(commit_state)>& done)
     {
         this->pending.push_back([this, key, record, version, done] {
@@ -51,7 +51,8 @@
                 done(commit_state::conflict);
                 return;
             }
-            row = {record, ++this->shared.last_version};
+            ++this->shared.last_version.number;
+            row = {record, this->shared.last_version};
             if (this->loses_commit_answers) {
                 done(commit_state::unknown);
                 return;
--- a/test/support/scripted_store.hpp
+++ b/test/support/scripted_store.hpp
@@ -17,6 +17,12 @@
            "\r\n\r\n" + body;
 }
 
+/// The same response in an era of the store.
+inline std::string in_era(int era, std::string response)
+{
+    return response.insert(response.find("\r\n") + 2, "Store-Era: " + std::to_string(era) + "\r\n");
+}
+
 /// A row of the table `t`, as the store encodes it.
 inline std::string row(const std::string& key, const std::string& value, int version)
 {
--- a/testing/platform/standin_store.cpp
+++ b/testing/platform/standin_store.cpp
@@ -26,11 +26,16 @@
     return values;
 }
 
+http_header standin_store::era_header() const
+{
+    return {"Store-Era", std::to_string(this->era)};
+}
+
 void standin_store::respond(caller_connection& caller, int status, json_object body) const
 {
     body["ver"] = this->version;
     body["now_ms"] = this->clock.now().count();
-    caller.send(status, {{"Content-Type", "application/json"}}, to_text(body));
+    caller.send(status, {{"Content-Type", "application/json"}, this->era_header()}, to_text(body));
 }
 
 void standin_store::serve(const std::shared_ptr<caller_connection>& caller, const incoming_request& request)
@@ -42,7 +47,7 @@
         return;
     }
     if (this->mode == store_mode::busy) {
-        caller->send(unavailable, {}, {});
+        caller->send(unavailable, {this->era_header()}, {});
         return;
     }
     const auto& target = request.head.target;
@@ -56,7 +61,7 @@
         this->transact(*caller, parse_object(request.body).value_or(json_object::object()));
     }
     else {
-        caller->send(not_found, {}, {});
+        caller->send(not_found, {this->era_header()}, {});
     }
 }
 
@@ -109,7 +114,7 @@
     const auto table = text_member(query, "table");
     const auto after = std::stoull("0" + text_member(query, "after"));
     const auto wait = std::stoll("0" + text_member(query, "wait_ms"));
-    if (after < this->history_start) {
+    if (after < this->history_start || after > this->version) {
         this->respond(*caller, gone, json_object::object());
         return;
     }
@@ -181,13 +186,16 @@
                         const std::optional<std::string>& value)
 {
     ++this->version;
+    auto& rows = this->tables[table];
+    const auto known = rows.find(key);
+    this->history.push_back({table, key, this->version, this->clock.now(),
+                             known == rows.end() ? std::nullopt : std::optional{known->second}});
     if (value) {
-        this->tables[table][key] = {*value, this->version};
+        rows[key] = {*value, this->version};
     }
     else {
-        this->tables[table].erase(key);
+        rows.erase(key);
     }
-    this->history.push_back({table, key, this->version});
     if (this->history.size() > max_history) {
         this->history_start = this->history.front().version;
         this->history.pop_front();
@@ -214,6 +222,50 @@
     }
 }
 
+void standin_store::restore(std::uint64_t version)
+{
+    while (!this->history.empty() && this->history.back().version > version) {
+        const auto change = std::move(this->history.back());
+        this->history.pop_back();
+        auto& rows = this->tables[change.table];
+        if (change.before) {
+            rows[change.key] = *change.before;
+        }
+        else {
+            rows.erase(change.key);
+        }
+    }
+    this->version = this->history.empty() ? this->history_start : this->history.back().version;
+    ++this->era;
+    for (const auto& poll : std::exchange(this->long_polls, {})) {
+        if (const auto caller = poll.caller.lock()) {
+            caller->abort();
+        }
+    }
+}
+
+void standin_store::restore_copy(time_ms age)
+{
+    const auto copied_at = this->clock.now() - age;
+    auto version = this->history_start;
+    for (const auto& change : this->history) {
+        version = change.at <= copied_at ? change.version : version;
+    }
+    this->restore(version);
+}
+
+std::map<std::string, std::string> standin_store::values(const std::string& table) const
+{
+    std::map<std::string, std::string> found;
+    const auto rows = this->tables.find(table);
+    if (rows != this->tables.end()) {
+        for (const auto& [key, row] : rows->second) {
+            found[key] = row.value;
+        }
+    }
+    return found;
+}
+
 void standin_store::drop_history()
 {
     this->history.clear();
--- a/testing/platform/standin_store.hpp
+++ b/testing/platform/standin_store.hpp
@@ -36,6 +36,15 @@
     void drop_responses(unsigned count) { this->responses_to_drop = count; }
     /// Drops the history of changes, so that followers have to read a snapshot.
     void drop_history();
+    /// Goes back to the state at `version` and begins a new era; later versions are given out again. Goes
+    /// back as far as the history of changes reaches. Long polls are cut.
+    void restore(std::uint64_t version);
+    /// The same for the state as it was `age` ago.
+    void restore_copy(time_ms age);
+
+    [[nodiscard]] std::uint64_t latest_version() const noexcept { return this->version; }
+    /// The values of a table's rows, by key.
+    [[nodiscard]] std::map<std::string, std::string> values(const std::string& table) const;
 
 private:
     struct stored_row {
@@ -46,6 +55,8 @@
         std::string table;
         std::string key;
         std::uint64_t version = 0;
+        time_ms at;
+        std::optional<stored_row> before; ///< The row that it replaced.
     };
     struct long_poll {
         std::weak_ptr<caller_connection> caller;
@@ -59,6 +70,7 @@
     void transact(caller_connection& caller, const json_object& transaction);
     [[nodiscard]] json_object changes_after(const std::string& table, std::uint64_t version) const;
     [[nodiscard]] json_object encode_row(const std::string& table, const std::string& key) const;
+    [[nodiscard]] http_header era_header() const;
     void respond(caller_connection& caller, int status, json_object body) const;
     void complete_long_polls();
     void watch_long_polls();
@@ -73,6 +85,7 @@
     std::deque<change> history;
     std::uint64_t history_start = 0;
     std::uint64_t version = 0;
+    std::uint64_t era = 1;
     std::list<long_poll> long_polls;
     std::list<std::shared_ptr<caller_connection>> unanswered; ///< Received while the store was silent.
 };
