Store client: a conditional write never meets a version that was given out again

A write whose condition is a version of before a restore could succeed if the store had given out the same number to the row again, and replace a row that the writer had never read. A write that is under way while the store is restored is not covered: a condition can't name the era.

--- a/test/platform/row_client_test.cpp
+++ b/test/platform/row_client_test.cpp
@@ -46,6 +46,23 @@
     CHECK(outcome_of_write(one.scripted) == one.expected);
 }
 
+TEST_CASE("row client: a write that expects a version of an earlier era is a conflict and is not sent")
+{
+    scripted_store store{{in_era(1, page(row("k", "v", 3), 3)), in_era(2, page("", 3))}};
+    std::optional<commit_state> state;
+    unsigned pages = 0;
+    const auto count_page = [&](const result<row_page>& /*page*/) { ++pages; };
+    store.rows.read("t", {}, count_page);
+    REQUIRE(store.loop.run_until([&] { return pages == 1; }));
+    store.rows.read("t", {}, count_page);
+    REQUIRE(store.loop.run_until([&] { return pages == 2; }));
+    store.rows.write({"t", "k", "v", {1, 3}},
+                     [&](commit_state how, row_version /*version*/) { state = how; });
+    REQUIRE(store.loop.run_until([&] { return state.has_value(); }));
+    CHECK(*state == commit_state::conflict);
+    CHECK(store.server.requests().size() == 2);
+}
+
 TEST_CASE("row client: an answer without an era, as of an older store, changes nothing")
 {
     scripted_store store{{page("", 1), in_era(3, page("", 2)), page("", 3)}};
