Replicas: a domain's record that a restored table has lost is written again

After a restore, the row of a domain had a lower version than the known one, or was missing. Gateways ignored the row, and each of their writes expected a version that the table no longer had: the domain could not be changed until the table had passed the old version, and lost hosts were not replaced. A gateway that started meanwhile read the older record.

Records now have a revision that increases with each change. Rows that the restored table lacks are treated the same. Within an era, the version decides as before.

--- a/include/coriander/replicas/domain_record.hpp
+++ b/include/coriander/replicas/domain_record.hpp
@@ -47,6 +47,9 @@
     std::uint64_t last_generation = 0;
     std::vector<replica_entry> replicas;
     std::vector<pending_load> loads; ///< Recorded because loads of all domains share the weight store.
+    /// Increases with each change. Shows which of two records is newer if the table was restored from an
+    /// earlier copy between them.
+    std::uint64_t revision = 0;
 };
 
 [[nodiscard]] std::string encode_domain(const domain_record& record);
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -13,6 +13,7 @@
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_planner.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/record_phases.hpp"
 #include "runtime/log.hpp"
 
 #include <algorithm>
@@ -89,6 +90,10 @@
         }
         const auto view = this->view_of(current.record, hosts, work);
         auto decision = plan_domain(view);
+        if (current.is_lost && !decision.is_changed) {
+            decision.is_changed = true;
+            decision.reasons.push_back({"write the record again that the restored table has lost"});
+        }
         if (!decision.is_changed) {
             this->add_formation(service, key, planned, view, decision);
         }
@@ -109,7 +114,7 @@
         else if (this->is_my_turn(key, current, decision, work, now)) {
             this->act(key, current, decision, work, now);
         }
-        const bool is_unfinished = this->has_unfinished_replica(current.record);
+        const bool is_unfinished = has_unfinished_replica(current.record);
         if (is_owner && (is_unfinished || !decision.unconfirmed_hosts.empty())) {
             this->request_statuses(key, current.record, decision.unconfirmed_hosts, work, now);
         }
@@ -139,7 +144,7 @@
                      const domain_work& work, domain_decision& decision, time_ms now)
     {
         const bool is_settled = now - this->view.last_arrival(key) >= this->settings.arrival_quiet_period;
-        if (!is_settled || now < work.next_warming_at || this->has_unfinished_replica(decision.next)) {
+        if (!is_settled || now < work.next_warming_at || has_unfinished_replica(decision.next)) {
             return;
         }
         for (const auto& name :
@@ -173,7 +178,9 @@
             std::find(daemons.begin(), daemons.end(), current.record.owner) != daemons.end();
         auto delay = this->settings.rank_delay * this->rank_of(key);
         if (is_owner_alive) {
-            delay = delay + (decision.has_loss ? this->settings.loss_delay : this->settings.takeover_delay);
+            delay = delay + (decision.has_loss ? this->settings.loss_delay
+                             : current.is_lost ? this->settings.absent_owner_delay
+                                               : this->settings.takeover_delay);
         }
         else if (!current.record.owner.empty()) {
             delay = delay + this->settings.absent_owner_delay;
@@ -203,6 +210,7 @@
             decision.reasons.push_back({"take over from " + current.record.owner});
         }
         decision.next.owner = this->self;
+        ++decision.next.revision;
         this->commit(key, current.version, std::move(decision), work, now);
     }
 
@@ -291,32 +299,6 @@
                        });
     }
 
-    static bool has_phase(const domain_record& record, replica_phase phase)
-    {
-        return std::any_of(record.replicas.begin(), record.replicas.end(),
-                           [&](const replica_entry& one) { return one.phase == phase; });
-    }
-
-    static bool has_unfinished_replica(const domain_record& record)
-    {
-        return std::any_of(record.replicas.begin(), record.replicas.end(),
-                           [](const replica_entry& one) { return one.phase != replica_phase::open; });
-    }
-
-    /// Whether a report of the host is needed in the current phase of its replica.
-    static bool needs_status(const replica_entry& replica, const std::string& host,
-                             const std::vector<std::string>& doubts)
-    {
-        switch (replica.phase) {
-        case replica_phase::open:
-            return std::find(doubts.begin(), doubts.end(), host) != doubts.end();
-        case replica_phase::retiring:
-            return host == replica.hosts.front().id; // The leader reports whether requests are left.
-        default:
-            return true;
-        }
-    }
-
     void request_statuses(const domain_key& key, const domain_record& record,
                           const std::vector<std::string>& doubts, domain_work& work, time_ms now)
     {
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -1,5 +1,7 @@
 #include "gateway/fleet_view.hpp"
 
+#include "runtime/log.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -172,6 +174,16 @@
         return false;
     }
     ++this->changes;
+    const bool is_lost = version.era > current.version.era && record.revision < current.record.revision;
+    if (is_lost) {
+        log_event(event::placement_row_lost, {{"domain", key.row_key()},
+                                              {"revision", current.record.revision},
+                                              {"table_revision", record.revision},
+                                              {"owner", current.record.owner}});
+        current.version = version;
+        current.is_lost = true;
+        return true;
+    }
     current = {std::move(record), version};
     for (const auto& replica : current.record.replicas) {
         for (const auto& member : replica.hosts) {
@@ -184,6 +196,24 @@
     return true;
 }
 
+void fleet_view::mark_lost_domains(std::uint64_t era, time_ms now)
+{
+    if (this->era_since && era == this->table_era) {
+        return;
+    }
+    this->table_era = era;
+    this->era_since = now;
+    std::vector<domain_key> lost;
+    for (const auto& [key, domain] : this->records) {
+        if (domain.version.era < era) {
+            lost.push_back(key);
+        }
+    }
+    for (const auto& key : lost) {
+        this->set_domain(key, {}, {era, 0});
+    }
+}
+
 void fleet_view::mark_silent(const std::string& id)
 {
     const auto* host = this->find_host(id);
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -50,6 +50,8 @@
 struct versioned_domain {
     domain_record record;
     row_version version;
+    /// Whether the table was restored to an older record than this one, which must be written again.
+    bool is_lost = false;
 };
 
 /// This daemon's view of hosts and replicas, merged from the platform's host list, the rows of the table and
@@ -72,8 +74,13 @@
                       time_ms now);
 
     /// Applies a domain's row. Returns false and ignores it if its version is not newer than the known one.
+    /// If the table was restored to an older record than the known one, keeps that one and marks it as lost.
     bool set_domain(const domain_key& key, domain_record record, row_version version);
 
+    /// Marks the known records that the table does not have in this era as lost. Call it when all rows of the
+    /// era have been applied.
+    void mark_lost_domains(std::uint64_t era, time_ms now);
+
     /// Marks a host as not answering, until it answers or restarts.
     void mark_silent(const std::string& id);
     void clear_silent(const std::string& id);
@@ -132,6 +139,8 @@
     std::map<std::string, time_ms> report_times;       ///< When each host's last report was requested.
     std::map<std::string, fresh_report> fresh_reports; ///< Reports that may be newer than the list.
     std::map<std::string, time_ms> list_times;         ///< When each host's last list entry was applied.
+    std::uint64_t table_era = 0;
+    std::optional<time_ms> era_since; ///< When all rows of that era were known.
     std::uint64_t changes = 0;
 };
 
--- a/src/replicas/domain_record.cpp
+++ b/src/replicas/domain_record.cpp
@@ -75,7 +75,8 @@
     return to_text({{"owner", record.owner},
                     {"last_generation", record.last_generation},
                     {"replicas", std::move(replicas)},
-                    {"loads", std::move(loads)}});
+                    {"loads", std::move(loads)},
+                    {"revision", record.revision}});
 }
 
 std::optional<domain_record> decode_domain(std::string_view text)
@@ -87,7 +88,8 @@
     domain_record record{text_member(*parsed, "owner"),
                          static_cast<std::uint64_t>(integer_member(*parsed, "last_generation")),
                          {},
-                         {}};
+                         {},
+                         static_cast<std::uint64_t>(integer_member(*parsed, "revision"))};
     for (const auto& one : array_member(*parsed, "replicas")) {
         auto entry = decode_replica_entry(one);
         if (!entry) {
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -209,6 +209,30 @@
     CHECK(fleet.record().replicas.front().phase == replica_phase::open);
 }
 
+TEST_CASE("fleet controller: the records that a restored table has lost are written again by their owner")
+{
+    fleet_fixture fleet{3};
+    fleet.run_until_planned();
+    const auto copy = fleet.world.rows;
+    fleet.run(8_s);
+    const auto before = fleet.record();
+    REQUIRE(fleet.open_replicas() >= 2);
+    const auto is_in_copy = GENERATE_COPY(true, false);
+    CAPTURE(is_in_copy);
+    fleet.restore(is_in_copy ? copy : decltype(copy){});
+    const auto orders = fleet.world.orders.size();
+    fleet.run(1_s);
+    CHECK(fleet.record().owner == before.owner);
+    CHECK(fleet.record().last_generation == before.last_generation);
+    REQUIRE(fleet.open_replicas() >= 2);
+    CHECK(fleet.world.orders.size() == orders);
+    // The domain can be changed again: a lost host is replaced.
+    fleet.world.unreachable = {fleet.record().replicas.front().hosts.back().id};
+    fleet.world.hosts.erase(fleet.world.unreachable.front());
+    fleet.run(10_s);
+    CHECK(fleet.record().revision > before.revision + 1);
+}
+
 TEST_CASE("fleet controller: no host belongs to two replicas under random losses and kills")
 {
     rc::prop("random schedules of three daemons", []() {
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -93,6 +93,36 @@
     CHECK(fleet.targets() == 0);
 }
 
+TEST_CASE(
+    "fleet view: a restored table's older record does not replace the known one, which is to be written")
+{
+    view_fixture fleet;
+    const domain_key key{"assistant", "d"};
+    auto record = fleet.view.domain(key).record;
+    record.revision = 4;
+    fleet.view.set_domain(key, record, {1, 20});
+    const auto has_row = GENERATE(true, false);
+    CAPTURE(has_row);
+    if (has_row) {
+        fleet.view.set_domain(key, {"edge", 0, {}, {}, 3}, {2, 8});
+    }
+    fleet.view.mark_lost_domains(2, start);
+    CHECK(fleet.targets() == 1);
+    CHECK(fleet.view.domain(key).is_lost);
+    CHECK(fleet.view.domain(key).version == row_version{2, has_row ? 8U : 0U});
+    // A row that was written after the restore is newer than any before it.
+    fleet.view.set_domain(key, {"edge", 1, {}, {}, 4}, {2, 9});
+    CHECK(fleet.targets() == 0);
+    CHECK_FALSE(fleet.view.domain(key).is_lost);
+}
+
+TEST_CASE("fleet view: a row with a version that was given out again is applied unless it is older")
+{
+    view_fixture fleet;
+    fleet.view.set_domain({"assistant", "d"}, {"edge", 2, {}, {}, 9}, {1, 5});
+    CHECK(fleet.targets() == 0);
+}
+
 TEST_CASE("fleet view: a host's report takes precedence over the list until the list must have caught up")
 {
     view_fixture fleet;
--- a/test/support/fleet_fixture.hpp
+++ b/test/support/fleet_fixture.hpp
@@ -76,6 +76,7 @@
         for (const auto& [key, row] : this->world.rows) {
             one.view.set_domain(*parse_domain_key(key), row.record, row.version);
         }
+        one.view.mark_lost_domains(this->world.last_version.era, this->now);
     }
 
     void step(time_ms length = 100_ms)
@@ -97,6 +98,18 @@
         }
     }
 
+    /// Restores the table from a copy of its rows; versions after the copy's are given out again.
+    void restore(const std::map<std::string, shared_row>& copy)
+    {
+        auto& version = this->world.last_version;
+        version = {version.era + 1, 0};
+        this->world.rows = copy;
+        for (auto& [key, row] : this->world.rows) {
+            row.version.era = version.era;
+            version.number = std::max(version.number, row.version.number);
+        }
+    }
+
     /// Runs until replicas are planned; no host has joined one yet.
     void run_until_planned()
     {
