Replicas: an owner that starts after a restore leaves newer replicas alone for a while

A gateway that was restarted or cut off during a restore knows only the restored record. As the owner it acted on it at once and ordered the hosts of all replicas that the record lacks to leave, although they were serving, before a gateway that knew the newer record could write it again.

Hosts report the generation of their replica, and a generation is recorded before any host joins. A host with a higher generation than the record's last one therefore shows that the record is too old.

With the check switched off, the test failed: fleet controller: an owner that starts after a restore does not dissolve replicas that the copy lacks: orders 35 == 15

--- a/src/gateway/controller_settings.hpp
+++ b/src/gateway/controller_settings.hpp
@@ -15,6 +15,9 @@
     /// of its return may be in flight, and two daemons that keep taking over from each other make no
     /// progress.
     time_ms absent_owner_delay{500};
+    /// For this long after a restore of the table, a domain with a host that belongs to a replica newer than
+    /// the domain's record is left alone: another daemon may know the newer record and write it again.
+    time_ms newer_record_wait{3000};
     /// Added to the takeover delay for each rank, so that daemons do not take over at the same time.
     time_ms rank_delay{250};
     /// Interval between status requests to hosts of replicas that are forming or dissolving.
--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -13,6 +13,7 @@
 /// A controller's state for one domain.
 struct domain_work {
     bool is_committing = false;
+    bool is_outdated = false; ///< Waits for a newer record, as logged last.
     time_ms next_commit_at;
     time_ms next_warming_at;
     std::string due_signature; ///< Describes the work that was due at the last check.
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -81,6 +81,9 @@
     {
         auto& work = this->work[key];
         const auto& current = this->view.domain(key);
+        if (this->awaits_newer_record(key, work, now)) {
+            return true;
+        }
         const auto hosts = this->view.hosts_of(key);
         work.timing.update(current.record, *service.engine, this->settings, this->planner.loads_are_cheap(),
                            now);
@@ -121,6 +124,19 @@
         return is_unfinished || !work.due_signature.empty() || work.is_committing;
     }
 
+    /// Whether hosts belong to replicas that are newer than the record, which a daemon that knows a newer one
+    /// may still write again.
+    bool awaits_newer_record(const domain_key& key, domain_work& work, time_ms now) const
+    {
+        const auto since = this->view.era_known_since();
+        const bool is_outdated =
+            since && now - *since < this->settings.newer_record_wait && this->view.is_outdated(key);
+        if (std::exchange(work.is_outdated, is_outdated) != is_outdated) {
+            log_outdated_record(key, this->view.domain(key), is_outdated);
+        }
+        return is_outdated;
+    }
+
     void add_formation(const relay_service& service, const domain_key& key, const formation& planned,
                        const domain_view& view, domain_decision& decision)
     {
--- a/src/gateway/fleet_events.cpp
+++ b/src/gateway/fleet_events.cpp
@@ -56,6 +56,15 @@
                                    {"list_age", age_text(view.last_listed_at(host), now)}});
 }
 
+void log_outdated_record(const domain_key& key, const versioned_domain& domain, bool is_outdated)
+{
+    log_event(event::placement_outdated, {{"domain", key.row_key()},
+                                          {"state", is_outdated ? "waits" : "acts"},
+                                          {"revision", domain.record.revision},
+                                          {"last_generation", domain.record.last_generation},
+                                          {"owner", domain.record.owner}});
+}
+
 void log_order(const host_order& order, order_answer answer)
 {
     log_event(answer == order_answer::accepted ? event::order_sent : event::order_failed,
--- a/src/gateway/fleet_events.hpp
+++ b/src/gateway/fleet_events.hpp
@@ -20,6 +20,8 @@
 void log_silent_host(const std::string& host, const char* reason, unsigned unanswered, const fleet_view& view,
                      time_ms now);
 void log_order(const host_order& order, order_answer answer);
+/// Logs that the domain's record is older than what its hosts report, or is no longer treated so.
+void log_outdated_record(const domain_key& key, const versioned_domain& domain, bool is_outdated);
 void log_idle_hosts(const std::string& service, std::span<const listed_host* const> free,
                     const std::string& held_models, std::size_t to_load, std::size_t loading);
 
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -214,6 +214,16 @@
     }
 }
 
+bool fleet_view::is_outdated(const domain_key& key) const
+{
+    const auto last_generation = this->domain(key).record.last_generation;
+    return std::any_of(this->known.begin(), this->known.end(), [&](const auto& item) {
+        const auto& [id, host] = item;
+        return host.service == key.service && host.fabric_domain == key.domain && host.part &&
+               host.part->generation > last_generation && !this->is_silent(id);
+    });
+}
+
 void fleet_view::mark_silent(const std::string& id)
 {
     const auto* host = this->find_host(id);
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -80,6 +80,10 @@
     /// Marks the known records that the table does not have in this era as lost. Call it when all rows of the
     /// era have been applied.
     void mark_lost_domains(std::uint64_t era, time_ms now);
+    /// When this daemon first had all rows of the table's era.
+    [[nodiscard]] std::optional<time_ms> era_known_since() const noexcept { return this->era_since; }
+    /// Whether a host of the domain belongs to a replica that is newer than the known record.
+    [[nodiscard]] bool is_outdated(const domain_key& key) const;
 
     /// Marks a host as not answering, until it answers or restarts.
     void mark_silent(const std::string& id);
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -233,6 +233,25 @@
     CHECK(fleet.record().revision > before.revision + 1);
 }
 
+TEST_CASE(
+    "fleet controller: an owner that starts after a restore does not dissolve replicas that the copy lacks")
+{
+    fleet_fixture fleet{3};
+    fleet.run(8_s);
+    const auto before = fleet.record();
+    REQUIRE(fleet.open_replicas() >= 2);
+    auto copy = fleet.world.rows;
+    copy.at("assistant/d").record = {before.owner, 0, {}, {}, 1};
+    fleet.restore(copy);
+    auto& owner = fleet.daemons[static_cast<std::size_t>(before.owner.back() - '0')];
+    owner = std::make_unique<fleet_fixture::daemon>(fleet.world, before.owner);
+    const auto orders = fleet.world.orders.size();
+    fleet.run(8_s);
+    CHECK(fleet.world.orders.size() == orders);
+    CHECK(fleet.record().last_generation == before.last_generation);
+    CHECK(fleet.open_replicas() >= 2);
+}
+
 TEST_CASE("fleet controller: no host belongs to two replicas under random losses and kills")
 {
     rc::prop("random schedules of three daemons", []() {
