e2e: manifests and replicas while the store is restored from an older copy

Three gateways, a stand-in fleet and two restores: confirmed manifests stay in force and their added routes are served, a later manifest is in force on all gateways within 2 s, no gateway reverts, replicas are neither dissolved nor left without repair, and a gateway that starts right after a restore dissolves none.

--- a/testing/platform/standin_fleet_main.cpp
+++ b/testing/platform/standin_fleet_main.cpp
@@ -19,8 +19,8 @@
 using namespace coriander;
 using namespace coriander::standin;
 
-/// A manifest with streams to two models, and routes to a plain service.
-json_object make_manifest(std::uint64_t version)
+/// A manifest with streams to two models, and routes to a plain service; `added_prefix` may be empty.
+json_object make_manifest(std::uint64_t version, const std::string& added_prefix = {})
 {
     const auto route = [](const char* prefix, const char* service, const char* kind, bool resumable) {
         return json_object{{"name", std::string{"to"} + prefix},
@@ -38,7 +38,7 @@
         return json_object{{"name", name}, {"size", size},  {"share", 0.5},
                            {"pace", 1.0},  {"load_s", 0.4}, {"warm_s", 0.15}};
     };
-    return {
+    json_object manifest{
         {"version", version},
         {"routes",
          {route("/chat/", "assistant", "streaming", true), route("/book/", "desk", "non_idempotent", false),
@@ -56,6 +56,10 @@
              {"models", {model("large", 4), model("small", 3)}}}}},
           {{"name", "desk"}}}},
         {"tenants", {{{"name", "gent"}, {"api_keys", {"gent-key"}}}}}};
+    if (!added_prefix.empty()) {
+        manifest["routes"].push_back(route(added_prefix.c_str(), "desk", "idempotent", false));
+    }
+    return manifest;
 }
 
 /// The stand-in's store and hosts, and the HTTP pages with which a test injects faults and reads the status.
@@ -105,8 +109,9 @@
 
     /// `POST /fault` with `{"host":ID,"do":"dark"|"restart"|"drain"|"pause"|"wake"}`,
     /// `{"store":"sound"|"busy"|"silent"}`, `{"lose_answers":N}`, `{"forget_history":true}`,
-    /// `{"manifest":VERSION}`, `{"crashing_part":ID}` or `{"limit":PER_SECOND,"domains":PREFIXES}`, which
-    /// sets the rate limit of the hosts whose ids begin with one of the prefixes; `GET /status`.
+    /// `{"manifest":VERSION,"route":ADDED_PREFIX}`, `{"restore_ms":AGE_OF_THE_COPY}`, `{"crashing_part":ID}`
+    /// or `{"limit":PER_SECOND,"domains":PREFIXES}`, which sets the rate limit of the hosts whose ids begin
+    /// with one of the prefixes; `GET /status`.
     void handle_command(caller_connection& caller, const incoming_request& request)
     {
         if (request.head.target == "/status") {
@@ -133,6 +138,9 @@
         if (bool_member(command, "forget_history")) {
             this->store.drop_history();
         }
+        if (const auto age = integer_member(command, "restore_ms"); age > 0) {
+            this->store.restore_copy(time_ms{age});
+        }
         if (command.contains("limit")) {
             this->set_rate_limit(command["limit"].get<double>(),
                                  command.value("domains", std::vector<std::string>{}));
@@ -141,7 +149,9 @@
             this->fleet.crashing_part = text_member(command, "crashing_part");
         }
         if (const auto version = integer_member(command, "manifest"); version > 0) {
-            this->store.put("op", "config", to_text(make_manifest(static_cast<std::uint64_t>(version))));
+            this->store.put(
+                "op", "config",
+                to_text(make_manifest(static_cast<std::uint64_t>(version), text_member(command, "route"))));
         }
         caller.send(200, {}, {});
     }
