--- a/test/e2e/restored_store_test.sh
+++ b/test/e2e/restored_store_test.sh
@@ -22,6 +22,10 @@
   done
   echo "$count"
 }
+# registered COUNT: whether so many gateways have a row in the store.
+registered() {
+  [ "$(curl -s "http://$STORE/rows-get?table=gateways&part=" | python3 -c 'import json, sys; print(len(json.load(sys.stdin)["rows"]))')" -eq "$1" ]
+}
 # restore AGE_MS: the store is away for a moment and comes back from a copy.
 restore() {
   wish '{"store":"busy"}'
@@ -37,7 +41,12 @@
 
 echo "== start"
 start_fleet --domains=3 --hosts=8
+sleep 1.5
 start_gateways true
+echo "== the store loses the rows of the gateways right after they were written"
+wait_until 10 registered "${#GATEWAYS[@]}"
+restore 1500
+expect "they are written again" "$(wait_until 10 registered "${#GATEWAYS[@]}" && echo yes)" yes
 for n in "${GATEWAYS[@]}"; do wait_until 20 ready "$n"; done
 wait_until 30 open_at_least 6
 sleep 2
