--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -46,6 +46,8 @@
     hosts_idle = 3013,
     host_silent = 3014,
     host_answers = 3015,
+    placement_row_lost = 3016,
+    placement_outdated = 3017,
     config_in_force = 4001,
     config_rejected = 4002,
     settings_read = 4003,
@@ -56,6 +58,8 @@
     table_back = 6002,
     host_list_unreachable = 6003,
     log_lines_dropped = 6004,
+    table_restored = 6005,
+    table_reread = 6006,
 };
 
 /// An entry of the event catalogue.
@@ -102,6 +106,8 @@
     event_entry{event::hosts_idle, "hosts_idle", log_level::info},
     event_entry{event::host_silent, "host_silent", log_level::warn},
     event_entry{event::host_answers, "host_answers", log_level::info},
+    event_entry{event::placement_row_lost, "placement_row_lost", log_level::warn},
+    event_entry{event::placement_outdated, "placement_outdated", log_level::info},
     event_entry{event::config_in_force, "config_in_force", log_level::info},
     event_entry{event::config_rejected, "config_rejected", log_level::error},
     event_entry{event::settings_read, "settings_read", log_level::info},
@@ -112,6 +118,8 @@
     event_entry{event::table_back, "table_back", log_level::info},
     event_entry{event::host_list_unreachable, "host_list_unreachable", log_level::warn},
     event_entry{event::log_lines_dropped, "log_lines_dropped", log_level::warn},
+    event_entry{event::table_restored, "table_restored", log_level::warn},
+    event_entry{event::table_reread, "table_reread", log_level::info},
 };
 
 /// The catalogue entry of an event. Every event has one.
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -5,6 +5,7 @@
 #include "coriander/replicas/domain_planner.hpp"
 #include "coriander/replicas/domain_record.hpp"
 #include "coriander/replicas/listed_host.hpp"
+#include "coriander/row_version.hpp"
 #include "coriander/time_ms.hpp"
 
 #include <cstdint>
@@ -45,10 +46,12 @@
 /// Creates a host from its entry in the record of its replica.
 [[nodiscard]] listed_host host_of(const domain_key& key, const replica_host& member);
 
-/// A domain's record with the version of its row; version 0 means that the row does not exist yet.
+/// A domain's record with the version of its row; number 0 means that the row does not exist yet.
 struct versioned_domain {
     domain_record record;
-    std::uint64_t version = 0;
+    row_version version;
+    /// Whether the table was restored to an older record than this one, which must be written again.
+    bool is_lost = false;
 };
 
 /// This daemon's view of hosts and replicas, merged from the platform's host list, the rows of the table and
@@ -71,7 +74,16 @@
                       time_ms now);
 
     /// Applies a domain's row. Returns false and ignores it if its version is not newer than the known one.
-    bool set_domain(const domain_key& key, domain_record record, std::uint64_t version);
+    /// If the table was restored to an older record than the known one, keeps that one and marks it as lost.
+    bool set_domain(const domain_key& key, domain_record record, row_version version);
+
+    /// Marks the known records that the table does not have in this era as lost. Call it when all rows of the
+    /// era have been applied.
+    void mark_lost_domains(std::uint64_t era, time_ms now);
+    /// When this daemon first had all rows of the table's era.
+    [[nodiscard]] std::optional<time_ms> era_known_since() const noexcept { return this->era_since; }
+    /// Whether a host of the domain belongs to a replica that is newer than the known record.
+    [[nodiscard]] bool is_outdated(const domain_key& key) const;
 
     /// Marks a host as not answering, until it answers or restarts.
     void mark_silent(const std::string& id);
@@ -131,6 +143,8 @@
     std::map<std::string, time_ms> report_times;       ///< When each host's last report was requested.
     std::map<std::string, fresh_report> fresh_reports; ///< Reports that may be newer than the list.
     std::map<std::string, time_ms> list_times;         ///< When each host's last list entry was applied.
+    std::uint64_t table_era = 0;
+    std::optional<time_ms> era_since; ///< When all rows of that era were known.
     std::uint64_t changes = 0;
 };
 
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -16,8 +16,8 @@
 /// A mock of the controller's I/O.
 class mock_io {
 public:
-    MAKE_MOCK4(commit, void(const domain_key&, const domain_record&, std::uint64_t,
-                            std::function<void(commit_state)>));
+    MAKE_MOCK4(commit,
+               void(const domain_key&, const domain_record&, row_version, std::function<void(commit_state)>));
     MAKE_MOCK3(order, void(const listed_host&, const host_order&, std::function<void(order_answer)>));
     MAKE_MOCK2(request_status, void(const listed_host&, std::function<void(std::optional<host_status>)>));
     MAKE_MOCK3(probe, void(const listed_host&, time_ms, std::function<void(std::optional<host_status>)>));
@@ -60,7 +60,7 @@
     ALLOW_CALL(io, daemons()).RETURN(std::vector<std::string>{"edge-0"});
     FORBID_CALL(
         io, order(ANY(const listed_host&), ANY(const host_order&), ANY(std::function<void(order_answer)>)));
-    REQUIRE_CALL(io, commit(ANY(const domain_key&), ANY(const domain_record&), 0U,
+    REQUIRE_CALL(io, commit(ANY(const domain_key&), ANY(const domain_record&), row_version{},
                             ANY(std::function<void(commit_state)>)))
         .WITH(_1.row_key() == "assistant/d" && _2.owner == "edge-0" && _2.replicas.size() == 1);
     const auto service = samples::assistant();
@@ -80,7 +80,7 @@
         host.part.reset();
         view.set_host(host, now);
     }
-    view.set_domain({"assistant", "d"}, {"edge-0", 1, {replica}, {}}, 7);
+    view.set_domain({"assistant", "d"}, {"edge-0", 1, {replica}, {}}, {0, 7});
     std::vector<std::function<void(std::optional<host_status>)>> answers;
     ALLOW_CALL(io, daemons()).RETURN(std::vector<std::string>{"edge-0"});
     const auto service = samples::assistant();
@@ -209,6 +209,49 @@
     CHECK(fleet.record().replicas.front().phase == replica_phase::open);
 }
 
+TEST_CASE("fleet controller: the records that a restored table has lost are written again by their owner")
+{
+    fleet_fixture fleet{3};
+    fleet.run_until_planned();
+    const auto copy = fleet.world.rows;
+    fleet.run(8_s);
+    const auto before = fleet.record();
+    REQUIRE(fleet.open_replicas() >= 2);
+    const auto is_in_copy = GENERATE_COPY(true, false);
+    CAPTURE(is_in_copy);
+    fleet.restore(is_in_copy ? copy : decltype(copy){});
+    const auto orders = fleet.world.orders.size();
+    fleet.run(1_s);
+    CHECK(fleet.record().owner == before.owner);
+    CHECK(fleet.record().last_generation == before.last_generation);
+    REQUIRE(fleet.open_replicas() >= 2);
+    CHECK(fleet.world.orders.size() == orders);
+    // The domain can be changed again: a lost host is replaced.
+    fleet.world.unreachable = {fleet.record().replicas.front().hosts.back().id};
+    fleet.world.hosts.erase(fleet.world.unreachable.front());
+    fleet.run(10_s);
+    CHECK(fleet.record().revision > before.revision + 1);
+}
+
+TEST_CASE(
+    "fleet controller: an owner that starts after a restore does not dissolve replicas that the copy lacks")
+{
+    fleet_fixture fleet{3};
+    fleet.run(8_s);
+    const auto before = fleet.record();
+    REQUIRE(fleet.open_replicas() >= 2);
+    auto copy = fleet.world.rows;
+    copy.at("assistant/d").record = {before.owner, 0, {}, {}, 1};
+    fleet.restore(copy);
+    auto& owner = fleet.daemons[static_cast<std::size_t>(before.owner.back() - '0')];
+    owner = std::make_unique<fleet_fixture::daemon>(fleet.world, before.owner);
+    const auto orders = fleet.world.orders.size();
+    fleet.run(8_s);
+    CHECK(fleet.world.orders.size() == orders);
+    CHECK(fleet.record().last_generation == before.last_generation);
+    CHECK(fleet.open_replicas() >= 2);
+}
+
 TEST_CASE("fleet controller: no host belongs to two replicas under random losses and kills")
 {
     rc::prop("random schedules of three daemons", []() {
