gateway: a response that doesn't continue a begun stream never reaches the caller

What callers saw: a stream had begun and broke off; the next target answered the resumed request with an error. The caller's stream then contained the error's whole head and body, or, after a 2xx that was no event stream, ended as if it were complete.

Cause: classify_response judged a response on its own, so that a 3xx, a 4xx without the "not run" header and any signed 2xx were complete responses that went past decide_next, and caller_connection let a second head be written within a stream.

Why this works: once a stream has begun, its form is part of what a response has to match; anything else ends the attempt, and decide_next resumes or breaks off.

--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -22,7 +22,7 @@
 
 relay_session::relay_session(relay_context& context, std::shared_ptr<caller_connection> caller,
                              incoming_request request)
-    : context{context}, caller{std::move(caller)}, deadline_timer{context.loop}, stream{this->caller}
+    : context{context}, deadline_timer{context.loop}, stream{std::move(caller)}
 {
     this->request.raw = std::move(request);
     this->request.routes = context.routes;
@@ -46,7 +46,7 @@
         this->send_local_reply(problem, short_retry_delay);
         return;
     }
-    if (this->caller->has_caller_disconnected()) {
+    if (this->stream.has_caller_disconnected()) {
         this->on_caller_gone();
         return;
     }
@@ -56,7 +56,7 @@
     }
     this->context.has_traffic = true;
     this->stream.resume_after(this->request.last_event);
-    this->caller->on_disconnected([weak = this->weak_from_this()] {
+    this->stream.on_disconnected([weak = this->weak_from_this()] {
         if (const auto session = weak.lock()) {
             session->on_caller_gone();
         }
@@ -253,10 +253,11 @@
     this->state->board.on_response_started(this->current.choice.target.id, this->current.begun_at);
     this->context.trials.on_started(this->current.trial, this->current.begun_at);
     this->record_load(head);
-    this->current.head_result = classify_response(head, this->context.dialect, this->request.attempt_id);
+    this->current.head_result =
+        classify_response(head, this->context.dialect, {this->request.attempt_id, this->stream.begun_form()});
     this->current.head = std::move(head);
     if (this->current.head_result == attempt_end::lost) {
-        this->end_attempt(attempt_end::lost, "the response does not belong to this request");
+        this->end_attempt(attempt_end::lost, "the response does not belong to this request or stream");
     }
 }
 
@@ -309,9 +310,9 @@
 void relay_session::forward_events(std::string_view bytes)
 {
     this->stream.pass(bytes, this->current.head, this->context.clock.now());
-    if (this->caller->unsent() > max_unsent_bytes) {
+    if (this->stream.unsent() > max_unsent_bytes) {
         this->current.channel->pause_reading();
-        this->caller->on_drained([weak = this->weak_from_this()] {
+        this->stream.on_drained([weak = this->weak_from_this()] {
             if (const auto session = weak.lock(); session && session->current.channel) {
                 session->current.channel->resume_reading();
             }
@@ -376,7 +377,7 @@
 void relay_session::forward_response()
 {
     const auto& head = this->current.head;
-    this->caller->send(head.status, forwarded_response_headers(head), this->current.body);
+    this->stream.send_whole(head.status, forwarded_response_headers(head), this->current.body);
     this->finish(head.status < first_error_status ? "whole" : "target_failed", head.status);
 }
 
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -102,7 +102,6 @@
     void on_caller_gone();
 
     relay_context& context;
-    std::shared_ptr<caller_connection> caller;
     relay_request request;
     service_state* state = nullptr;
     const char* size_class = nullptr; ///< Set for requests to engine services only.
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -163,7 +163,7 @@
         this->send_local_reply(local_reply::timed_out);
         return;
     case next_step::break_off:
-        this->caller->abort();
+        this->stream.abort();
         this->finish("broken_off", 0);
         return;
     }
@@ -230,7 +230,7 @@
     const time_ms jittered_delay{
         static_cast<std::int64_t>(static_cast<double>(retry_after.count()) * factor)};
     auto headers = local_reply_headers(reply, this->request, this->context.dialect, jittered_delay);
-    this->caller->send(status, std::move(headers), {});
+    this->stream.send_whole(status, std::move(headers), {});
     this->finish(name_of(reply), status);
 }
 
--- a/src/gateway/response_stream.cpp
+++ b/src/gateway/response_stream.cpp
@@ -1,12 +1,15 @@
 #include "gateway/response_stream.hpp"
 
-#include "gateway/target_answer.hpp"
-
 #include <algorithm>
 #include <string>
 
 namespace coriander {
 
+void response_stream::send_whole(int status, std::vector<http_header> headers, std::string_view body)
+{
+    this->caller->send(status, std::move(headers), body);
+}
+
 void response_stream::pass(std::string_view bytes, const message_head& head, time_ms now)
 {
     std::string passed;
@@ -35,8 +38,8 @@
 
 void response_stream::begin(const message_head& head, time_ms now)
 {
-    if (!this->begun) {
-        this->begun = true;
+    if (!this->form) {
+        this->form = form_of(head);
         this->first_at = now;
         this->caller->begin_stream(head.status, forwarded_response_headers(head));
     }
--- a/src/gateway/target_answer.cpp
+++ b/src/gateway/target_answer.cpp
@@ -1,6 +1,8 @@
 #include "gateway/target_answer.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace coriander {
 namespace {
@@ -10,6 +12,11 @@
 constexpr int misdirected_status = 421;
 constexpr int first_error_status = 500;
 
+char to_lower(char letter) noexcept
+{
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
 } // namespace
 
 std::optional<reported_load> parse_load(std::string_view text)
@@ -44,12 +51,21 @@
     return headers;
 }
 
+stream_form form_of(const message_head& head)
+{
+    const auto type = head.header("Content-Type");
+    std::string media_type{type.substr(0, type.find(';'))};
+    media_type.erase(media_type.find_last_not_of(" \t") + 1);
+    std::transform(media_type.begin(), media_type.end(), media_type.begin(), to_lower);
+    return {head.status, std::move(media_type)};
+}
+
 std::optional<attempt_end> classify_response(const message_head& head, const relay_dialect& dialect,
-                                             std::string_view attempt_id)
+                                             const expected_response& expected)
 {
     const auto echoed = head.header(dialect.attempt_id);
     const bool is_success = head.status >= first_success_status && head.status < first_redirect_status;
-    const bool is_mismatched = !echoed.empty() && echoed != attempt_id;
+    const bool is_mismatched = !echoed.empty() && echoed != expected.attempt_id;
     const bool is_unsigned = head.header(dialect.signature).empty() || echoed.empty();
     if (is_mismatched || !head.header("Content-Encoding").empty() || (is_success && is_unsigned)) {
         return attempt_end::lost;
@@ -57,7 +73,11 @@
     if (head.status == misdirected_status || !head.header(dialect.not_run).empty()) {
         return attempt_end::declined;
     }
-    return head.status >= first_error_status ? std::optional{attempt_end::failed} : std::nullopt;
+    if (head.status >= first_error_status || (expected.continued && !is_success)) {
+        return attempt_end::failed;
+    }
+    const bool is_other_response = expected.continued && form_of(head) != *expected.continued;
+    return is_other_response ? std::optional{attempt_end::lost} : std::nullopt;
 }
 
 } // namespace coriander
--- a/src/gateway/target_answer.hpp
+++ b/src/gateway/target_answer.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -23,11 +24,28 @@
 /// Parses a rate limit in requests per second; empty if the text is not a positive number.
 [[nodiscard]] std::optional<double> parse_rate_limit(std::string_view text);
 
-/// The outcome of the attempt with this id if the response head rules out success: `lost` if the response
-/// does not belong to the attempt, `declined` if the target did not run the request, `failed` if it did and
-/// returned an error. Empty otherwise.
+/// What all responses that make up one event stream have in common.
+struct stream_form {
+    int status = 0;
+    std::string media_type; ///< In lower case, without parameters.
+
+    friend bool operator==(const stream_form&, const stream_form&) = default;
+};
+
+[[nodiscard]] stream_form form_of(const message_head& head);
+
+/// What the response to an attempt has to match.
+struct expected_response {
+    std::string_view attempt_id;
+    std::optional<stream_form> continued; ///< The stream that the response has to continue, if any.
+};
+
+/// The outcome of the attempt if the response head rules out success: `lost` if the response does not belong
+/// to the attempt, `declined` if the target did not run the request, `failed` if it did and returned an
+/// error. Empty otherwise. With `expected.continued`, every response that doesn't continue the stream rules
+/// out success, as nothing else can be forwarded once a stream has begun.
 [[nodiscard]] std::optional<attempt_end>
-classify_response(const message_head& head, const relay_dialect& dialect, std::string_view attempt_id);
+classify_response(const message_head& head, const relay_dialect& dialect, const expected_response& expected);
 
 /// The headers of a target's response that are forwarded to the caller.
 [[nodiscard]] std::vector<http_header> forwarded_response_headers(const message_head& head);
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/caller_connection.hpp"
 
 #include "coriander/clock.hpp"
+#include "runtime/log.hpp"
 
 #include <asio/post.hpp>
 
@@ -44,7 +45,7 @@
     this->timer.expires_after(std::chrono::milliseconds{limit.count()});
     this->timer.async_wait([self = this->weak_from_this()](const asio::error_code& cancelled) {
         const auto connection = self.lock();
-        if (cancelled || !connection || connection->is_pending) {
+        if (cancelled || !connection || connection->is_pending()) {
             return;
         }
         if (connection->parser.has_begun()) {
@@ -60,7 +61,7 @@
 {
     const auto self = this->shared_from_this();
     this->unparsed.append(bytes);
-    if (!this->is_pending) {
+    if (!this->is_pending()) {
         this->parse();
     }
     else if (this->unparsed.size() > max_unparsed_bytes) {
@@ -87,7 +88,7 @@
     }
     else if (this->parser.is_complete()) {
         this->timer.cancel();
-        this->is_pending = true;
+        this->stage = response_stage::pending;
         this->request.arrived = monotonic_clock{}.now();
         this->handlers->on_request(this->shared_from_this(), std::exchange(this->request, {}));
     }
@@ -111,10 +112,24 @@
 {
     const auto self = this->shared_from_this();
     this->timer.cancel();
-    if (const auto listener = std::exchange(this->disconnected, nullptr); listener && this->is_pending) {
+    if (const auto listener = std::exchange(this->disconnected, nullptr); listener && this->is_pending()) {
         listener();
     }
-    this->is_pending = false;
+    this->stage = response_stage::none;
+}
+
+bool caller_connection::may_write(response_stage expected)
+{
+    if (!this->link->is_open()) {
+        return false;
+    }
+    if (this->stage != expected) {
+        log_event(event::response_conflict,
+                  {{"stage", static_cast<int>(this->stage)}, {"expected", static_cast<int>(expected)}});
+        this->abort();
+        return false;
+    }
+    return true;
 }
 
 bool caller_connection::should_close() const
@@ -132,6 +147,9 @@
 
 void caller_connection::send(int status, std::vector<http_header> headers, std::string_view body)
 {
+    if (!this->may_write(response_stage::pending)) {
+        return;
+    }
     headers.push_back({"Content-Length", std::to_string(body.size())});
     this->add_connection_header(headers);
     auto text = response_head_text(status, headers);
@@ -142,6 +160,10 @@
 
 void caller_connection::begin_stream(int status, std::vector<http_header> headers)
 {
+    if (!this->may_write(response_stage::pending)) {
+        return;
+    }
+    this->stage = response_stage::streaming;
     headers.push_back({"Transfer-Encoding", "chunked"});
     this->add_connection_header(headers);
     this->link->write(response_head_text(status, headers));
@@ -149,7 +171,7 @@
 
 void caller_connection::append(std::string_view chunk)
 {
-    if (chunk.empty()) {
+    if (chunk.empty() || !this->may_write(response_stage::streaming)) {
         return; // An empty chunk would end the response.
     }
     std::array<char, 24> size{};
@@ -161,14 +183,16 @@
 
 void caller_connection::finish_stream()
 {
-    this->link->write("0\r\n\r\n");
-    this->finish_response();
+    if (this->may_write(response_stage::streaming)) {
+        this->link->write("0\r\n\r\n");
+        this->finish_response();
+    }
 }
 
 void caller_connection::finish_response()
 {
     this->disconnected = nullptr;
-    this->is_pending = false;
+    this->stage = response_stage::none;
     this->link->on_drained(nullptr);
     if (this->closes_after_response) {
         this->timer.cancel();
@@ -183,7 +207,7 @@
         return;
     }
     asio::post(this->link->executor(), [self = this->shared_from_this()] {
-        if (!self->is_pending && self->link->is_open()) {
+        if (!self->is_pending() && self->link->is_open()) {
             self->parse();
         }
     });
@@ -192,7 +216,7 @@
 void caller_connection::abort()
 {
     this->disconnected = nullptr;
-    this->is_pending = false;
+    this->stage = response_stage::none;
     this->timer.cancel();
     this->link->close();
 }
@@ -200,7 +224,7 @@
 void caller_connection::reject(int status)
 {
     this->closes_after_response = true;
-    this->is_pending = true;
+    this->stage = response_stage::pending;
     this->send(status, {}, {});
 }
 
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -50,13 +50,15 @@
     void start();
 
     /// Sends a complete response. Precondition: a request is pending and its response has not been started.
+    /// Otherwise closes the connection, so that the caller never takes these bytes for part of another
+    /// response. Has no effect once the caller has disconnected; the same goes for the next three methods.
     void send(int status, std::vector<http_header> headers, std::string_view body);
 
     /// Starts a chunked response. Precondition: as for `send`.
     void begin_stream(int status, std::vector<http_header> headers);
     /// Sends a chunk. Precondition: `begin_stream` was called.
     void append(std::string_view chunk);
-    /// Sends the last chunk, which marks the response as complete.
+    /// Sends the last chunk, which marks the response as complete. Precondition: as for `append`.
     void finish_stream();
 
     /// Closes the connection without the last chunk, so that the caller sees an incomplete response.
@@ -77,11 +79,17 @@
     void on_message_body(std::string_view bytes) override;
 
 private:
+    /// How far the response to the current request has got.
+    enum class response_stage { none, pending, streaming };
+
     void on_bytes(std::string_view bytes);
     void on_link_end(link_end how);
     void parse();
     void reject(int status);
     void finish_response();
+    [[nodiscard]] bool is_pending() const noexcept { return this->stage != response_stage::none; }
+    /// Whether bytes that belong to `expected` may be written; if not, the connection is closed.
+    [[nodiscard]] bool may_write(response_stage expected);
     [[nodiscard]] bool should_close() const;
     void add_connection_header(std::vector<http_header>& headers);
     void arm_timer(time_ms limit);
@@ -94,7 +102,7 @@
     incoming_request request;
     connection_limits limits;
     std::function<void()> disconnected;
-    bool is_pending = false; ///< A request has not been answered completely.
+    response_stage stage = response_stage::none;
     bool caller_keeps_alive = true;
     bool is_body_too_large = false;
     bool closes_after_response = false;
--- a/test/net/caller_connection_test.cpp
+++ b/test/net/caller_connection_test.cpp
@@ -118,6 +118,51 @@
     CHECK(caller.body == "part");
 }
 
+TEST_CASE("caller connection: a second response closes the connection instead of reaching the caller")
+{
+    server_fixture server;
+    test_caller caller{server.loop.context(), server.listener->port()};
+    caller.send(request_head + "\r\n");
+    REQUIRE(server.wait_for_requests(1));
+    auto& connection = *server.callers[0];
+    SECTION("within a stream")
+    {
+        const bool is_whole = GENERATE(true, false);
+        connection.begin_stream(200, {});
+        connection.append("part");
+        if (is_whole) {
+            connection.send(500, {}, "error");
+        }
+        else {
+            connection.begin_stream(500, {});
+        }
+        connection.append("more");
+        connection.finish_stream();
+        REQUIRE(server.wait_for_end(caller));
+        CHECK(*caller.end == exchange_end::lost);
+        CHECK(caller.body == "part");
+    }
+    SECTION("after a whole response")
+    {
+        connection.send(200, {}, "done");
+        REQUIRE(server.wait_for_end(caller));
+        CHECK(*caller.end == exchange_end::complete);
+        connection.send(500, {}, "error");
+        caller.send(request_head + "\r\n");
+        REQUIRE(server.wait_for_end(caller));
+        CHECK(*caller.end == exchange_end::lost);
+        CHECK(caller.body.empty());
+        CHECK(server.requests.size() == 1);
+    }
+    SECTION("stream bytes without a stream")
+    {
+        connection.finish_stream();
+        REQUIRE(server.wait_for_end(caller));
+        CHECK(*caller.end == exchange_end::lost);
+        CHECK(caller.body.empty());
+    }
+}
+
 TEST_CASE("caller connection: oversized, slow and malformed requests get an error status")
 {
     struct row {
