JSON: texts that are nested too deeply are rejected before they are parsed

What was reported: one odd, very deeply nested entry among those of the replicas ended the processes that read the list, again and again.

Cause: copying a JSON value recurses, and array_member and object_member copy.

Why this works: all JSON from outside passes parse_object, which now scans the text for its depth, without recursion, before anything is parsed or copied.

--- a/src/core/json_text.cpp
+++ b/src/core/json_text.cpp
@@ -9,10 +9,40 @@
     return found == object.end() ? nullptr : &*found;
 }
 
+/// Whether the text opens more objects and arrays within each other than allowed. Does not recurse. The
+/// result is exact for valid JSON.
+bool is_nested_too_deeply(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool is_inside_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char letter = text[i];
+        if (is_inside_string) {
+            i += letter == '\\' ? 1 : 0; // Skips the escaped character.
+            is_inside_string = letter != '"';
+        }
+        else if (letter == '"') {
+            is_inside_string = true;
+        }
+        else if (letter == '[' || letter == '{') {
+            if (++depth > max_json_depth) {
+                return true;
+            }
+        }
+        else if ((letter == ']' || letter == '}') && depth > 0) {
+            --depth;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 std::optional<json_object> parse_object(std::string_view text)
 {
+    if (is_nested_too_deeply(text)) {
+        return std::nullopt;
+    }
     auto parsed = json_object::parse(text, nullptr, false);
     if (parsed.is_discarded() || !parsed.is_object()) {
         return std::nullopt;
--- a/src/core/json_text.hpp
+++ b/src/core/json_text.hpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,7 +13,10 @@
 
 using json_object = nlohmann::json;
 
-/// Parses a JSON object; no value when the text is anything else.
+/// The deepest nesting of objects and arrays that is parsed. Copying a value and writing it recurse.
+constexpr std::size_t max_json_depth = 64;
+
+/// Parses a JSON object; no value when the text is anything else or nested deeper than `max_json_depth`.
 [[nodiscard]] std::optional<json_object> parse_object(std::string_view text);
 
 /// Compact JSON. Invalid UTF-8 is replaced rather than rejected.
