--- a/scripts/gateway-cluster.sh
+++ b/scripts/gateway-cluster.sh
@@ -46,7 +46,7 @@
 ttl = "500ms"
 
 [retries]
-allowance = 200
+allowance = ${RETRY_ALLOWANCE:-200}
 END
   start "gateway-$1" "$BUILD/coriander_gateway" --settings="$RUN_DIR/gateway-$1.toml"
 }
--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -135,12 +135,22 @@
     this->orders_accepted = 0;
     this->membership.reset();
     this->staged.clear();
-    for (const auto& caller : std::exchange(this->unanswered, {})) {
+    for (const auto& [caller, request] : std::exchange(this->unanswered, {})) {
         caller->abort();
     }
     this->write_entry();
 }
 
+void standin_host::resume()
+{
+    this->is_unresponsive = false;
+    for (const auto& [caller, request] : std::exchange(this->unanswered, {})) {
+        if (!caller->has_caller_disconnected()) {
+            this->serve(caller, request);
+        }
+    }
+}
+
 void standin_host::set_rate_limit(double per_second)
 {
     this->rate_limit = per_second;
@@ -188,7 +198,7 @@
 void standin_host::serve(const std::shared_ptr<caller_connection>& caller, const incoming_request& request)
 {
     if (this->is_unresponsive) {
-        this->unanswered.push_back(caller);
+        this->unanswered.emplace_back(caller, request);
         return;
     }
     this->connections.remove_if([](const auto& connection) { return connection.expired(); });
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace coriander::standin {
@@ -65,7 +66,8 @@
     void restart();
     /// Stops responding until `resume`, but keeps its entry and state.
     void pause() { this->is_unresponsive = true; }
-    void resume() { this->is_unresponsive = false; }
+    /// Responds again, also to the requests received meanwhile.
+    void resume();
     /// States a rate limit in all responses; zero ends it. Counts arrivals in windows of `limit_window`.
     void set_rate_limit(double per_second);
     /// Announces that the host will leave.
@@ -123,7 +125,7 @@
     std::optional<replica_membership> membership;
     std::list<stream> streams;
     std::list<std::weak_ptr<caller_connection>> connections;
-    std::list<std::shared_ptr<caller_connection>> unanswered;
+    std::list<std::pair<std::shared_ptr<caller_connection>, incoming_request>> unanswered;
     std::optional<time_ms> stalled_since;
     static constexpr time_ms limit_window{4000};
     static constexpr time_ms limit_grace{3000}; ///< Arrivals count from then on.
