Gateway: a manifest under a version that a restored store gave up comes into force

If the operator used the version of a manifest that a restore had lost for another manifest, gateways that had the lost one in force ignored the new one: confirmed, but not in force, and its added route not served. Within an era no version has two texts, so the store's text now decides for the version in force; peers' texts of the same version are still ignored. A lower version never replaces a higher one: a confirmed manifest that the store has lost stays in force until a higher one is written.

Before, the new part of the e2e test failed: "it is served by all gateways within 2 s: expected 'yes', got ''".

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include "gateway/gateway_settings.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/loss_exchange.hpp"
+#include "gateway/manifest_source.hpp"
 #include "gateway/page_server.hpp"
 #include "gateway/permit_exchange.hpp"
 #include "gateway/relay_context.hpp"
@@ -91,11 +92,11 @@
         this->run_housekeeping();
     }
 
-    /// Puts a manifest in force if it is newer than the current one.
-    void set_manifest(relay_manifest manifest, const std::string& text, const char* source)
+    /// Puts a manifest in force if it replaces the current one; see `replaces_manifest`.
+    void set_manifest(relay_manifest manifest, const std::string& text, manifest_source source)
     {
-        const auto current = this->relay.routes ? this->relay.routes->manifest().version : 0;
-        if (manifest.version <= current) {
+        const auto current = this->manifest_version();
+        if (!replaces_manifest({manifest.version, text}, source, {current, this->manifest_text})) {
             return;
         }
         log_event(event::config_in_force, {{"version", manifest.version},
@@ -103,7 +104,7 @@
                                            {"routes", manifest.routes.size()},
                                            {"services", manifest.services.size()},
                                            {"customers", manifest.customers.size()},
-                                           {"source", source}});
+                                           {"source", name_of(source)}});
         this->manifest_text = text;
         this->relay.routes = std::make_shared<const route_table>(std::move(manifest));
         this->refresh();
--- a/test/e2e/restored_store_test.sh
+++ b/test/e2e/restored_store_test.sh
@@ -79,6 +79,14 @@
 wish "{\"host\":\"$lost\",\"do\":\"dark\"}"
 expect "a lost host is replaced" "$(wait_until 10 repaired 5 "$lost" && echo yes)" yes
 
+echo "== the operator uses the number of a lost manifest for another one"
+wish '{"manifest":9,"route":"/lost/"}'
+wait_until 2 in_force_everywhere 9
+restore 1500
+wish '{"manifest":9,"route":"/again/"}'
+served_everywhere() { [ "$(served "$1")" -eq "${#GATEWAYS[@]}" ]; }
+expect "it is served by all gateways within 2 s" "$(wait_until 2 served_everywhere /again/ && echo yes)" yes
+
 echo "== a gateway starts right after a restore"
 sleep 1
 open=$(replicas_open)
