Fleet: a host that is leaving stays so when a restored list shows it as ready

A copy from before a host reported that it is leaving shows it as ready, until the host writes its entry again. Gateways gave it new work meanwhile, and its replica was no longer replaced. A host that has reported that it leaves exits and never takes that back, so that only its next incarnation is ready again.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -66,16 +66,19 @@
         this->update_warm_model(current);
         return;
     }
+    auto listed = host;
+    // A host that leaves exits; only a restored list shows it as ready again.
+    listed.is_leaving = host.is_leaving || current.is_leaving;
     const auto report = this->fresh_reports.find(host.id);
     const bool is_newer_replica =
         host.part && report != this->fresh_reports.end() && host.part->generation > report->second.generation;
-    if (report == this->fresh_reports.end() || is_newer_replica || has_advanced(current.part, host.part)) {
+    if (report == this->fresh_reports.end() || is_newer_replica || has_advanced(current.part, listed.part)) {
         this->fresh_reports.erase(host.id);
-        this->apply_listed(current, host);
+        this->apply_listed(current, listed);
         return;
     }
-    report->second.latest_listed = host;
-    const auto status = std::exchange(current, host);
+    report->second.latest_listed = listed;
+    const auto status = std::exchange(current, listed);
     current.is_ordered = status.is_ordered;
     current.staged = status.staged;
     current.part = status.part;
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -219,6 +219,29 @@
     CHECK(fleet.view.find_host("d-h0")->part);
 }
 
+TEST_CASE("fleet view: a host that was leaving gets no work again when a restored list shows it as ready")
+{
+    view_fixture fleet;
+    auto leaving = fleet.hosts[3];
+    leaving.is_leaving = true;
+    fleet.view.set_host(leaving, start);
+    const auto has_report = GENERATE(true, false);
+    CAPTURE(has_report);
+    if (has_report) {
+        host_status status;
+        status.incarnation = leaving.incarnation;
+        status.part = leaving.part;
+        fleet.view.update_host(leaving.id, status, start + 50_ms);
+    }
+    fleet.view.set_host(fleet.hosts[3], start + 100_ms);
+    CHECK(fleet.view.find_host(leaving.id)->is_leaving);
+    fleet.view.expire_reports(start + 5_s);
+    CHECK(fleet.view.find_host(leaving.id)->is_leaving);
+    fleet.hosts[3].incarnation = 9999;
+    fleet.view.set_host(fleet.hosts[3], start + 6_s);
+    CHECK_FALSE(fleet.view.find_host(leaving.id)->is_leaving);
+}
+
 TEST_CASE("fleet view: a silent host that restarts is no longer silent")
 {
     view_fixture fleet;
