Replicas: a generation that hosts know from a lost record is not used again

If no gateway knew a record that a restore had lost, the next replicas of the domain got generations that its hosts had already seen. Hosts reject a join with a lower generation, or with the same one and other members, so that forming failed and was tried again. A new generation is now above the record's last one and those that hosts of the domain report. Hosts that have left their replica report none: open.

--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -249,12 +249,25 @@
     }
 }
 
+/// The highest generation that the record or a host of the domain knows. A host may know a higher one if the
+/// record was lost and an older one restored.
+std::uint64_t last_known_generation(const domain_view& view)
+{
+    auto last = view.record->last_generation;
+    for (const auto& host : view.hosts) {
+        last = std::max(last, host.part ? host.part->generation : 0);
+    }
+    return last;
+}
+
 /// Adds a replica of these hosts to the record. Returns its name.
-std::string add_replica(domain_record& record, std::span<const listed_host* const> hosts,
-                        const std::string& model, std::string_view name_prefix, replica_phase phase)
+std::string add_replica(domain_record& record, const domain_view& view,
+                        std::span<const listed_host* const> hosts, const std::string& model,
+                        std::string_view name_prefix, replica_phase phase)
 {
     replica_entry entry;
-    entry.generation = ++record.last_generation;
+    record.last_generation = std::max(record.last_generation, last_known_generation(view)) + 1;
+    entry.generation = record.last_generation;
     entry.name = std::string{name_prefix} + "-" + std::to_string(entry.generation);
     entry.model = model;
     entry.phase = phase;
@@ -340,7 +353,7 @@
     std::stable_sort(candidates.begin(), candidates.end(),
                      [&](const listed_host* a, const listed_host* b) { return readiness(a) > readiness(b); });
     candidates.resize(model.hosts_per_replica);
-    add_replica(record, candidates, model.name, name_prefix, replica_phase::forming);
+    add_replica(record, view, candidates, model.name, name_prefix, replica_phase::forming);
     return true;
 }
 
@@ -357,7 +370,8 @@
             return !is_staged(*host, model.name) || host->warm_model == model.name;
         });
         if (!candidates.empty()) {
-            added.push_back(add_replica(record, candidates, model.name, name_prefix, replica_phase::warming));
+            added.push_back(
+                add_replica(record, view, candidates, model.name, name_prefix, replica_phase::warming));
         }
     }
     return added;
--- a/test/replicas/domain_planner_test.cpp
+++ b/test/replicas/domain_planner_test.cpp
@@ -312,6 +312,19 @@
     CHECK_FALSE(form_replica(next, domain.view(), models[0], "d", true));
 }
 
+TEST_CASE("domain planner: a generation that hosts know from a record that was lost is not used again")
+{
+    domain_fixture domain;
+    domain.hosts[4].part = replica_part{"d-8", 8, host_phase::ready};
+    auto record = domain.record;
+    REQUIRE(form_replica(record, domain.view(), samples::two_models()[0], "d", true));
+    CHECK(record.replicas.back().generation == 9);
+    CHECK(record.last_generation == 9);
+    auto warming = domain.record;
+    REQUIRE_FALSE(add_warming_replicas(warming, domain.view(), samples::two_models(), "d").empty());
+    CHECK(warming.replicas.back().generation == 9);
+}
+
 TEST_CASE("domain planner: leaving and unresponsive hosts are not used for new replicas")
 {
     domain_fixture domain;
