--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -56,6 +56,7 @@
     table_back = 6002,
     host_list_unreachable = 6003,
     log_lines_dropped = 6004,
+    entry_rejected = 6005,
 };
 
 /// An entry of the event catalogue.
@@ -112,6 +113,7 @@
     event_entry{event::table_back, "table_back", log_level::info},
     event_entry{event::host_list_unreachable, "host_list_unreachable", log_level::warn},
     event_entry{event::log_lines_dropped, "log_lines_dropped", log_level::warn},
+    event_entry{event::entry_rejected, "entry_rejected", log_level::warn},
 };
 
 /// The catalogue entry of an event. Every event has one.
--- a/src/core/json_text.cpp
+++ b/src/core/json_text.cpp
@@ -1,5 +1,7 @@
 #include "core/json_text.hpp"
 
+#include <limits>
+
 namespace coriander {
 namespace {
 
@@ -64,7 +66,28 @@
 std::int64_t integer_member(const json_object& object, const char* name)
 {
     const auto* member = find_member(object, name);
-    return member != nullptr && member->is_number_integer() ? member->get<std::int64_t>() : 0;
+    if (member == nullptr || !member->is_number_integer()) {
+        return 0;
+    }
+    const bool is_too_large =
+        member->is_number_unsigned() &&
+        member->get<std::uint64_t>() > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    return is_too_large ? 0 : member->get<std::int64_t>();
+}
+
+std::optional<std::uint64_t> unsigned_member(const json_object& object, const char* name)
+{
+    const auto* member = find_member(object, name);
+    if (member == nullptr || !member->is_number_unsigned() ||
+        member->get<std::uint64_t>() > max_json_integer) {
+        return std::nullopt;
+    }
+    return member->get<std::uint64_t>();
+}
+
+bool has_odd_unsigned(const json_object& object, const char* name)
+{
+    return find_member(object, name) != nullptr && !unsigned_member(object, name);
 }
 
 double number_member(const json_object& object, const char* name)
--- a/src/replicas/domain_record.cpp
+++ b/src/replicas/domain_record.cpp
@@ -33,15 +33,16 @@
     const auto phase = parse_phase(text_member(text, "phase"));
     replica_entry entry{text_member(text, "name"),
                         text_member(text, "model"),
-                        static_cast<std::uint64_t>(integer_member(text, "generation")),
+                        unsigned_member(text, "generation").value_or(0),
                         phase.value_or(replica_phase::dissolving),
                         {}};
+    bool is_odd = has_odd_unsigned(text, "generation");
     for (const auto& host : array_member(text, "hosts")) {
+        is_odd = is_odd || has_odd_unsigned(host, "incarnation");
         entry.hosts.push_back({text_member(host, "id"), text_member(host, "address"),
-                               static_cast<std::uint64_t>(integer_member(host, "incarnation")),
-                               bool_member(host, "lost")});
+                               unsigned_member(host, "incarnation").value_or(0), bool_member(host, "lost")});
     }
-    if (!phase || entry.name.empty() || entry.hosts.empty()) {
+    if (is_odd || !phase || entry.name.empty() || entry.hosts.empty()) {
         return std::nullopt;
     }
     return entry;
@@ -81,13 +82,11 @@
 std::optional<domain_record> decode_domain(std::string_view text)
 {
     const auto parsed = parse_object(text);
-    if (!parsed || !parsed->contains("replicas")) {
+    if (!parsed || !parsed->contains("replicas") || has_odd_unsigned(*parsed, "last_generation")) {
         return std::nullopt;
     }
-    domain_record record{text_member(*parsed, "owner"),
-                         static_cast<std::uint64_t>(integer_member(*parsed, "last_generation")),
-                         {},
-                         {}};
+    domain_record record{
+        text_member(*parsed, "owner"), unsigned_member(*parsed, "last_generation").value_or(0), {}, {}};
     for (const auto& one : array_member(*parsed, "replicas")) {
         auto entry = decode_replica_entry(one);
         if (!entry) {
