--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -61,6 +61,7 @@
     log_lines_dropped = 6004,
     table_restored = 6005,
     table_reread = 6006,
+    entry_rejected = 6007,
 };
 
 /// An entry of the event catalogue.
@@ -122,6 +123,7 @@
     event_entry{event::log_lines_dropped, "log_lines_dropped", log_level::warn},
     event_entry{event::table_restored, "table_restored", log_level::warn},
     event_entry{event::table_reread, "table_reread", log_level::info},
+    event_entry{event::entry_rejected, "entry_rejected", log_level::warn},
 };
 
 /// The catalogue entry of an event. Every event has one.
