Targets that state in their responses that they leave get no new requests

A host that leaves may say so in its responses only (`Server-Leaving: 1`), while the host list shows it as ready, is old, or can't be read. Nothing read that header, so that gateways went on sending requests there until the list changed.

What hosts state about themselves is now kept in one place (`target_statements`), keyed by the host, its incarnation and its address: those to which the attempt was sent. It holds until the list shows another incarnation or another address, whatever else the list shows meanwhile. The target pool applies it at once; `fleet_view` counts the host as leaving, so that its replica retires and no other is formed with it. Each request is checked once more when it is sent: those with a permit that was issued before, moved streams and those that wait for a connection go elsewhere.

--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -4,6 +4,7 @@
 #include "coriander/relay/load_report.hpp"
 #include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/stall_detector.hpp"
+#include "coriander/relay/target_statements.hpp"
 #include "coriander/time_ms.hpp"
 
 #include <algorithm>
@@ -26,7 +27,8 @@
     std::string model; ///< Empty for plain services.
     std::uint64_t generation = 0;
     unsigned slots = 1;
-    double time_factor = 1.0; ///< Relative processing time of the model; smaller is faster.
+    double time_factor = 1.0;      ///< Relative processing time of the model; smaller is faster.
+    std::uint64_t incarnation = 0; ///< Of the host.
 };
 
 /// Why a target is temporarily out of rotation.
@@ -63,6 +65,14 @@
     /// new host or generation they keep only the number of requests.
     void set_targets(std::span<const relay_target> serving);
 
+    /// Observes what hosts state about themselves. `known` must outlive the pool.
+    void observe(const target_statements& known);
+    /// Applies the statements that have changed. Call it after each change.
+    void apply_statements();
+    /// Whether a request may be sent to the target that was selected earlier: it is still listed, and its
+    /// host has stated nothing against it.
+    [[nodiscard]] bool may_send(const relay_target& selected) const;
+
     /// Returns the least loaded target that may take the request, or nothing if there is none. `noise`, in
     /// [0, 1), randomizes the selection so that daemons with the same data do not all select the same target.
     [[nodiscard]] std::optional<target_choice> choose(const target_criteria& criteria, double noise,
@@ -150,6 +160,7 @@
         relay_target info;
         std::uint64_t key = 0; ///< Hash of the id and the generation.
         bool is_serving = false;
+        bool is_leaving = false; ///< As stated by the host itself.
         std::uint32_t own_requests = 0;
         load_estimate load{load_averaging_time};
         stall_detector stalls{};
@@ -173,10 +184,12 @@
     static void set_limit(target_state& target, double per_second, time_ms stated_at);
     /// The target's rate limit as it is passed on. Precondition: one has been stated.
     [[nodiscard]] static rate_limit limit_report(const target_state& target, time_ms now);
+    void apply_statements(target_state& target) const;
     [[nodiscard]] target_state* find(const std::string& id);
     [[nodiscard]] target_state* find_by_key(std::uint64_t key);
 
     std::map<std::string, target_state> targets;
+    const target_statements* statements = nullptr;
 };
 
 } // namespace coriander
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -61,6 +61,7 @@
         this->fresh_reports.erase(host.id);
         this->report_times.erase(host.id);
         current = host;
+        this->apply_statement(current);
         this->update_warm_model(current);
         return;
     }
@@ -79,6 +80,22 @@
     current.part = status.part;
     current.warm_model = status.warm_model;
     current.is_self_reported = true;
+    this->apply_statement(current);
+}
+
+void fleet_view::apply_statements()
+{
+    for (auto& [id, host] : this->known) {
+        this->changes += this->apply_statement(host) ? 1 : 0;
+    }
+}
+
+bool fleet_view::apply_statement(listed_host& host) const
+{
+    const bool applies = this->statements != nullptr && !host.is_leaving &&
+                         this->statements->is_leaving(key_of_host(host.id, host.incarnation, host.address));
+    host.is_leaving = host.is_leaving || applies;
+    return applies;
 }
 
 void fleet_view::remove_host(const std::string& id)
@@ -138,6 +155,7 @@
     auto warm_model = std::move(known.warm_model);
     known = listed;
     known.warm_model = std::move(warm_model);
+    this->apply_statement(known);
     this->update_warm_model(known);
 }
 
@@ -287,8 +305,15 @@
     if (!service.engine) {
         for (const auto& [id, host] : this->known) {
             if (host.service == service.name && !host.is_leaving && !this->is_silent(id)) {
-                targets.push_back(
-                    {id, id, host.address, host.failure_domain, {}, host.incarnation, host.slots, 1.0});
+                targets.push_back({id,
+                                   id,
+                                   host.address,
+                                   host.failure_domain,
+                                   {},
+                                   host.incarnation,
+                                   host.slots,
+                                   1.0,
+                                   host.incarnation});
             }
         }
         return targets;
@@ -302,7 +327,8 @@
             const auto* model = find_model(service, replica.model);
             const double factor = model == nullptr ? 1.0 : model->time_factor;
             targets.push_back({replica.name, leader->id, leader->address, leader->failure_domain,
-                               replica.model, replica.generation, service.engine->slots, factor});
+                               replica.model, replica.generation, service.engine->slots, factor,
+                               leader->incarnation});
         }
     }
     return targets;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -2,6 +2,7 @@
 
 #include "coriander/relay/relay_manifest.hpp"
 #include "coriander/relay/target_pool.hpp"
+#include "coriander/relay/target_statements.hpp"
 #include "coriander/replicas/domain_planner.hpp"
 #include "coriander/replicas/domain_record.hpp"
 #include "coriander/replicas/listed_host.hpp"
@@ -55,6 +56,14 @@
 /// the status reports of the hosts. Not thread-safe.
 class fleet_view {
 public:
+    fleet_view() = default;
+    /// A host that has stated that it leaves is leaving, whatever the list shows. `statements` must outlive
+    /// the view.
+    explicit fleet_view(const target_statements& statements) : statements{&statements} {}
+
+    /// Applies the statements that have changed. Call it after each change.
+    void apply_statements();
+
     /// Applies an entry of the platform's host list.
     void set_host(const listed_host& host, time_ms now);
     /// Removes a host that is no longer listed.
@@ -121,9 +130,12 @@
     /// Overwrites the known state of the host with its list entry, except the warm model, which the list does
     /// not contain.
     void apply_listed(listed_host& known, const listed_host& listed) const;
+    /// Returns whether the host has become leaving.
+    bool apply_statement(listed_host& host) const;
     /// If the host is ready in a replica, sets its warm model to the replica's model.
     void update_warm_model(listed_host& host) const;
 
+    const target_statements* statements = nullptr;
     std::map<std::string, listed_host> known;
     std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that stopped answering.
     std::map<domain_key, versioned_domain> records;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -71,6 +71,10 @@
         this->peers->set_permit_listener([this](const std::string& sender, const permit_message& message) {
             this->permits.receive(sender, message);
         });
+        this->relay.on_statement = [this] {
+            this->fleet.apply_statements();
+            this->schedule_control();
+        };
         this->relay.request_permit = [this](const rate_limit& limit, permit_exchange::on_decision done) {
             this->permits.request(limit, std::move(done));
         };
@@ -363,7 +367,7 @@
     relay_context relay;
     page_server pages;
     load_exchange loads{this->relay};
-    fleet_view fleet;
+    fleet_view fleet{this->relay.statements};
     fleet_controller<Io> control;
     stall_response<Io> stalls;
     loss_exchange<Io> losses;
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -7,6 +7,7 @@
 #include "coriander/relay/fleet_demand.hpp"
 #include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/route_table.hpp"
+#include "coriander/relay/target_statements.hpp"
 #include "gateway/relay_dialect.hpp"
 #include "gateway/service_state.hpp"
 #include "net/caller_connection.hpp"
@@ -41,6 +42,7 @@
     channel_pool channels;
     std::mt19937 random;
     std::shared_ptr<const route_table> routes; ///< Null until the first manifest has been received.
+    target_statements statements;
     std::map<std::string, service_state> services;
     retry_window_settings retry_settings;
     fleet_demand demand;
@@ -54,6 +56,8 @@
         [](const rate_limit&, const std::function<void(permit_decision)>& done) {
             done({true, {}});
         };
+    /// Called after a change of `statements`, which all targets already reflect.
+    std::function<void()> on_statement = [] {};
     /// Called with the host that closed the connection of a running request.
     std::function<void(const std::string&)> on_connection_closed = [](const std::string&) {};
     std::size_t daemons = 1; ///< Number of daemons that take callers' requests, including this one.
@@ -95,6 +99,7 @@
         const auto [entry, is_new] = this->services.try_emplace(name);
         if (is_new) {
             entry->second.retries = retry_window{this->retry_settings};
+            entry->second.board.observe(this->statements);
         }
         return entry->second;
     }
--- a/src/gateway/relay_dialect.hpp
+++ b/src/gateway/relay_dialect.hpp
@@ -14,6 +14,7 @@
     std::string expected_host = "Coriander-Host";      ///< Only the host with this id may serve the request.
     std::string host_load = "Coriander-Load";          ///< `running,waiting,slots` in a target's responses.
     std::string rate_limit = "Coriander-Limit";        ///< Requests per second that the target takes in all.
+    std::string leaving = "Coriander-Leaving";         ///< `1` in all responses of a target that will stop.
     std::string not_run = "Coriander-Not-Run";         ///< Set by a target that did not run the request.
     std::string model = "Coriander-Model";             ///< The requested model.
     std::string token_counts = "Coriander-Tokens";     ///< `prompt,maximum answer`, in tokens.
--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -87,6 +87,15 @@
                                       {"wait", decision.wait}});
 }
 
+void log_redirect(const relay_request& request, const target_choice& choice)
+{
+    log_event(event::request_redirected, {{"request", request.attempt_id},
+                                          {"target", choice.target.id},
+                                          {"host", choice.target.host},
+                                          {"generation", choice.target.generation},
+                                          {"incarnation", choice.target.incarnation}});
+}
+
 void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
                 std::optional<std::uint64_t> after_event)
 {
--- a/src/gateway/relay_events.hpp
+++ b/src/gateway/relay_events.hpp
@@ -49,6 +49,8 @@
                  const admission_decision& advice, std::size_t targets, double supply);
 void log_quarantined(const relay_request& request, unsigned attempts_sent, time_ms retry_after);
 void log_permit(const relay_request& request, const target_choice& choice, permit_decision decision);
+/// Logs that a request is not sent to the selected target, which may not get it any more.
+void log_redirect(const relay_request& request, const target_choice& choice);
 void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
                 std::optional<std::uint64_t> after_event);
 void log_attempt_end(const relay_request& request, const attempt_report& report);
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay_session.hpp"
 
 #include "gateway/relay_events.hpp"
+#include "gateway/statement_intake.hpp"
 #include "gateway/target_answer.hpp"
 #include "runtime/log.hpp"
 
@@ -153,10 +154,10 @@
     this->state->board.defer(choice.target.id, now + decision.wait);
     this->permit_wait =
         this->denied_permits++ == 0 ? decision.wait : std::min(this->permit_wait, decision.wait);
-    this->on_permit_denied();
+    this->choose_again();
 }
 
-void relay_session::on_permit_denied()
+void relay_session::choose_again()
 {
     if (!this->last_end) {
         this->try_admit();
@@ -193,6 +194,11 @@
 void relay_session::dispatch(const target_choice& choice)
 {
     const auto now = this->context.clock.now();
+    if (!this->state->board.may_send(choice.target)) {
+        log_redirect(this->request, choice);
+        this->choose_again();
+        return;
+    }
     this->release_buffer();
     this->current = {};
     this->current.choice = choice;
@@ -247,6 +253,7 @@
 {
     this->current.has_begun = true;
     this->current.begun_at = this->context.clock.now();
+    record_statements(this->context, this->current.choice.target, head);
     this->state->board.on_rate_limit(this->current.choice.target.id,
                                      parse_rate_limit(head.header(this->context.dialect.rate_limit)),
                                      this->current.begun_at);
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -36,6 +36,12 @@
     /// Ends the request if it has been quarantined since it was sent and its response has not started.
     void end_if_quarantined();
 
+    /// Whether the request waits for a connection to its target, so that nothing has been sent.
+    [[nodiscard]] bool is_unsent() const;
+
+    /// Sends a request that waits for a connection to another target if its target may no longer get it.
+    void withdraw_if_forbidden();
+
     /// Whether the caller has received part of a streamed response.
     [[nodiscard]] bool has_begun() const noexcept { return this->stream.has_begun(); }
 
@@ -74,7 +80,8 @@
     /// available.
     void send_to(const target_choice& choice);
     void on_permit(const target_choice& choice, permit_decision decision);
-    void on_permit_denied();
+    /// Selects another target, after the selected one may not get the request.
+    void choose_again();
     /// Ends the request, whose attempts so far have failed or that has not been sent at all.
     void end_without_target();
     /// Moves the request to a target with a rate limit once it has a permit; stays where it is without one.
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -84,6 +84,18 @@
     this->end_attempt(attempt_end::lost, "the request was quarantined while it waited");
 }
 
+bool relay_session::is_unsent() const
+{
+    return this->current.is_open && this->current.channel && !this->current.channel->is_connected();
+}
+
+void relay_session::withdraw_if_forbidden()
+{
+    if (!this->has_ended && this->is_unsent() && !this->state->board.may_send(this->current.choice.target)) {
+        this->end_attempt(attempt_end::not_sent, "the target takes no requests now");
+    }
+}
+
 void relay_session::end_trial(attempt_end end)
 {
     if (end == attempt_end::not_sent || end == attempt_end::declined) {
@@ -214,6 +226,10 @@
 void relay_session::on_move_permit(const target_choice& choice, permit_decision decision, const char* reason)
 {
     log_permit(this->request, choice, decision);
+    if (!this->state->board.may_send(choice.target)) {
+        log_redirect(this->request, choice);
+        return;
+    }
     if (!decision.is_granted) {
         this->state->board.defer(choice.target.id, this->context.clock.now() + decision.wait);
         return;
--- /dev/null
+++ b/src/gateway/statement_intake.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "coriander/relay/target_pool.hpp"
+#include "gateway/relay_context.hpp"
+#include "net/message_head.hpp"
+
+namespace coriander {
+
+/// Records what the target's host states about itself in a response, and applies it to all targets at once.
+/// `target` is the one to which the attempt was sent: the host list may show another incarnation by now. Must
+/// be called on the event loop's thread.
+void record_statements(relay_context& context, const relay_target& target, const message_head& head);
+
+} // namespace coriander
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -21,6 +21,7 @@
         target.info = info;
         target.key = stable_hash(info.id, info.generation);
         target.is_serving = true;
+        this->apply_statements(target);
     }
     std::erase_if(this->targets,
                   [](const auto& item) { return !item.second.is_serving && item.second.own_requests == 0; });
@@ -28,7 +29,42 @@
 
 bool target_pool::is_usable(const target_state& target, std::string_view model, time_ms now)
 {
-    return target.is_serving && target.info.model == model && now >= target.suspended_until;
+    return target.is_serving && !target.is_leaving && target.info.model == model &&
+           now >= target.suspended_until;
+}
+
+void target_pool::observe(const target_statements& known)
+{
+    this->statements = &known;
+    this->apply_statements();
+}
+
+void target_pool::apply_statements()
+{
+    for (auto& [id, target] : this->targets) {
+        this->apply_statements(target);
+    }
+}
+
+void target_pool::apply_statements(target_state& target) const
+{
+    if (this->statements == nullptr) {
+        return;
+    }
+    const auto host = key_of_host(target.info.host, target.info.incarnation, target.info.address);
+    target.is_leaving = this->statements->is_leaving(host);
+}
+
+bool target_pool::may_send(const relay_target& selected) const
+{
+    const auto found = this->targets.find(selected.id);
+    if (found == this->targets.end() || !found->second.is_serving) {
+        return false;
+    }
+    const auto& target = found->second;
+    return target.info.generation == selected.generation && target.info.host == selected.host &&
+           target.info.incarnation == selected.incarnation && target.info.address == selected.address &&
+           !target.is_leaving;
 }
 
 double target_pool::expected_other_requests(const target_criteria& criteria, time_ms now) const
--- /dev/null
+++ b/src/relay/target_statements.cpp
@@ -0,0 +1,41 @@
+#include "coriander/relay/target_statements.hpp"
+
+#include "coriander/digest.hpp"
+
+#include <algorithm>
+
+namespace coriander {
+
+host_key key_of_host(std::string_view id, std::uint64_t incarnation, std::string_view address)
+{
+    return stable_hash(address, stable_hash(id, incarnation));
+}
+
+bool target_statements::on_leaving(host_key host, time_ms now)
+{
+    auto& entry = this->entry_of(host, now);
+    const bool is_new = !entry.is_leaving;
+    entry.is_leaving = true;
+    return is_new;
+}
+
+bool target_statements::is_leaving(host_key host) const
+{
+    const auto found = this->hosts.find(host);
+    return found != this->hosts.end() && found->second.is_leaving;
+}
+
+target_statements::host_statement& target_statements::entry_of(host_key host, time_ms now)
+{
+    if (this->hosts.size() >= max_hosts && !this->hosts.contains(host)) {
+        this->hosts.erase(
+            std::min_element(this->hosts.begin(), this->hosts.end(), [](const auto& a, const auto& b) {
+                return a.second.stated_at < b.second.stated_at;
+            }));
+    }
+    auto& entry = this->hosts[host];
+    entry.stated_at = now;
+    return entry;
+}
+
+} // namespace coriander
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -212,6 +212,61 @@
     CHECK(view.targets_of(desk).size() == 2);
 }
 
+TEST_CASE("fleet view: a host that stated that it leaves is leaving whatever the list shows afterwards")
+{
+    target_statements statements;
+    fleet_view view{statements};
+    auto hosts = samples::free_hosts_of("d", 4, "large");
+    const auto replica = samples::replica_of(hosts, "d-1", 1, replica_phase::open);
+    for (const auto& host : hosts) {
+        view.set_host(host, start);
+    }
+    view.set_domain({"assistant", "d"}, {"edge", 1, {replica}, {}}, 10);
+    const auto before = view.change_count();
+    auto& member = hosts[2];
+    statements.on_leaving(key_of_host(member.id, member.incarnation, member.address), start);
+    view.apply_statements();
+    CHECK(view.change_count() != before);
+    CHECK(view.targets_of(samples::assistant()).empty()); // The whole replica.
+    SECTION("the list still shows it as ready")
+    {
+        view.set_host(member, start + 1_s);
+    }
+    SECTION("its own report takes precedence over the list, and expires")
+    {
+        auto status = status_of_free_host();
+        status.incarnation = member.incarnation;
+        status.part = member.part;
+        view.update_host(member.id, status, start + 1_s);
+        view.set_host(member, start + 2_s);
+        CHECK(view.find_host(member.id)->is_leaving);
+        view.expire_reports(start + 10_s);
+    }
+    SECTION("the list lost it, and shows it again")
+    {
+        view.remove_host(member.id);
+        view.set_host(member, start + 60_s);
+    }
+    SECTION("a new incarnation, and then an old copy of the list")
+    {
+        auto next = member;
+        next.incarnation += 1000;
+        view.set_host(next, start + 1_s);
+        CHECK_FALSE(view.find_host(member.id)->is_leaving);
+        view.set_host(member, start + 2_s);
+    }
+    SECTION("another address, and then an old copy of the list")
+    {
+        auto next = member;
+        next.address = "127.0.0.1:9999";
+        view.set_host(next, start + 1_s);
+        CHECK_FALSE(view.find_host(member.id)->is_leaving);
+        view.set_host(member, start + 2_s);
+    }
+    CHECK(view.find_host(member.id)->is_leaving);
+    CHECK(view.targets_of(samples::assistant()).empty());
+}
+
 TEST_CASE("fleet view: row keys consist of service and domain")
 {
     CHECK(parse_domain_key("a/b/c") == domain_key{"a", "b/c"});
--- a/testing/platform/standin_fleet_main.cpp
+++ b/testing/platform/standin_fleet_main.cpp
@@ -103,10 +103,12 @@
             }));
     }
 
-    /// `POST /fault` with `{"host":ID,"do":"dark"|"restart"|"drain"|"pause"|"wake"}`,
+    /// `POST /fault` with `{"host":ID,"do":"dark"|"restart"|"drain"|"pause"|"wake"|"leave"}`,
+    /// where "leave" is stated in responses only,
     /// `{"store":"sound"|"busy"|"silent"}`, `{"lose_answers":N}`, `{"forget_history":true}`,
     /// `{"manifest":VERSION}`, `{"crashing_part":ID}` or `{"limit":PER_SECOND,"domains":PREFIXES}`, which
-    /// sets the rate limit of the hosts whose ids begin with one of the prefixes; `GET /status`.
+    /// sets the rate limit of the hosts whose ids begin with one of the prefixes, or
+    /// `{"pause":SECONDS,"times":N,"domains":PREFIXES}`, which makes them turn requests away; `GET /status`.
     void handle_command(caller_connection& caller, const incoming_request& request)
     {
         if (request.head.target == "/status") {
@@ -121,6 +123,7 @@
             : action == "restart" ? host->second->restart()
             : action == "pause"   ? host->second->pause()
             : action == "wake"    ? host->second->resume()
+            : action == "leave"   ? host->second->statements().leave()
                                   : host->second->drain();
         }
         const auto mode = text_member(command, "store");
@@ -137,6 +140,12 @@
             this->set_rate_limit(command["limit"].get<double>(),
                                  command.value("domains", std::vector<std::string>{}));
         }
+        if (command.contains("pause")) {
+            const time_ms length{static_cast<std::int64_t>(command["pause"].get<double>() * 1000.0)};
+            const auto times = static_cast<unsigned>(integer_member(command, "times"));
+            this->for_hosts(command.value("domains", std::vector<std::string>{}),
+                            [&](standin_host& one) { one.statements().pause(length, times); });
+        }
         if (command.contains("crashing_part")) {
             this->fleet.crashing_part = text_member(command, "crashing_part");
         }
@@ -149,10 +158,17 @@
     void set_rate_limit(double per_second, const std::vector<std::string>& prefixes)
     {
         this->fleet.most_arrivals = 0;
+        this->for_hosts(prefixes, [&](standin_host& host) { host.set_rate_limit(per_second); });
+    }
+
+    /// Calls the function for the hosts whose ids begin with one of the prefixes.
+    template <typename Function>
+    void for_hosts(const std::vector<std::string>& prefixes, Function function)
+    {
         for (const auto& [id, host] : this->fleet.hosts) {
             if (std::any_of(prefixes.begin(), prefixes.end(),
                             [&, name = id](const std::string& prefix) { return name.starts_with(prefix); })) {
-                host->set_rate_limit(per_second);
+                function(*host);
             }
         }
     }
@@ -167,6 +183,12 @@
                 leaders.push_back(id);
             }
         }
+        std::size_t late_arrivals = 0;
+        std::size_t early_arrivals = 0;
+        for (const auto& [id, host] : this->fleet.hosts) {
+            late_arrivals += host->statements().late_arrivals();
+            early_arrivals = std::max(early_arrivals, host->statements().early_arrivals());
+        }
         unsigned duplicate_bookings = 0;
         for (const auto& [attempt, count] : this->fleet.run_counts) {
             duplicate_bookings += attempt.starts_with("book") && count > 1 ? 1 : 0;
@@ -176,6 +198,8 @@
                 {"bookings_run_twice", duplicate_bookings},
                 {"joined_while_open", this->fleet.joined_while_open},
                 {"most_arrivals", this->fleet.most_arrivals},
+                {"late_arrivals", late_arrivals},
+                {"early_arrivals", early_arrivals},
                 {"crashes", this->fleet.crashes},
                 {"crashing_arrivals", this->fleet.crashing_arrivals},
                 {"runs", this->fleet.run_counts.size()}};
--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -13,6 +13,7 @@
 constexpr int conflict_status = 409;
 constexpr int precondition_failed_status = 412;
 constexpr int misdirected_status = 421;
+constexpr int unavailable_status = 503;
 
 std::chrono::milliseconds to_chrono(time_ms length)
 {
@@ -135,6 +136,7 @@
     this->orders_accepted = 0;
     this->membership.reset();
     this->staged.clear();
+    this->own_statements.clear();
     for (const auto& caller : std::exchange(this->unanswered, {})) {
         caller->abort();
     }
@@ -301,6 +303,16 @@
         headers.push_back({"Server-Limit", std::to_string(this->rate_limit)});
     }
     this->count_arrival();
+    const auto pause = this->own_statements.on_request(this->clock.now());
+    if (this->own_statements.is_leaving()) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
+    if (pause > time_ms{}) {
+        headers.push_back({"Not-Executed", "1"});
+        headers.push_back({"Retry-After", std::to_string(pause.seconds())});
+        caller->send(unavailable_status, headers, {});
+        return;
+    }
     if (this->domain.empty()) {
         ++this->fleet.run_counts[attempt];
         caller->send(ok_status, headers, "done " + attempt);
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -3,6 +3,7 @@
 #include "core/json_text.hpp"
 #include "coriander/clock.hpp"
 #include "net/http_listener.hpp"
+#include "platform/standin_statements.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -68,6 +69,8 @@
     void resume() { this->is_unresponsive = false; }
     /// States a rate limit in all responses; zero ends it. Counts arrivals in windows of `limit_window`.
     void set_rate_limit(double per_second);
+    /// What the host states about itself in its responses only.
+    [[nodiscard]] standin_statements& statements() noexcept { return this->own_statements; }
     /// Announces that the host will leave.
     void drain();
 
@@ -127,6 +130,7 @@
     std::optional<time_ms> stalled_since;
     static constexpr time_ms limit_window{4000};
     static constexpr time_ms limit_grace{3000}; ///< Arrivals count from then on.
+    standin_statements own_statements;
     double rate_limit = 0.0;
     time_ms limited_since;
     std::deque<time_ms> arrivals;
