Targets that turn requests away for a stated time get none until it is over

A target may answer 503 with `Retry-After`: it wants no requests for so long. Nothing read that; a target that declined a request got the next one after 150 ms.

The wait is kept with the other statements of hosts, and applied to all targets at once; nothing is sent there until it is over: first attempts, retries, resumes, moved streams, and requests with a permit that was issued before, each checked when it is sent. After the end each daemon returns at a random time within a quarter of the wait, so that they don't return together. If all targets of a service or model say so, a caller is refused at once with the time until the first of them returns. A 503 without the header is handled as before, and so is the question whether the request has run. The random part of Retry-After, half of it, is at most 1 s now, so that a long wait stays an honest one.

--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -71,7 +71,9 @@
     void apply_statements();
     /// Whether a request may be sent to the target that was selected earlier: it is still listed, and its
     /// host has stated nothing against it.
-    [[nodiscard]] bool may_send(const relay_target& selected) const;
+    [[nodiscard]] bool may_send(const relay_target& selected, time_ms now) const;
+    /// If all targets of the model want no requests for a while: when the first of them may get some again.
+    [[nodiscard]] std::optional<time_ms> end_of_pauses(std::string_view model, time_ms now) const;
 
     /// Returns the least loaded target that may take the request, or nothing if there is none. `noise`, in
     /// [0, 1), randomizes the selection so that daemons with the same data do not all select the same target.
@@ -161,6 +163,7 @@
         std::uint64_t key = 0; ///< Hash of the id and the generation.
         bool is_serving = false;
         bool is_leaving = false; ///< As stated by the host itself.
+        time_ms paused_until;    ///< The same.
         std::uint32_t own_requests = 0;
         load_estimate load{load_averaging_time};
         stall_detector stalls{};
--- a/include/coriander/relay/target_statements.hpp
+++ b/include/coriander/relay/target_statements.hpp
@@ -29,12 +29,30 @@
     /// Whether the host has stated that it leaves.
     [[nodiscard]] bool is_leaving(host_key host) const;
 
+    /// Records that the host wants no requests for `wait` from `now` on. A longer wait that it has stated
+    /// before stays. `noise`, in [0, 1), says how long after its end this daemon sends requests again: the
+    /// daemons return one after the other. Returns whether the end changes.
+    bool on_pause(host_key host, time_ms wait, double noise, time_ms now);
+
+    /// When this daemon may send requests to the host again; a time in the past if it has stated no wait.
+    [[nodiscard]] time_ms paused_until(host_key host) const;
+
     /// The number of hosts with a statement.
     [[nodiscard]] std::size_t size() const noexcept { return this->hosts.size(); }
 
 private:
+    /// The longest time over which daemons return, as a fraction of the wait, and its bounds. A daemon's
+    /// requests take some 100 ms to show in the load that others see.
+    static constexpr std::int64_t wait_per_spread = 4;
+    static constexpr time_ms min_spread{100};
+    static constexpr time_ms max_spread{1000};
+    /// Longer waits count as this long, so that sums of times don't overflow.
+    static constexpr time_ms max_wait{1'000'000'000'000};
+
     struct host_statement {
         time_ms stated_at; ///< The last time.
+        time_ms pause_end; ///< As stated.
+        time_ms share;     ///< Of the spread; this daemon waits so much longer.
         bool is_leaving = false;
     };
 
--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -29,18 +29,18 @@
 
 } // namespace
 
-void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
-                 const admission_decision& advice, std::size_t targets, double supply)
+void log_refusal(const relay_request& request, local_reply reply, const std::optional<target_choice>& best,
+                 const refusal_report& report)
 {
     log_event(event::request_refused, {{"request", request.attempt_id},
-                                       {"why", best ? "overloaded" : "no_target"},
+                                       {"why", name_of(reply)},
                                        {"model", request.model},
-                                       {"targets", targets},
+                                       {"targets", report.targets},
                                        {"load", best ? best->total() : 0.0},
                                        {"slots", best ? best->target.slots : 0},
-                                       {"supply", supply},
-                                       {"wait", advice.predicted_wait},
-                                       {"retry_after", advice.retry_after}});
+                                       {"supply", report.supply},
+                                       {"wait", report.predicted_wait},
+                                       {"retry_after", report.retry_after}});
 }
 
 void log_quarantined(const relay_request& request, unsigned attempts_sent, time_ms retry_after)
--- a/src/gateway/relay_events.hpp
+++ b/src/gateway/relay_events.hpp
@@ -44,9 +44,17 @@
     std::optional<double> reported_load; ///< By that target, in its response.
 };
 
+/// Why a request was refused, for its log line.
+struct refusal_report {
+    time_ms predicted_wait; ///< In the selected target's queue.
+    time_ms retry_after;
+    std::size_t targets; ///< That take requests now.
+    double supply;       ///< Capacity of the targets as a multiple of the demand.
+};
+
 /// Write one log line for each decision on a request. Thread-safe.
-void log_refusal(const relay_request& request, const std::optional<target_choice>& best,
-                 const admission_decision& advice, std::size_t targets, double supply);
+void log_refusal(const relay_request& request, local_reply reply, const std::optional<target_choice>& best,
+                 const refusal_report& report);
 void log_quarantined(const relay_request& request, unsigned attempts_sent, time_ms retry_after);
 void log_permit(const relay_request& request, const target_choice& choice, permit_decision decision);
 /// Logs that a request is not sent to the selected target, which may not get it any more.
--- a/src/gateway/relay_request.cpp
+++ b/src/gateway/relay_request.cpp
@@ -161,9 +161,9 @@
 
 const char* name_of(local_reply reply) noexcept
 {
-    constexpr std::array names{"none",       "no_manifest", "no_route",    "unknown_key",
-                               "no_service", "quarantined", "no_target",   "overloaded",
-                               "stopping",   "not_sent",    "unknown_end", "timed_out"};
+    constexpr std::array names{"none",        "no_manifest", "no_route", "unknown_key", "no_service",
+                               "quarantined", "no_target",   "paused",   "overloaded",  "stopping",
+                               "not_sent",    "unknown_end", "timed_out"};
     return names[static_cast<std::size_t>(reply)];
 }
 
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -23,6 +23,7 @@
     no_service,  ///< The manifest doesn't declare the route's service.
     quarantined, ///< Requests like it crash their targets.
     no_target,   ///< No target of the service or model is available.
+    paused,      ///< All targets have stated that they want no requests for a while.
     overloaded,  ///< The response would come too late, or demand exceeds capacity.
     stopping,    ///< The gateway is shutting down.
     not_sent,    ///< All attempts failed before a target ran the request.
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -113,10 +113,15 @@
     const auto advice = forecast_admission(input);
     if (!advice.is_admitted) {
         meter.on_refused(now);
-        log_refusal(this->request, best, advice, targets, input.supply);
+        const auto pause = best ? time_ms{} : this->pause_left();
+        const bool is_paused = pause > time_ms{};
         const bool has_target = best || this->denied_permits > 0;
-        this->send_local_reply(has_target ? local_reply::overloaded : local_reply::no_target,
-                               std::max(this->permit_wait, advice.retry_after));
+        const auto reply = is_paused    ? local_reply::paused
+                           : has_target ? local_reply::overloaded
+                                        : local_reply::no_target;
+        const auto wait = is_paused ? pause : advice.retry_after;
+        log_refusal(this->request, reply, best, {advice.predicted_wait, wait, targets, input.supply});
+        this->send_local_reply(reply, std::max(this->permit_wait, wait));
         return;
     }
     this->send_to(*best);
@@ -180,21 +185,31 @@
     this->execute(decide_next(*this->last_end), std::nullopt);
 }
 
-std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded)
+std::string_view relay_session::target_model() const
 {
     const auto* service = this->request.routes->find_service(this->request.service);
-    const std::string_view model =
-        service->engine ? std::string_view{this->request.model} : std::string_view{};
+    return service->engine ? std::string_view{this->request.model} : std::string_view{};
+}
+
+time_ms relay_session::pause_left() const
+{
+    const auto now = this->context.clock.now();
+    const auto end = this->state->board.end_of_pauses(this->target_model(), now);
+    return end ? *end - now : time_ms{};
+}
+
+std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded)
+{
     const bool excludes_limited = this->denied_permits >= max_denied_permits;
-    return this->state->board.choose(
-        {model, this->context.failure_domain, excluded, this->context.daemons, excludes_limited},
-        this->context.draw(), this->context.clock.now());
+    return this->state->board.choose({this->target_model(), this->context.failure_domain, excluded,
+                                      this->context.daemons, excludes_limited},
+                                     this->context.draw(), this->context.clock.now());
 }
 
 void relay_session::dispatch(const target_choice& choice)
 {
     const auto now = this->context.clock.now();
-    if (!this->state->board.may_send(choice.target)) {
+    if (!this->state->board.may_send(choice.target, now)) {
         log_redirect(this->request, choice);
         this->choose_again();
         return;
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -97,6 +97,9 @@
     void forward_events(std::string_view bytes);
     [[nodiscard]] bool is_event_stream() const;
     [[nodiscard]] std::string_view prompt_parts() const;
+    /// If all targets that could take the request want none for a while: how long that lasts. Else zero.
+    [[nodiscard]] time_ms pause_left() const;
+    [[nodiscard]] std::string_view target_model() const;
     void on_response_complete();
     void end_attempt(attempt_end end, const char* reason);
     void close_attempt(bool is_failure);
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -4,6 +4,7 @@
 #include "gateway/target_answer.hpp"
 #include "runtime/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Ends of attempts and requests; relay_session.cpp has their start.
@@ -18,6 +19,7 @@
 constexpr time_ms declined_backoff = 150_ms;
 /// Jitter of the retry delay, as a fraction of it, so that callers rejected together don't retry together.
 constexpr double retry_jitter = 0.5;
+constexpr double max_retry_jitter_ms = 1000.0;
 
 } // namespace
 
@@ -91,7 +93,8 @@
 
 void relay_session::withdraw_if_forbidden()
 {
-    if (!this->has_ended && this->is_unsent() && !this->state->board.may_send(this->current.choice.target)) {
+    if (!this->has_ended && this->is_unsent() &&
+        !this->state->board.may_send(this->current.choice.target, this->context.clock.now())) {
         this->end_attempt(attempt_end::not_sent, "the target takes no requests now");
     }
 }
@@ -163,7 +166,7 @@
             this->refuse_quarantined();
             return;
         }
-        this->send_local_reply(local_reply::not_sent, short_retry_delay);
+        this->send_local_reply(local_reply::not_sent, std::max(short_retry_delay, this->pause_left()));
         return;
     case next_step::pass_failure:
         this->forward_response();
@@ -226,7 +229,7 @@
 void relay_session::on_move_permit(const target_choice& choice, permit_decision decision, const char* reason)
 {
     log_permit(this->request, choice, decision);
-    if (!this->state->board.may_send(choice.target)) {
+    if (!this->state->board.may_send(choice.target, this->context.clock.now())) {
         log_redirect(this->request, choice);
         return;
     }
@@ -242,10 +245,9 @@
 void relay_session::send_local_reply(local_reply reply, time_ms retry_after)
 {
     const int status = status_of(reply);
-    const double factor = 1.0 + retry_jitter * this->context.draw();
-    const time_ms jittered_delay{
-        static_cast<std::int64_t>(static_cast<double>(retry_after.count()) * factor)};
-    auto headers = local_reply_headers(reply, this->request, this->context.dialect, jittered_delay);
+    const auto range = std::min(retry_jitter * static_cast<double>(retry_after.count()), max_retry_jitter_ms);
+    const time_ms jitter{static_cast<std::int64_t>(range * this->context.draw())};
+    auto headers = local_reply_headers(reply, this->request, this->context.dialect, retry_after + jitter);
     this->caller->send(status, std::move(headers), {});
     this->finish(name_of(reply), status);
 }
--- a/src/gateway/statement_intake.cpp
+++ b/src/gateway/statement_intake.cpp
@@ -11,6 +11,9 @@
 namespace coriander {
 namespace {
 
+constexpr int unavailable_status = 503;
+constexpr std::string_view retry_after_header = "Retry-After";
+
 /// Applies the statements to all targets. Requests that wait for a connection to a target that may get none
 /// now go to another one.
 void apply_statements(relay_context& context)
@@ -32,13 +35,14 @@
     context.on_statement();
 }
 
-void log_statement(const relay_target& target, const char* says)
+void log_statement(const relay_target& target, const char* says, time_ms wait)
 {
     log_event(event::statement_received, {{"target", target.id},
                                           {"host", target.host},
                                           {"incarnation", target.incarnation},
                                           {"address", target.address},
                                           {"says", says},
+                                          {"wait", wait},
                                           {"source", "response"}});
 }
 
@@ -51,23 +55,51 @@
                                          {"value", value.substr(0, max_logged_bytes)}});
 }
 
-} // namespace
-
-void record_statements(relay_context& context, const relay_target& target, const message_head& head)
+/// Records whether the target leaves. Returns whether that was not known.
+bool record_leaving(relay_context& context, host_key key, const relay_target& target,
+                    const message_head& head)
 {
     const auto& header = context.dialect.leaving;
     const auto text = head.header(header);
-    if (text.empty()) {
-        return;
-    }
-    if (text != "1") {
+    if (!text.empty() && text != "1") {
         log_ignored(target, header, text);
-        return;
     }
+    if (text != "1" || !context.statements.on_leaving(key, context.clock.now())) {
+        return false;
+    }
+    log_statement(target, "leaving", {});
+    context.counters.add("coriander_statements_total", "says=\"leaving\",source=\"response\"");
+    return true;
+}
+
+/// Records for how long the target wants no requests. Returns whether that differs from what was known.
+bool record_pause(relay_context& context, host_key key, const relay_target& target, const message_head& head)
+{
+    const auto text = head.header(retry_after_header);
+    if (head.status != unavailable_status || text.empty()) {
+        return false;
+    }
+    const auto wait = parse_retry_after(text);
+    if (!wait) {
+        log_ignored(target, retry_after_header, text);
+        return false;
+    }
+    if (*wait == time_ms{} || !context.statements.on_pause(key, *wait, context.draw(), context.clock.now())) {
+        return false;
+    }
+    log_statement(target, "pause", *wait);
+    context.counters.add("coriander_statements_total", "says=\"pause\",source=\"response\"");
+    return true;
+}
+
+} // namespace
+
+void record_statements(relay_context& context, const relay_target& target, const message_head& head)
+{
     const auto key = key_of_host(target.host, target.incarnation, target.address);
-    if (context.statements.on_leaving(key, context.clock.now())) {
-        log_statement(target, "leaving");
-        context.counters.add("coriander_statements_total", "says=\"leaving\",source=\"response\"");
+    const bool is_new_leaving = record_leaving(context, key, target, head);
+    const bool is_new_pause = record_pause(context, key, target, head);
+    if (is_new_leaving || is_new_pause) {
         apply_statements(context);
     }
 }
--- a/src/gateway/target_answer.cpp
+++ b/src/gateway/target_answer.cpp
@@ -1,6 +1,8 @@
 #include "gateway/target_answer.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace coriander {
 namespace {
@@ -33,6 +35,20 @@
     return is_valid && per_second > 0.0 ? std::optional{per_second} : std::nullopt;
 }
 
+std::optional<time_ms> parse_retry_after(std::string_view text)
+{
+    constexpr double ms_per_second = 1000.0;
+    constexpr double max_seconds = 1e12;
+    double seconds = 0.0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    const bool is_number = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    if (!is_number || !std::isfinite(seconds) || seconds < 0.0) {
+        return std::nullopt;
+    }
+    // Rounded up: a request must not come too early.
+    return time_ms{static_cast<std::int64_t>(std::ceil(std::min(seconds, max_seconds) * ms_per_second))};
+}
+
 std::vector<http_header> forwarded_response_headers(const message_head& head)
 {
     std::vector<http_header> headers;
--- a/src/gateway/target_answer.hpp
+++ b/src/gateway/target_answer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coriander/relay/attempt_decision.hpp"
+#include "coriander/time_ms.hpp"
 #include "gateway/relay_dialect.hpp"
 #include "net/message_head.hpp"
 
@@ -23,6 +24,9 @@
 /// Parses a rate limit in requests per second; empty if the text is not a positive number.
 [[nodiscard]] std::optional<double> parse_rate_limit(std::string_view text);
 
+/// Parses a number of seconds, whole or with a fraction; empty if the text is none, such as a date.
+[[nodiscard]] std::optional<time_ms> parse_retry_after(std::string_view text);
+
 /// The outcome of the attempt with this id if the response head rules out success: `lost` if the response
 /// does not belong to the attempt, `declined` if the target did not run the request, `failed` if it did and
 /// returned an error. Empty otherwise.
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -30,7 +30,7 @@
 bool target_pool::is_usable(const target_state& target, std::string_view model, time_ms now)
 {
     return target.is_serving && !target.is_leaving && target.info.model == model &&
-           now >= target.suspended_until;
+           now >= std::max(target.suspended_until, target.paused_until);
 }
 
 void target_pool::observe(const target_statements& known)
@@ -53,9 +53,10 @@
     }
     const auto host = key_of_host(target.info.host, target.info.incarnation, target.info.address);
     target.is_leaving = this->statements->is_leaving(host);
+    target.paused_until = this->statements->paused_until(host);
 }
 
-bool target_pool::may_send(const relay_target& selected) const
+bool target_pool::may_send(const relay_target& selected, time_ms now) const
 {
     const auto found = this->targets.find(selected.id);
     if (found == this->targets.end() || !found->second.is_serving) {
@@ -64,7 +65,22 @@
     const auto& target = found->second;
     return target.info.generation == selected.generation && target.info.host == selected.host &&
            target.info.incarnation == selected.incarnation && target.info.address == selected.address &&
-           !target.is_leaving;
+           !target.is_leaving && now >= target.paused_until;
+}
+
+std::optional<time_ms> target_pool::end_of_pauses(std::string_view model, time_ms now) const
+{
+    std::optional<time_ms> first;
+    for (const auto& [id, target] : this->targets) {
+        if (!target.is_serving || target.is_leaving || target.info.model != model) {
+            continue;
+        }
+        if (now >= target.paused_until) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(target.paused_until), target.paused_until);
+    }
+    return first;
 }
 
 double target_pool::expected_other_requests(const target_criteria& criteria, time_ms now) const
--- a/src/relay/target_statements.cpp
+++ b/src/relay/target_statements.cpp
@@ -25,6 +25,26 @@
     return found != this->hosts.end() && found->second.is_leaving;
 }
 
+bool target_statements::on_pause(host_key host, time_ms wait, double noise, time_ms now)
+{
+    const auto length = std::min(wait, max_wait);
+    auto& entry = this->entry_of(host, now);
+    if (now >= entry.pause_end + entry.share) {
+        const auto spread = std::clamp(length / wait_per_spread, min_spread, max_spread);
+        entry.share = time_ms{static_cast<std::int64_t>(noise * static_cast<double>(spread.count()))};
+    }
+    const bool is_longer = now + length > entry.pause_end;
+    entry.pause_end = std::max(entry.pause_end, now + length);
+    return is_longer;
+}
+
+time_ms target_statements::paused_until(host_key host) const
+{
+    const auto found = this->hosts.find(host);
+    const bool has_paused = found != this->hosts.end() && found->second.pause_end > time_ms{};
+    return has_paused ? found->second.pause_end + found->second.share : time_ms{};
+}
+
 target_statements::host_statement& target_statements::entry_of(host_key host, time_ms now)
 {
     if (this->hosts.size() >= max_hosts && !this->hosts.contains(host)) {
--- a/test/relay/target_statements_test.cpp
+++ b/test/relay/target_statements_test.cpp
@@ -1,6 +1,11 @@
 #include "coriander/relay/target_statements.hpp"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
 
 namespace coriander {
 namespace {
@@ -21,6 +26,44 @@
     CHECK_FALSE(statements.is_leaving(key_of_host("i-2", 7, "10.0.0.1:80")));
 }
 
+TEST_CASE("target statements: a pause ends after the stated wait, and within the spread after it")
+{
+    const auto host = key_of_host("i-1", 7, "10.0.0.1:80");
+    rc::prop("the daemon returns in the spread", [&] {
+        const time_ms wait{*rc::gen::inRange(1, 100'000)};
+        const double noise = *rc::gen::inRange(0, 1000) / 1000.0;
+        target_statements statements;
+        RC_ASSERT(statements.on_pause(host, wait, noise, start));
+        RC_ASSERT(statements.paused_until(host) >= start + wait);
+        RC_ASSERT(statements.paused_until(host) < start + wait + std::max(100_ms, wait / 4));
+        RC_ASSERT(statements.paused_until(host) < start + wait + 1_s);
+    });
+}
+
+TEST_CASE("target statements: the longest of several waits counts, and daemons return at different times")
+{
+    target_statements one;
+    target_statements other;
+    const auto host = key_of_host("i-1", 7, "10.0.0.1:80");
+    CHECK(one.on_pause(host, 4_s, 0.1, start));
+    CHECK_FALSE(one.on_pause(host, 1_s, 0.1, start + 1_s));
+    CHECK(one.paused_until(host) == start + 4100_ms);
+    CHECK(other.on_pause(host, 4_s, 0.9, start));
+    CHECK(other.paused_until(host) == start + 4900_ms);
+    CHECK(one.on_pause(host, 4_s, 0.9, start + 4_s)); // Not over here yet: the same share.
+    CHECK(one.paused_until(host) == start + 8100_ms);
+    CHECK(one.on_pause(host, 4_s, 0.9, start + 9_s));
+    CHECK(one.paused_until(host) == start + 13900_ms);
+}
+
+TEST_CASE("target statements: a host is believed however long a wait it states")
+{
+    target_statements statements;
+    statements.on_pause(1, time_ms{std::numeric_limits<std::int64_t>::max()}, 0.5, start);
+    CHECK(statements.paused_until(1) > start + 3600_s * 24 * 365);
+    CHECK_FALSE(statements.is_leaving(1));
+}
+
 TEST_CASE("target statements: beyond the limit, the host with the oldest statement is forgotten")
 {
     target_statements statements;
