Gateways pass on what hosts state about themselves

Each gateway had to receive its own refusal, or its own response of a leaving host, before it kept to the statement, and one that started again had lost all. A wait grows by the time on the way; differences under 100 ms are ignored, so that gateways don't prolong it for each other.

--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -72,6 +72,8 @@
     /// Whether a request may be sent to the target that was selected earlier: it is still listed, and its
     /// host has stated nothing against it.
     [[nodiscard]] bool may_send(const relay_target& selected, time_ms now) const;
+    /// The target whose requests this host takes, listed or not; empty if there is none.
+    [[nodiscard]] std::optional<relay_target> target_of(host_key host) const;
     /// If all targets of the model want no requests for a while: when the first of them may get some again.
     [[nodiscard]] std::optional<time_ms> end_of_pauses(std::string_view model, time_ms now) const;
 
@@ -164,6 +166,7 @@
         bool is_serving = false;
         bool is_leaving = false; ///< As stated by the host itself.
         time_ms paused_until;    ///< The same.
+        host_key host = 0;
         std::uint32_t own_requests = 0;
         load_estimate load{load_averaging_time};
         stall_detector stalls{};
--- a/include/coriander/relay/target_statements.hpp
+++ b/include/coriander/relay/target_statements.hpp
@@ -1,17 +1,16 @@
 #pragma once
 
+#include "coriander/relay/host_statement.hpp"
 #include "coriander/time_ms.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace coriander {
 
-/// Identifies one incarnation of a host at one address. What a host states about itself holds for that only.
-using host_key = std::uint64_t;
-
 /// The key of a host, the same on every daemon. Thread-safe.
 [[nodiscard]] host_key key_of_host(std::string_view id, std::uint64_t incarnation, std::string_view address);
 
@@ -37,6 +36,12 @@
     /// When this daemon may send requests to the host again; a time in the past if it has stated no wait.
     [[nodiscard]] time_ms paused_until(host_key host) const;
 
+    /// Records what another daemon has received or been sent. Returns whether that changes anything.
+    bool on_peer_statement(const host_statement& statement, double noise, time_ms now);
+
+    /// The statements in force that other daemons may not know yet, newest first, at most `limit`.
+    [[nodiscard]] std::vector<host_statement> report(std::size_t limit, time_ms now) const;
+
     /// The number of hosts with a statement.
     [[nodiscard]] std::size_t size() const noexcept { return this->hosts.size(); }
 
@@ -49,17 +54,24 @@
     /// Longer waits count as this long, so that sums of times don't overflow.
     static constexpr time_ms max_wait{1'000'000'000'000};
 
-    struct host_statement {
-        time_ms stated_at; ///< The last time.
+    /// A wait that is passed on grows by the time that messages take. Smaller differences are ignored, so
+    /// that daemons don't prolong it for each other.
+    static constexpr time_ms peer_tolerance{100};
+    /// How long a statement is passed on. Within this time each daemon gets many messages, and most leaving
+    /// hosts are gone.
+    static constexpr time_ms report_time{60000};
+
+    struct known_host {
+        time_ms stated_at; ///< The last time, or when another daemon passed it on first.
         time_ms pause_end; ///< As stated.
         time_ms share;     ///< Of the spread; this daemon waits so much longer.
         bool is_leaving = false;
     };
 
     /// The entry of the host, created if there is none.
-    host_statement& entry_of(host_key host, time_ms now);
+    known_host& entry_of(host_key host, time_ms now);
 
-    std::unordered_map<host_key, host_statement> hosts;
+    std::unordered_map<host_key, known_host> hosts;
 };
 
 } // namespace coriander
--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -4,6 +4,7 @@
 #include "coriander/relay/relay_manifest.hpp"
 #include "coriander/replicas/replica_demand.hpp"
 #include "gateway/relay_context.hpp"
+#include "gateway/statement_intake.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -25,6 +26,7 @@
     {
         const auto now = this->context.clock.now();
         this->context.demand.on_report(sender, news.demands, now);
+        merge_statements(this->context, news.statements);
         for (auto& [name, state] : this->context.services) {
             for (const auto& one : news.targets) {
                 state.board.on_peer_report(one, now);
@@ -41,6 +43,7 @@
     {
         load_update news;
         const auto now = this->context.clock.now();
+        news.statements = this->context.statements.report(max_statements, now);
         for (const auto& [name, state] : this->context.services) {
             const auto reports = state.board.reports(limit, now);
             news.targets.insert(news.targets.end(), reports.begin(), reports.end());
@@ -72,6 +75,9 @@
     }
 
 private:
+    /// Statements of hosts per message, at 16 bytes each.
+    static constexpr std::size_t max_statements = 16;
+
     relay_context& context;
 };
 
--- a/src/gateway/statement_intake.cpp
+++ b/src/gateway/statement_intake.cpp
@@ -4,6 +4,8 @@
 #include "gateway/target_answer.hpp"
 #include "runtime/log.hpp"
 
+#include <fmt/format.h>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,7 +37,9 @@
     context.on_statement();
 }
 
-void log_statement(const relay_target& target, const char* says, time_ms wait)
+/// Logs and counts a statement that was not known.
+void log_statement(relay_context& context, const relay_target& target, const char* says, time_ms wait,
+                   const char* source)
 {
     log_event(event::statement_received, {{"target", target.id},
                                           {"host", target.host},
@@ -43,7 +47,9 @@
                                           {"address", target.address},
                                           {"says", says},
                                           {"wait", wait},
-                                          {"source", "response"}});
+                                          {"source", source}});
+    context.counters.add("coriander_statements_total",
+                         fmt::format("says=\"{}\",source=\"{}\"", says, source));
 }
 
 void log_ignored(const relay_target& target, std::string_view header, std::string_view value)
@@ -67,8 +73,7 @@
     if (text != "1" || !context.statements.on_leaving(key, context.clock.now())) {
         return false;
     }
-    log_statement(target, "leaving", {});
-    context.counters.add("coriander_statements_total", "says=\"leaving\",source=\"response\"");
+    log_statement(context, target, "leaving", {}, "response");
     return true;
 }
 
@@ -87,11 +92,23 @@
     if (*wait == time_ms{} || !context.statements.on_pause(key, *wait, context.draw(), context.clock.now())) {
         return false;
     }
-    log_statement(target, "pause", *wait);
-    context.counters.add("coriander_statements_total", "says=\"pause\",source=\"response\"");
+    log_statement(context, target, "pause", *wait, "response");
     return true;
 }
 
+/// The target of the host with this key. Of a host that is none, only the key is known.
+relay_target target_of(const relay_context& context, host_key host)
+{
+    for (const auto& [name, state] : context.services) {
+        if (const auto target = state.board.target_of(host)) {
+            return *target;
+        }
+    }
+    relay_target unknown;
+    unknown.host = fmt::format("{:016x}", host);
+    return unknown;
+}
+
 } // namespace
 
 void record_statements(relay_context& context, const relay_target& target, const message_head& head)
@@ -104,4 +121,26 @@
     }
 }
 
+void merge_statements(relay_context& context, std::span<const host_statement> statements)
+{
+    bool has_changed = false;
+    for (const auto& one : statements) {
+        const bool was_leaving = context.statements.is_leaving(one.host);
+        if (!context.statements.on_peer_statement(one, context.draw(), context.clock.now())) {
+            continue;
+        }
+        has_changed = true;
+        const auto target = target_of(context, one.host);
+        if (one.is_leaving && !was_leaving) {
+            log_statement(context, target, "leaving", {}, "peer");
+        }
+        else {
+            log_statement(context, target, "pause", one.pause_left, "peer");
+        }
+    }
+    if (has_changed) {
+        apply_statements(context);
+    }
+}
+
 } // namespace coriander
--- a/src/gateway/statement_intake.hpp
+++ b/src/gateway/statement_intake.hpp
@@ -4,6 +4,8 @@
 #include "gateway/relay_context.hpp"
 #include "net/message_head.hpp"
 
+#include <span>
+
 namespace coriander {
 
 /// Records what the target's host states about itself in a response, and applies it to all targets at once.
@@ -11,4 +13,7 @@
 /// be called on the event loop's thread.
 void record_statements(relay_context& context, const relay_target& target, const message_head& head);
 
+/// The same for statements that another daemon has passed on.
+void merge_statements(relay_context& context, std::span<const host_statement> statements);
+
 } // namespace coriander
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -108,11 +108,14 @@
             converted<wire::PermitAnswer>(message.permits.answers, [](const auto& one) {
                 return wire::PermitAnswer{one.id, clamped_age(one.decision.wait), one.decision.is_granted};
             });
+        const auto statements = converted<wire::HostStatement>(message.loads.statements, [](const auto& one) {
+            return wire::HostStatement{one.host, clamped_age(one.pause_left), one.is_leaving};
+        });
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(
             this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
-            &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers));
+            &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers, &statements));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -199,6 +202,15 @@
     }
 }
 
+void read_statements(const wire::PeerMessage& root, peer_message& message)
+{
+    if (const auto* statements = root.host_statements()) {
+        for (const auto* one : *statements) {
+            message.loads.statements.push_back({one->host(), time_ms{one->pause_ms()}, one->is_leaving()});
+        }
+    }
+}
+
 void read_lost_hosts(const wire::PeerMessage& root, peer_message& message)
 {
     if (const auto* hosts = root.lost_hosts()) {
@@ -286,6 +298,7 @@
     read_strikes_and_config(root, message);
     read_news(root, message);
     read_loads(root, message);
+    read_statements(root, message);
     read_lost_hosts(root, message);
     read_crashes(root, message);
     read_permits(root, message);
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -20,6 +20,7 @@
         }
         target.info = info;
         target.key = stable_hash(info.id, info.generation);
+        target.host = key_of_host(info.host, info.incarnation, info.address);
         target.is_serving = true;
         this->apply_statements(target);
     }
@@ -51,9 +52,8 @@
     if (this->statements == nullptr) {
         return;
     }
-    const auto host = key_of_host(target.info.host, target.info.incarnation, target.info.address);
-    target.is_leaving = this->statements->is_leaving(host);
-    target.paused_until = this->statements->paused_until(host);
+    target.is_leaving = this->statements->is_leaving(target.host);
+    target.paused_until = this->statements->paused_until(target.host);
 }
 
 bool target_pool::may_send(const relay_target& selected, time_ms now) const
@@ -68,6 +68,13 @@
            !target.is_leaving && now >= target.paused_until;
 }
 
+std::optional<relay_target> target_pool::target_of(host_key host) const
+{
+    const auto found = std::find_if(this->targets.begin(), this->targets.end(),
+                                    [&](const auto& item) { return item.second.host == host; });
+    return found == this->targets.end() ? std::nullopt : std::optional{found->second.info};
+}
+
 std::optional<time_ms> target_pool::end_of_pauses(std::string_view model, time_ms now) const
 {
     std::optional<time_ms> first;
--- a/src/relay/target_statements.cpp
+++ b/src/relay/target_statements.cpp
@@ -3,6 +3,8 @@
 #include "coriander/digest.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace coriander {
 
@@ -45,7 +47,43 @@
     return has_paused ? found->second.pause_end + found->second.share : time_ms{};
 }
 
-target_statements::host_statement& target_statements::entry_of(host_key host, time_ms now)
+bool target_statements::on_peer_statement(const host_statement& statement, double noise, time_ms now)
+{
+    const auto found = this->hosts.find(statement.host);
+    const bool is_known = found != this->hosts.end();
+    const bool is_new_leaving = statement.is_leaving && !(is_known && found->second.is_leaving);
+    const auto known_end = is_known ? found->second.pause_end : time_ms{};
+    const bool is_new_pause = statement.pause_left > time_ms{} &&
+                              now + std::min(statement.pause_left, max_wait) > known_end + peer_tolerance;
+    if (is_new_leaving) {
+        this->on_leaving(statement.host, now);
+    }
+    if (is_new_pause) {
+        this->on_pause(statement.host, statement.pause_left, noise, now);
+    }
+    return is_new_leaving || is_new_pause;
+}
+
+std::vector<host_statement> target_statements::report(std::size_t limit, time_ms now) const
+{
+    std::vector<std::pair<time_ms, host_statement>> found;
+    for (const auto& [host, known] : this->hosts) {
+        const auto pause_left = std::max(time_ms{}, known.pause_end - now);
+        const bool is_in_force = known.is_leaving || pause_left > time_ms{};
+        if (is_in_force && now - known.stated_at < report_time) {
+            found.push_back({known.stated_at, {host, pause_left, known.is_leaving}});
+        }
+    }
+    const auto count = std::min(found.size(), limit);
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count), found.end(),
+                      [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<host_statement> newest;
+    std::transform(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count),
+                   std::back_inserter(newest), [](const auto& one) { return one.second; });
+    return newest;
+}
+
+target_statements::known_host& target_statements::entry_of(host_key host, time_ms now)
 {
     if (this->hosts.size() >= max_hosts && !this->hosts.contains(host)) {
         this->hosts.erase(
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -126,6 +126,21 @@
     CHECK(read.value().permits.answers[1].decision.is_granted);
 }
 
+TEST_CASE("peer message: statements of hosts are decoded as they were encoded")
+{
+    peer_message message;
+    message.loads.statements = {{7, 250_ms, false}, {8, {}, true}};
+    const auto read = decode_peer_message(encode_peer_message(message));
+    REQUIRE(read);
+    const auto& statements = read.value().loads.statements;
+    REQUIRE(statements.size() == 2);
+    CHECK(statements[0].host == 7);
+    CHECK(statements[0].pause_left == 250_ms);
+    CHECK_FALSE(statements[0].is_leaving);
+    CHECK(statements[1].host == 8);
+    CHECK(statements[1].is_leaving);
+}
+
 TEST_CASE("peer message: a daemon's demand is decoded as it was encoded")
 {
     peer_message message;
--- a/test/relay/target_statements_test.cpp
+++ b/test/relay/target_statements_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <limits>
 
@@ -64,6 +65,55 @@
     CHECK_FALSE(statements.is_leaving(1));
 }
 
+TEST_CASE("target statements: what another daemon passes on holds as a response does")
+{
+    target_statements own;
+    target_statements other;
+    other.on_pause(1, 4_s, 0.5, start);
+    other.on_leaving(2, start + 1_s);
+    const auto sent = other.report(8, start + 2_s);
+    REQUIRE(sent.size() == 2);
+    CHECK(sent[0].host == 2); // The newest first.
+    for (const auto& one : sent) {
+        CHECK(own.on_peer_statement(one, 0.5, start + 2_s));
+        CHECK_FALSE(own.on_peer_statement(one, 0.5, start + 2_s));
+    }
+    CHECK(own.paused_until(1) == start + 4250_ms); // A quarter of what is left is 500 ms.
+    CHECK(own.is_leaving(2));
+    CHECK(other.report(1, start + 2_s).size() == 1);
+}
+
+TEST_CASE("target statements: daemons that pass a wait on to each other don't prolong it")
+{
+    std::array<target_statements, 3> daemons;
+    daemons[0].on_pause(1, 4_s, 0.0, start);
+    auto now = start;
+    for (int round = 0; round < 30; ++round) {
+        const auto sent = daemons[static_cast<std::size_t>(round % 3)].report(8, now);
+        now = now + 7_ms; // On the way.
+        for (auto& daemon : daemons) {
+            for (const auto& one : sent) {
+                daemon.on_peer_statement(one, 0.0, now);
+            }
+        }
+    }
+    for (const auto& daemon : daemons) {
+        CHECK(daemon.paused_until(1) >= start + 4_s);
+        CHECK(daemon.paused_until(1) <= start + 4_s + 100_ms);
+    }
+}
+
+TEST_CASE("target statements: daemons stop passing on what is over or old")
+{
+    target_statements statements;
+    statements.on_pause(1, 4_s, 0.9, start);
+    statements.on_leaving(2, start);
+    CHECK(statements.report(8, start + 3999_ms).size() == 2);
+    CHECK(statements.report(8, start + 4_s).size() == 1);
+    CHECK(statements.report(8, start + 60_s).empty());
+    CHECK(statements.is_leaving(2));
+}
+
 TEST_CASE("target statements: beyond the limit, the host with the oldest statement is forgotten")
 {
     target_statements statements;
