--- a/bench/slopes_bench.cpp
+++ b/bench/slopes_bench.cpp
@@ -5,6 +5,7 @@
 #include "coriander/fleet_snapshot.hpp"
 #include "coriander/membership.hpp"
 #include "coriander/placement.hpp"
+#include "coriander/relay/target_pool.hpp"
 #include "coriander/replica_health.hpp"
 #include "peer/peer_message.hpp"
 #include "router/completion_format.hpp"
@@ -53,6 +54,62 @@
 }
 BENCHMARK(routing_decision)->Arg(1)->Arg(10)->Arg(30)->Arg(100)->Arg(740)->Arg(2000);
 
+std::vector<relay_target> make_relay_targets(std::int64_t count)
+{
+    std::vector<relay_target> list;
+    for (std::int64_t i = 0; i < count; ++i) {
+        relay_target target;
+        target.id = "domain-" + std::to_string(i);
+        target.host = "i-" + std::to_string(i);
+        target.address = "10.0.0.1:" + std::to_string(i);
+        target.slots = 26;
+        list.push_back(target);
+    }
+    return list;
+}
+
+/// Selects a target for a request and checks it before sending, by the number of targets and the percentage
+/// of hosts that have stated that they want no requests.
+void choice_with_statements(benchmark::State& state)
+{
+    const auto list = make_relay_targets(state.range(0));
+    const time_ms now = 1000_s;
+    target_statements statements;
+    target_pool pool;
+    pool.observe(statements);
+    pool.set_targets(list);
+    for (std::size_t i = 0; i < list.size() * static_cast<std::size_t>(state.range(1)) / 100; ++i) {
+        statements.on_pause(key_of_host(list[i].host, list[i].incarnation, list[i].address), 60_s, 0.5, now);
+    }
+    pool.apply_statements();
+    std::mt19937_64 random{1};
+    std::uniform_real_distribution<double> noise{0.0, 1.0};
+    for (auto unused : state) {
+        (void)unused;
+        const auto choice = pool.choose({{}, "gent", {}, 69}, noise(random), now);
+        benchmark::DoNotOptimize(pool.may_send(choice->target, now));
+    }
+}
+BENCHMARK(choice_with_statements)->ArgsProduct({{10, 100, 740}, {0, 50}})->Unit(benchmark::kMicrosecond);
+
+/// Applies a new statement to all targets.
+void statement_applied(benchmark::State& state)
+{
+    const auto list = make_relay_targets(state.range(0));
+    target_statements statements;
+    target_pool pool;
+    pool.observe(statements);
+    pool.set_targets(list);
+    time_ms now = 1000_s;
+    for (auto unused : state) {
+        (void)unused;
+        now = now + 1_s;
+        statements.on_pause(key_of_host(list[0].host, list[0].incarnation, list[0].address), 60_s, 0.5, now);
+        pool.apply_statements();
+    }
+}
+BENCHMARK(statement_applied)->Arg(10)->Arg(100)->Arg(740)->Unit(benchmark::kMicrosecond);
+
 configuration make_config(std::uint32_t replicas)
 {
     configuration config;
