--- a/include/coriander/relay/target_statements.hpp
+++ b/include/coriander/relay/target_statements.hpp
@@ -14,6 +14,12 @@
 /// The key of a host, the same on every daemon. Thread-safe.
 [[nodiscard]] host_key key_of_host(std::string_view id, std::uint64_t incarnation, std::string_view address);
 
+/// The number of statements in force.
+struct statement_counts {
+    std::size_t leaving = 0;
+    std::size_t pauses = 0;
+};
+
 /// What hosts have stated about themselves in their responses, until it ends. The host list does not change
 /// it: it lags behind, and may be an old copy. Not thread-safe.
 class target_statements {
@@ -42,6 +48,9 @@
     /// The statements in force that other daemons may not know yet, newest first, at most `limit`.
     [[nodiscard]] std::vector<host_statement> report(std::size_t limit, time_ms now) const;
 
+    /// The number of statements in force. Hosts that have left since are among them.
+    [[nodiscard]] statement_counts counts(time_ms now) const;
+
     /// The number of hosts with a statement.
     [[nodiscard]] std::size_t size() const noexcept { return this->hosts.size(); }
 
--- a/src/gateway/page_server.cpp
+++ b/src/gateway/page_server.cpp
@@ -31,6 +31,11 @@
                     this->pages.directory_text(addresses, this->settings.directory_ttl));
     }
     else if (path == this->pages.metrics_path) {
+        const auto stated = this->context.statements.counts(this->context.clock.now());
+        this->context.counters.set("coriander_statements_in_force", "says=\"leaving\"",
+                                   static_cast<double>(stated.leaving));
+        this->context.counters.set("coriander_statements_in_force", "says=\"pause\"",
+                                   static_cast<double>(stated.pauses));
         caller.send(ok, {{"Content-Type", "text/plain"}}, this->context.counters.text());
     }
     else {
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -39,6 +39,21 @@
     return {limit.target, static_cast<float>(limit.per_second), clamped_age(limit.age)};
 }
 
+wire::PermitRequest wire_permit_request(const permit_request& request)
+{
+    return {request.id, wire_limit(request.limit)};
+}
+
+wire::PermitAnswer wire_permit_answer(const permit_answer& answer)
+{
+    return {answer.id, clamped_age(answer.decision.wait), answer.decision.is_granted};
+}
+
+wire::HostStatement wire_statement(const host_statement& statement)
+{
+    return {statement.host, clamped_age(statement.pause_left), statement.is_leaving};
+}
+
 /// Converts each item to its form on the wire.
 template <typename Wire, typename Item, typename Convert>
 std::vector<Wire> converted(const std::vector<Item>& items, Convert convert)
@@ -101,16 +116,10 @@
         });
         const auto limits = converted<wire::RateLimit>(message.loads.limits, wire_limit);
         const auto permit_requests =
-            converted<wire::PermitRequest>(message.permits.requests, [](const auto& one) {
-                return wire::PermitRequest{one.id, wire_limit(one.limit)};
-            });
+            converted<wire::PermitRequest>(message.permits.requests, wire_permit_request);
         const auto permit_answers =
-            converted<wire::PermitAnswer>(message.permits.answers, [](const auto& one) {
-                return wire::PermitAnswer{one.id, clamped_age(one.decision.wait), one.decision.is_granted};
-            });
-        const auto statements = converted<wire::HostStatement>(message.loads.statements, [](const auto& one) {
-            return wire::HostStatement{one.host, clamped_age(one.pause_left), one.is_leaving};
-        });
+            converted<wire::PermitAnswer>(message.permits.answers, wire_permit_answer);
+        const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(
--- a/src/relay/target_statements.cpp
+++ b/src/relay/target_statements.cpp
@@ -64,6 +64,16 @@
     return is_new_leaving || is_new_pause;
 }
 
+statement_counts target_statements::counts(time_ms now) const
+{
+    statement_counts found;
+    for (const auto& [host, known] : this->hosts) {
+        found.leaving += known.is_leaving ? 1 : 0;
+        found.pauses += now < known.pause_end ? 1 : 0;
+    }
+    return found;
+}
+
 std::vector<host_statement> target_statements::report(std::size_t limit, time_ms now) const
 {
     std::vector<std::pair<time_ms, host_statement>> found;
--- a/test/relay/target_statements_test.cpp
+++ b/test/relay/target_statements_test.cpp
@@ -103,6 +103,16 @@
     }
 }
 
+TEST_CASE("target statements: those in force are counted")
+{
+    target_statements statements;
+    statements.on_pause(1, 4_s, 0.9, start);
+    statements.on_leaving(2, start);
+    CHECK(statements.counts(start + 3_s).pauses == 1);
+    CHECK(statements.counts(start + 4_s).pauses == 0);
+    CHECK(statements.counts(start + 4_s).leaving == 1);
+}
+
 TEST_CASE("target statements: daemons stop passing on what is over or old")
 {
     target_statements statements;
