--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -1,8 +1,6 @@
 #include "gateway/relay_session.hpp"
 
 #include "gateway/relay_events.hpp"
-#include "gateway/target_answer.hpp"
-#include "runtime/log.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -10,14 +8,9 @@
 namespace coriander {
 namespace {
 
-/// Bytes queued for a slow caller beyond which reading from the target is paused.
-constexpr std::size_t max_unsent_bytes = 262144;
-
 /// Permits that a request may be denied; after that, only targets without a rate limit are chosen.
 constexpr unsigned max_denied_permits = 4;
 
-constexpr int first_error_status = 500;
-
 } // namespace
 
 relay_session::relay_session(relay_context& context, std::shared_ptr<caller_connection> caller,
@@ -112,10 +105,15 @@
     const auto advice = forecast_admission(input);
     if (!advice.is_admitted) {
         meter.on_refused(now);
-        log_refusal(this->request, best, advice, targets, input.supply);
+        const auto pause = best ? time_ms{} : this->pause_left();
+        const bool is_paused = pause > time_ms{};
         const bool has_target = best || this->denied_permits > 0;
-        this->send_local_reply(has_target ? local_reply::overloaded : local_reply::no_target,
-                               std::max(this->permit_wait, advice.retry_after));
+        const auto reply = is_paused    ? local_reply::paused
+                           : has_target ? local_reply::overloaded
+                                        : local_reply::no_target;
+        const auto wait = is_paused ? pause : advice.retry_after;
+        log_refusal(this->request, reply, best, {advice.predicted_wait, wait, targets, input.supply});
+        this->send_local_reply(reply, std::max(this->permit_wait, wait));
         return;
     }
     this->send_to(*best);
@@ -153,10 +151,10 @@
     this->state->board.defer(choice.target.id, now + decision.wait);
     this->permit_wait =
         this->denied_permits++ == 0 ? decision.wait : std::min(this->permit_wait, decision.wait);
-    this->on_permit_denied();
+    this->choose_again();
 }
 
-void relay_session::on_permit_denied()
+void relay_session::choose_again()
 {
     if (!this->last_end) {
         this->try_admit();
@@ -171,6 +169,14 @@
 
 void relay_session::end_without_target()
 {
+    const auto keep_alive = this->shared_from_this();
+    if (this->held) {
+        this->go_back();
+        if (this->request.deadline <= this->context.clock.now()) {
+            this->on_deadline();
+        }
+        return;
+    }
     if (!this->last_end) {
         this->send_local_reply(local_reply::overloaded, this->permit_wait);
         return;
@@ -179,20 +185,35 @@
     this->execute(decide_next(*this->last_end), std::nullopt);
 }
 
-std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded)
+std::string_view relay_session::target_model() const
 {
     const auto* service = this->request.routes->find_service(this->request.service);
-    const std::string_view model =
-        service->engine ? std::string_view{this->request.model} : std::string_view{};
+    return service->engine ? std::string_view{this->request.model} : std::string_view{};
+}
+
+time_ms relay_session::pause_left() const
+{
+    const auto now = this->context.clock.now();
+    const auto end = this->state->board.end_of_pauses(this->target_model(), now);
+    return end ? *end - now : time_ms{};
+}
+
+std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded)
+{
     const bool excludes_limited = this->denied_permits >= max_denied_permits;
-    return this->state->board.choose(
-        {model, this->context.failure_domain, excluded, this->context.daemons, excludes_limited},
-        this->context.draw(), this->context.clock.now());
+    return this->state->board.choose({this->target_model(), this->context.failure_domain, excluded,
+                                      this->context.daemons, excludes_limited},
+                                     this->context.draw(), this->context.clock.now());
 }
 
 void relay_session::dispatch(const target_choice& choice)
 {
     const auto now = this->context.clock.now();
+    if (!this->state->board.may_send(choice.target, now)) {
+        log_redirect(this->request, choice);
+        this->choose_again();
+        return;
+    }
     this->release_buffer();
     this->current = {};
     this->current.choice = choice;
@@ -230,160 +251,4 @@
     return request_head_text(head.method, head.target, headers) + this->request.raw.body;
 }
 
-void relay_session::record_load(const message_head& head)
-{
-    if (const auto load = parse_load(head.header(this->context.dialect.host_load))) {
-        this->state->board.on_load(this->current.choice.target.id, load->running, load->waiting,
-                                   this->context.clock.now());
-        this->current.reported_load = static_cast<double>(load->running) + load->waiting;
-        const auto labels = "service=\"" + this->request.service + "\"";
-        this->context.counters.add("coriander_load_reports_total", labels);
-        this->context.counters.add("coriander_load_told_total", labels, *this->current.reported_load);
-        this->context.counters.add("coriander_load_expected_total", labels, this->current.choice.total());
-    }
-}
-
-void relay_session::on_response_head(message_head head)
-{
-    this->current.has_begun = true;
-    this->current.begun_at = this->context.clock.now();
-    this->state->board.on_rate_limit(this->current.choice.target.id,
-                                     parse_rate_limit(head.header(this->context.dialect.rate_limit)),
-                                     this->current.begun_at);
-    this->state->board.on_response_started(this->current.choice.target.id, this->current.begun_at);
-    this->context.trials.on_started(this->current.trial, this->current.begun_at);
-    this->record_load(head);
-    this->current.head_result = classify_response(head, this->context.dialect,
-                                                  {this->request.attempt_id, this->stream.begun_form(),
-                                                   this->request.route->kind, !this->current.was_reused});
-    this->current.head = std::move(head);
-    if (this->current.head_result == attempt_end::lost) {
-        this->end_attempt(attempt_end::lost, "the response does not belong to this request or stream");
-        return;
-    }
-    if (!this->current.head_result) {
-        this->drop_held(true);
-    }
-}
-
-void relay_session::on_response_body(std::string_view bytes)
-{
-    this->state->board.on_progress(this->current.choice.target.id, this->context.clock.now());
-    if (this->current.head_result || !this->is_event_stream()) {
-        this->buffer_body(bytes);
-        return;
-    }
-    this->forward_events(bytes);
-    this->context.trials.on_progress(this->current.trial, this->stream.events() - this->current.events_before,
-                                     this->context.clock.now());
-    if (this->stream.is_too_long()) {
-        this->end_attempt(attempt_end::lost, "an event exceeds the size limit");
-    }
-}
-
-void relay_session::buffer_body(std::string_view bytes)
-{
-    const auto size = this->current.body.size() + bytes.size();
-    if (size <= relay_context::max_response_bytes &&
-        this->context.buffered_bytes + bytes.size() <= relay_context::max_buffered_bytes) {
-        this->current.body.append(bytes);
-        this->context.buffered_bytes += bytes.size();
-        return;
-    }
-    const bool is_declined = this->current.head_result == attempt_end::declined;
-    this->current.channel->close();
-    this->end_attempt(is_declined ? attempt_end::declined : attempt_end::lost,
-                      "the response exceeds the buffer limit");
-}
-
-void relay_session::release_buffer()
-{
-    this->context.buffered_bytes -= this->current.body.size();
-    this->current.body.clear();
-}
-
-bool relay_session::is_event_stream() const
-{
-    return this->request.route->is_stream && this->current.head.status / 100 == 2;
-}
-
-std::string_view relay_session::prompt_parts() const
-{
-    return this->request.raw.head.header(this->context.dialect.prompt_parts);
-}
-
-void relay_session::forward_events(std::string_view bytes)
-{
-    this->stream.pass(bytes, this->current.head, this->context.clock.now());
-    if (this->stream.unsent() > max_unsent_bytes) {
-        this->current.channel->pause_reading();
-        this->stream.on_drained([weak = this->weak_from_this()] {
-            if (const auto session = weak.lock(); session && session->current.channel) {
-                session->current.channel->resume_reading();
-            }
-        });
-    }
-}
-
-void relay_session::on_exchange_end(exchange_end end)
-{
-    const auto keep_alive = this->shared_from_this();
-    const auto& address = this->current.choice.target.address;
-    if (end == exchange_end::complete) {
-        this->context.channels.release(address, this->current.channel);
-    }
-    switch (end) {
-    case exchange_end::complete:
-        if (this->current.head_result) {
-            this->end_attempt(*this->current.head_result, "error response from the target");
-        }
-        else {
-            this->on_response_complete();
-        }
-        return;
-    case exchange_end::not_sent:
-        this->end_attempt(attempt_end::not_sent, "connection failed");
-        return;
-    case exchange_end::lost:
-        this->context.on_connection_closed(this->current.choice.target.host);
-        this->end_attempt(attempt_end::lost, "the connection closed before the response was complete");
-        return;
-    case exchange_end::malformed:
-        this->end_attempt(attempt_end::lost, "malformed response");
-        return;
-    }
-}
-
-void relay_session::on_response_complete()
-{
-    if (this->is_event_stream() && this->stream.is_inside_event()) {
-        this->end_attempt(attempt_end::lost, "the stream ended inside an event");
-        return;
-    }
-    this->attempts_sent += this->current.is_counted ? 0 : 1;
-    this->close_attempt(false);
-    const auto now = this->context.clock.now();
-    this->context.trials.on_complete(this->current.trial, now);
-    const auto* service = this->request.routes->find_service(this->request.service);
-    const double tokens =
-        service->engine ? static_cast<double>(this->stream.events()) * service->engine->steps_per_event : 0.0;
-    // Excludes the time in the target's queue, which the admission forecast adds.
-    const auto work_began =
-        this->current.begun_at > time_ms{} ? this->current.begun_at : this->current.sent_at;
-    this->state->meters[this->request.model].on_answer(tokens, now - work_began);
-    if (!this->is_event_stream()) {
-        this->forward_response();
-        return;
-    }
-    this->stream.finish(this->current.head, now);
-    this->finish("whole", this->current.head.status);
-}
-
-void relay_session::forward_response()
-{
-    const auto& head = this->current.head;
-    this->stream.send_whole(head.status, forwarded_response_headers(head), this->current.body);
-    this->finish(head.status < first_error_status ? "whole" : "target_failed", head.status);
-}
-
 } // namespace coriander
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -35,6 +35,12 @@
     /// Ends the request if it has been quarantined since it was sent and its response has not started.
     void end_if_quarantined();
 
+    /// Whether the request waits for a connection to its target, so that nothing has been sent.
+    [[nodiscard]] bool is_unsent() const;
+
+    /// Sends a request that waits for a connection to another target if its target may no longer get it.
+    void withdraw_if_forbidden();
+
     /// Whether the caller has received part of a streamed response.
     [[nodiscard]] bool has_begun() const noexcept { return this->stream.has_begun(); }
 
@@ -89,7 +95,8 @@
     /// available.
     void send_to(const target_choice& choice);
     void on_permit(const target_choice& choice, permit_decision decision);
-    void on_permit_denied();
+    /// Selects another target, after the selected one may not get the request.
+    void choose_again();
     /// Ends the request, whose attempts so far have failed or that has not been sent at all.
     void end_without_target();
     /// Whether the request could be sent to another target if the current attempt ended now.
@@ -111,6 +118,9 @@
     void forward_events(std::string_view bytes);
     [[nodiscard]] bool is_event_stream() const;
     [[nodiscard]] std::string_view prompt_parts() const;
+    /// If all targets that could take the request want none for a while: how long that lasts. Else zero.
+    [[nodiscard]] time_ms pause_left() const;
+    [[nodiscard]] std::string_view target_model() const;
     void on_response_complete();
     /// Leaves the current attempt open until the next one has been accepted. Precondition: none is held.
     void hold_attempt(const char* reason);
--- a/src/gateway/relay_session_move.cpp
+++ b/src/gateway/relay_session_move.cpp
@@ -75,7 +75,7 @@
         this->log_stay("no_permit");
         return;
     }
-    if (!this->state->board.is_listed(choice.target.id)) {
+    if (!this->state->board.may_send(choice.target, this->context.clock.now())) {
         this->log_stay("no_target");
         return;
     }
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -39,6 +39,21 @@
     return {limit.target, static_cast<float>(limit.per_second), clamped_age(limit.age)};
 }
 
+wire::PermitRequest wire_permit_request(const permit_request& request)
+{
+    return {request.id, wire_limit(request.limit)};
+}
+
+wire::PermitAnswer wire_permit_answer(const permit_answer& answer)
+{
+    return {answer.id, clamped_age(answer.decision.wait), answer.decision.is_granted};
+}
+
+wire::HostStatement wire_statement(const host_statement& statement)
+{
+    return {statement.host, clamped_age(statement.pause_left), statement.is_leaving};
+}
+
 /// Converts each item to its form on the wire.
 template <typename Wire, typename Item, typename Convert>
 std::vector<Wire> converted(const std::vector<Item>& items, Convert convert)
@@ -101,18 +116,15 @@
         });
         const auto limits = converted<wire::RateLimit>(message.loads.limits, wire_limit);
         const auto permit_requests =
-            converted<wire::PermitRequest>(message.permits.requests, [](const auto& one) {
-                return wire::PermitRequest{one.id, wire_limit(one.limit)};
-            });
+            converted<wire::PermitRequest>(message.permits.requests, wire_permit_request);
         const auto permit_answers =
-            converted<wire::PermitAnswer>(message.permits.answers, [](const auto& one) {
-                return wire::PermitAnswer{one.id, clamped_age(one.decision.wait), one.decision.is_granted};
-            });
+            converted<wire::PermitAnswer>(message.permits.answers, wire_permit_answer);
+        const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(wire::CreatePeerMessageDirect(
             this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
-            &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers));
+            &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers, &statements));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -199,6 +211,15 @@
     }
 }
 
+void read_statements(const wire::PeerMessage& root, peer_message& message)
+{
+    if (const auto* statements = root.host_statements()) {
+        for (const auto* one : *statements) {
+            message.loads.statements.push_back({one->host(), time_ms{one->pause_ms()}, one->is_leaving()});
+        }
+    }
+}
+
 void read_lost_hosts(const wire::PeerMessage& root, peer_message& message)
 {
     if (const auto* hosts = root.lost_hosts()) {
@@ -290,6 +311,7 @@
     read_strikes_and_config(root, message);
     read_news(root, message);
     read_loads(root, message);
+    read_statements(root, message);
     read_lost_hosts(root, message);
     read_crashes(root, message);
     read_permits(root, message);
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -20,7 +20,9 @@
         }
         target.info = info;
         target.key = stable_hash(info.id, info.generation);
+        target.host = key_of_host(info.host, info.incarnation, info.address);
         target.is_serving = true;
+        this->apply_statements(target);
     }
     std::erase_if(this->targets,
                   [](const auto& item) { return !item.second.is_serving && item.second.own_requests == 0; });
@@ -28,7 +30,64 @@
 
 bool target_pool::is_usable(const target_state& target, std::string_view model, time_ms now)
 {
-    return target.is_serving && target.info.model == model && now >= target.suspended_until;
+    return target.is_serving && !target.is_leaving && target.info.model == model &&
+           now >= std::max(target.suspended_until, target.paused_until);
+}
+
+void target_pool::observe(const target_statements& known)
+{
+    this->statements = &known;
+    this->apply_statements();
+}
+
+void target_pool::apply_statements()
+{
+    for (auto& [id, target] : this->targets) {
+        this->apply_statements(target);
+    }
+}
+
+void target_pool::apply_statements(target_state& target) const
+{
+    if (this->statements == nullptr) {
+        return;
+    }
+    target.is_leaving = this->statements->is_leaving(target.host);
+    target.paused_until = this->statements->paused_until(target.host);
+}
+
+bool target_pool::may_send(const relay_target& selected, time_ms now) const
+{
+    const auto found = this->targets.find(selected.id);
+    if (found == this->targets.end() || !found->second.is_serving) {
+        return false;
+    }
+    const auto& target = found->second;
+    return target.info.generation == selected.generation && target.info.host == selected.host &&
+           target.info.incarnation == selected.incarnation && target.info.address == selected.address &&
+           !target.is_leaving && now >= target.paused_until;
+}
+
+std::optional<relay_target> target_pool::target_of(host_key host) const
+{
+    const auto found = std::find_if(this->targets.begin(), this->targets.end(),
+                                    [&](const auto& item) { return item.second.host == host; });
+    return found == this->targets.end() ? std::nullopt : std::optional{found->second.info};
+}
+
+std::optional<time_ms> target_pool::end_of_pauses(std::string_view model, time_ms now) const
+{
+    std::optional<time_ms> first;
+    for (const auto& [id, target] : this->targets) {
+        if (!target.is_serving || target.is_leaving || target.info.model != model) {
+            continue;
+        }
+        if (now >= target.paused_until) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(target.paused_until), target.paused_until);
+    }
+    return first;
 }
 
 double target_pool::expected_other_requests(const target_criteria& criteria, time_ms now) const
