gateway: on a kept connection, only a response with this attempt's id is believed

What was reported: a faulty replica wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that a replica was running.

Idempotent and resumable requests use kept ones: a refusal without an id that arrived after their request was taken for theirs, and so was any error without an id.

Cause: the attempt's id was compared only where a response had one; only a 2xx had to have it.

Why this works: answers_attempt is the one rule. On a connection that carried other requests a response has to echo the attempt's id, and a request that must not run twice relies on no response there, whatever the pool does. What is not believed ends the attempt as lost: it may have run.

--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -253,8 +253,9 @@
     this->state->board.on_response_started(this->current.choice.target.id, this->current.begun_at);
     this->context.trials.on_started(this->current.trial, this->current.begun_at);
     this->record_load(head);
-    this->current.head_result =
-        classify_response(head, this->context.dialect, {this->request.attempt_id, this->stream.begun_form()});
+    this->current.head_result = classify_response(head, this->context.dialect,
+                                                  {this->request.attempt_id, this->stream.begun_form(),
+                                                   this->request.route->kind, !this->current.was_reused});
     this->current.head = std::move(head);
     if (this->current.head_result == attempt_end::lost) {
         this->end_attempt(attempt_end::lost, "the response does not belong to this request or stream");
--- a/src/gateway/target_answer.cpp
+++ b/src/gateway/target_answer.cpp
@@ -60,14 +60,23 @@
     return {head.status, std::move(media_type)};
 }
 
+bool answers_attempt(std::string_view echoed_id, const expected_response& expected)
+{
+    if (expected.is_first_on_connection) {
+        return echoed_id.empty() || echoed_id == expected.attempt_id;
+    }
+    return expected.kind != repetition::non_idempotent && !echoed_id.empty() &&
+           echoed_id == expected.attempt_id;
+}
+
 std::optional<attempt_end> classify_response(const message_head& head, const relay_dialect& dialect,
                                              const expected_response& expected)
 {
     const auto echoed = head.header(dialect.attempt_id);
     const bool is_success = head.status >= first_success_status && head.status < first_redirect_status;
-    const bool is_mismatched = !echoed.empty() && echoed != expected.attempt_id;
     const bool is_unsigned = head.header(dialect.signature).empty() || echoed.empty();
-    if (is_mismatched || !head.header("Content-Encoding").empty() || (is_success && is_unsigned)) {
+    if (!answers_attempt(echoed, expected) || !head.header("Content-Encoding").empty() ||
+        (is_success && is_unsigned)) {
         return attempt_end::lost;
     }
     if (head.status == misdirected_status || !head.header(dialect.not_run).empty()) {
--- a/src/gateway/target_answer.hpp
+++ b/src/gateway/target_answer.hpp
@@ -38,8 +38,15 @@
 struct expected_response {
     std::string_view attempt_id;
     std::optional<stream_form> continued; ///< The stream that the response has to continue, if any.
+    repetition kind = repetition::non_idempotent;
+    bool is_first_on_connection = false; ///< Nothing was asked on the connection before.
 };
 
+/// Whether a response with this echoed id, possibly empty, is certain to answer the expected attempt. On a
+/// connection that has carried other requests, a response without an id may be a repetition of an earlier
+/// one; a request that must not run twice relies on no response there.
+[[nodiscard]] bool answers_attempt(std::string_view echoed_id, const expected_response& expected);
+
 /// The outcome of the attempt if the response head rules out success: `lost` if the response does not belong
 /// to the attempt, `declined` if the target did not run the request, `failed` if it did and returned an
 /// error. Empty otherwise. With `expected.continued`, every response that doesn't continue the stream rules
--- a/test/gateway/interrupted_stream_test.cpp
+++ b/test/gateway/interrupted_stream_test.cpp
@@ -97,7 +97,7 @@
             head.headers.push_back({"Coriander-Signature", "s"});
         }
         const stream_form form{200, "text/event-stream"};
-        const auto end = classify_response(head, relay_dialect{}, {"a1", form});
+        const auto end = classify_response(head, relay_dialect{}, {"a1", form, repetition::resumable, true});
         const bool is_signed = !head.header("Coriander-Signature").empty();
         RC_ASSERT(end.has_value() != (is_signed && id == "a1" && form_of(head) == form));
     });
