--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -248,6 +248,8 @@
     table.start();
     REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 7; }));
     CHECK(table.rows["b"] == "2");
+    CHECK(table.store.server.requests()[4].find("rows-get") != std::string::npos);
+    CHECK(table.store.server.requests()[4].find("from=") == std::string::npos);
 }
 
 } // namespace coriander::platform
