http_channel: a connection that was paused when its response ended reads the next one

Callers of the next request on the connection got no answer until the target counted as stalled, or until the deadline. A request that moves leaves its old connection paused. If the old target's whole response arrived with the read that was already under way, and the new target declined, the request went back, passed that response on, and returned the connection to the pool while it was still paused. Nothing resumed it: `send` does not, and `go_back` does so only while the exchange is open.

The end of a response now resumes reading, and a channel without an exchange can't be paused, so that no user of the pool has to know of the pause. By reading, the same holds for a slow caller's stream whose last bytes caused the pause.

Before: relay session: a connection whose response ended while it was held still reads the next response: relay_session_move_test.cpp:48: FAILED: REQUIRE( this->relay.loop.run_until(...) ), false after 20 s

--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -126,6 +126,7 @@
         this->reusable = false;
         this->link->close();
     }
+    this->link->resume_reading();
     if (done != nullptr) {
         done->on_exchange_end(end);
     }
--- a/src/net/http_channel.hpp
+++ b/src/net/http_channel.hpp
@@ -56,8 +56,13 @@
     /// Whether the connection was established, so that requests may have been sent.
     [[nodiscard]] bool is_connected() const noexcept { return this->link->is_connected(); }
 
-    /// Stops and resumes reading the response.
-    void pause_reading() noexcept { this->link->pause_reading(); }
+    /// Stops reading the response until `resume_reading`, or its end. Has no effect without an exchange.
+    void pause_reading() noexcept
+    {
+        if (this->receiver != nullptr) {
+            this->link->pause_reading();
+        }
+    }
     void resume_reading() { this->link->resume_reading(); }
 
     void on_message_head(message_head head) override;
--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -203,4 +203,26 @@
     CHECK(relay.requests_sent() == 2);
 }
 
+TEST_CASE("relay session: a connection whose response ended while it was held still reads the next response")
+{
+    std::shared_ptr<tcp_link> new_target;
+    moving_request request{repetition::idempotent, "", [&](tcp_link& link, const std::string& /*request*/) {
+                               new_target = link.shared_from_this();
+                           }};
+    auto& relay = request.relay;
+    request.session()->fail_over();
+    REQUIRE(relay.loop.run_until([&] { return new_target != nullptr; }));
+    request.target->write(ok_response);
+    for (int turn = 0; turn < 10; ++turn) {
+        relay.loop.run_ready();
+    }
+    new_target->write(not_run_response);
+    REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
+    REQUIRE(relay.caller->head.status == 200);
+    relay.send();
+    REQUIRE(relay.loop.run_until([&] { return relay.first.requests().size() == 2; }));
+    request.go_on(ok_response);
+    CHECK(relay.caller->head.status == 200);
+}
+
 } // namespace coriander
