--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -72,10 +72,7 @@
         this->peers->set_permit_listener([this](const std::string& sender, const permit_message& message) {
             this->permits.receive(sender, message);
         });
-        this->relay.on_statement = [this] {
-            this->fleet.apply_statements();
-            this->schedule_control();
-        };
+        this->relay.on_statement = [this] { this->schedule_control(); };
         this->relay.request_permit = [this](const rate_limit& limit, permit_exchange::on_decision done) {
             this->permits.request(limit, std::move(done));
         };
@@ -301,6 +298,7 @@
     void run_control()
     {
         this->is_control_due = false;
+        this->fleet.apply_statements();
         auto delay = control_idle_interval;
         if (this->fleet.change_count() != this->targets_change_count) {
             this->update_targets();
--- a/test/e2e/leaving_test.sh
+++ b/test/e2e/leaving_test.sh
@@ -27,7 +27,7 @@
   "$(($(calls refusals) + $(calls cut) + $(calls gave_up) + $(calls no_answer)))" 0
 expect "their replicas are given up" "$(wait_until 10 not_in_use "$first" && wait_until 10 not_in_use "$second" && echo yes)" yes
 expect "each gateway knows of all three" \
-  "$(grep -c "E2016 statement_received.*says=leaving" "$RUN_DIR"/gateway-*.log | grep -c ':3$')" 3
+  "$(grep -c "E2018 statement_received.*says=leaving" "$RUN_DIR"/gateway-*.log | grep -c ':3$')" 3
 
 echo "== the store is silent for a while"
 wish '{"store":"silent"}'
--- a/test/e2e/pause_test.sh
+++ b/test/e2e/pause_test.sh
@@ -54,6 +54,6 @@
 end_calls
 expect_promises
 expect "all are served" "$(($(calls refusals) + $(calls cut) + $(calls gave_up) + $(calls no_answer)))" 0
-expect "each statement is logged" "$(grep -l 'E2016 statement_received.*host=p0.*says=pause wait=3[56]' "$RUN_DIR"/gateway-*.log | wc -l)" 3
+expect "each statement is logged" "$(grep -l 'E2018 statement_received.*host=p0.*says=pause wait=3[56]' "$RUN_DIR"/gateway-*.log | wc -l)" 3
 
 finish
