Tests: a request that moved to a silent target waits there although its old target has answered; known red

fail_over asks only whether the request could go to yet another target. With none left it stays at the new one, and what the old one has sent is not read until the new attempt ends; at the deadline the held attempt is dropped unread. relay_session_move_test.cpp:242: FAILED: REQUIRE( relay.loop.run_until(...) ), false after 20 s

--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -225,4 +225,23 @@
     CHECK(relay.caller->head.status == 200);
 }
 
+TEST_CASE(
+    "relay session: a request whose new target is silent, too, gets the response of the one that it left")
+{
+    moving_request request{repetition::resumable, begun, [](tcp_link&, const std::string&) {}};
+    auto& relay = request.relay;
+    request.session()->fail_over();
+    REQUIRE(relay.loop.run_until([&] { return relay.second.requests().size() == 1; }));
+    request.target->write(chunk_of_event(2) + last_chunk);
+    for (int turn = 0; turn < 10; ++turn) {
+        relay.loop.run_ready();
+    }
+    auto& sessions = request.state().sessions["second"];
+    REQUIRE(sessions.size() == 1);
+    (*sessions.begin())->shared_from_this()->fail_over();
+    REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
+    CHECK(*relay.caller->end == exchange_end::complete);
+    CHECK(relay.caller->body == whole_stream);
+}
+
 } // namespace coriander
