--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -244,4 +244,28 @@
     CHECK(relay.caller->body == whole_stream);
 }
 
+TEST_CASE("relay session: a request that stays at its target does not use up the quarantine's probe")
+{
+    moving_request request{repetition::resumable, begun, respond_with(ok_response),
+                           "Coriander-Prompt: 5a:40,dead:30,01:10\r\n"};
+    auto& context = request.relay.context;
+    context.may_probe_quarantine = [](fingerprint) { return true; };
+    crash_update update;
+    const fingerprint dead = stable_hash("dead");
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        update.suspects.push_back(
+            {crash, true, {dead, 10 + crash}, time_ms{static_cast<std::int64_t>(200000 + 1000 * crash)}});
+    }
+    const auto now = context.clock.now();
+    context.quarantine.merge(update, now);
+    REQUIRE(context.quarantine.evaluate(now));
+    REQUIRE(context.quarantine.entries().size() == 1);
+    request.session()->fail_over();
+    CHECK(request.relay.second.requests().empty());
+    CHECK(request.state().sessions.count("first") == 1);
+    const std::vector<fingerprint> prints{dead};
+    CHECK(context.quarantine.classify(prints, context.may_probe_quarantine, now) ==
+          quarantine_verdict::probe);
+}
+
 } // namespace coriander
