Tests: a restored store's older row makes a leaving host a target again; known red

set_host takes over the state of the row, also within an incarnation, in which a host never ceases to leave. fleet_view_test.cpp: FAILED: CHECK( fleet.targets() == 0 ), 1 == 0

--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -250,4 +250,15 @@
     CHECK_FALSE(parse_domain_key("a/"));
 }
 
+TEST_CASE("fleet view: a host that is leaving gets no requests because a restored store has its older row")
+{
+    view_fixture fleet;
+    auto leaving = fleet.hosts.front();
+    leaving.is_leaving = true;
+    fleet.view.set_host(leaving, start);
+    REQUIRE(fleet.targets() == 0);
+    fleet.view.set_host(fleet.hosts.front(), start + 1_s);
+    CHECK(fleet.targets() == 0);
+}
+
 } // namespace coriander
