Tests: a record that was written after a restore counts as the copy's; known red

Revisions are compared across eras, and a daemon that reads the row only after another one has changed it can't distinguish the two. fleet_view_test.cpp: FAILED: CHECK( fleet.view.domain(key).record.owner == "other" ), "edge" == "other"

--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -261,4 +261,16 @@
     CHECK(fleet.targets() == 0);
 }
 
+TEST_CASE(
+    "fleet view: a row that was written after a restore is not replaced by a daemon that was away meanwhile")
+{
+    view_fixture fleet;
+    const domain_key key{"assistant", "d"};
+    auto record = fleet.view.domain(key).record;
+    record.revision = 7;
+    fleet.view.set_domain(key, record, {1, 20});
+    fleet.view.set_domain(key, {"other", 1, {}, {}, 5}, {2, 9});
+    CHECK(fleet.view.domain(key).record.owner == "other");
+}
+
 } // namespace coriander
