--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -328,4 +328,27 @@
     CHECK_FALSE(parse_domain_key("a/"));
 }
 
+TEST_CASE("fleet view: a host that is leaving gets no requests because a restored store has its older row")
+{
+    view_fixture fleet;
+    auto leaving = fleet.hosts.front();
+    leaving.is_leaving = true;
+    fleet.view.set_host(leaving, start);
+    REQUIRE(fleet.targets() == 0);
+    fleet.view.set_host(fleet.hosts.front(), start + 1_s);
+    CHECK(fleet.targets() == 0);
+}
+
+TEST_CASE(
+    "fleet view: a row that was written after a restore is not replaced by a daemon that was away meanwhile")
+{
+    view_fixture fleet;
+    const domain_key key{"assistant", "d"};
+    auto record = fleet.view.domain(key).record;
+    record.revision = 7;
+    fleet.view.set_domain(key, record, {1, 20});
+    fleet.view.set_domain(key, {"other", 1, {}, {}, 5}, {2, 9});
+    CHECK(fleet.view.domain(key).record.owner == "other");
+}
+
 } // namespace coriander
--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -225,4 +225,47 @@
     CHECK(relay.caller->head.status == 200);
 }
 
+TEST_CASE(
+    "relay session: a request whose new target is silent, too, gets the response of the one that it left")
+{
+    moving_request request{repetition::resumable, begun, [](tcp_link&, const std::string&) {}};
+    auto& relay = request.relay;
+    request.session()->fail_over();
+    REQUIRE(relay.loop.run_until([&] { return relay.second.requests().size() == 1; }));
+    request.target->write(chunk_of_event(2) + last_chunk);
+    for (int turn = 0; turn < 10; ++turn) {
+        relay.loop.run_ready();
+    }
+    auto& sessions = request.state().sessions["second"];
+    REQUIRE(sessions.size() == 1);
+    (*sessions.begin())->shared_from_this()->fail_over();
+    REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
+    CHECK(*relay.caller->end == exchange_end::complete);
+    CHECK(relay.caller->body == whole_stream);
+}
+
+TEST_CASE("relay session: a request that stays at its target does not use up the quarantine's probe")
+{
+    moving_request request{repetition::resumable, begun, respond_with(ok_response),
+                           "Coriander-Prompt: 5a:40,dead:30,01:10\r\n"};
+    auto& context = request.relay.context;
+    context.may_probe_quarantine = [](fingerprint) { return true; };
+    crash_update update;
+    const fingerprint dead = stable_hash("dead");
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        update.suspects.push_back(
+            {crash, true, {dead, 10 + crash}, time_ms{static_cast<std::int64_t>(200000 + 1000 * crash)}});
+    }
+    const auto now = context.clock.now();
+    context.quarantine.merge(update, now);
+    REQUIRE(context.quarantine.evaluate(now));
+    REQUIRE(context.quarantine.entries().size() == 1);
+    request.session()->fail_over();
+    CHECK(request.relay.second.requests().empty());
+    CHECK(request.state().sessions.count("first") == 1);
+    const std::vector<fingerprint> prints{dead};
+    CHECK(context.quarantine.classify(prints, context.may_probe_quarantine, now) ==
+          quarantine_verdict::probe);
+}
+
 } // namespace coriander
