Review: a held attempt that has an answer is continued; a record of a new era is newer than any from before

Three faults that the review of this change found, each with a test that failed before: - A request that had moved to a target that is silent, too, waited there although the one that it had left had answered: fail_over and the deadline looked only at the new attempt (relay_session_move_test.cpp:242: run_until false after 20 s). Both go back first now. - A question whether a request may move used up the quarantine's probe (classify(...) == probe: 2 == 1). What uses up a probe is asked last. - A daemon that was away during a restore took a record that had been written after it for the copy's, since only revisions were compared (record.owner: "edge" == "other").

--- a/include/coriander/replicas/domain_record.hpp
+++ b/include/coriander/replicas/domain_record.hpp
@@ -50,6 +50,9 @@
     /// Increases with each change. Shows which of two records is newer if the table was restored from an
     /// earlier copy between them.
     std::uint64_t revision = 0;
+    /// The era of the table in which the record was written. One that was written after a restore is newer
+    /// than any from before, whatever the revisions.
+    std::uint64_t written_in_era = 0;
 };
 
 [[nodiscard]] std::string encode_domain(const domain_record& record);
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -227,6 +227,7 @@
         }
         decision.next.owner = this->self;
         ++decision.next.revision;
+        decision.next.written_in_era = current.version.era;
         this->commit(key, current.version, std::move(decision), work, now);
     }
 
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -195,7 +195,8 @@
         return false;
     }
     ++this->changes;
-    const bool is_lost = version.era > current.version.era && record.revision < current.record.revision;
+    const bool is_restored = version.era > current.version.era && record.written_in_era < version.era;
+    const bool is_lost = is_restored && record.revision < current.record.revision;
     if (is_lost) {
         log_event(event::placement_row_lost, {{"domain", key.row_key()},
                                               {"revision", current.record.revision},
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -80,6 +80,10 @@
         std::string body;
         std::optional<exchange_end> end;
 
+        [[nodiscard]] bool has_received() const noexcept
+        {
+            return this->head || !this->body.empty() || this->end;
+        }
         void on_response_head(message_head received) override { this->head = std::move(received); }
         void on_response_body(std::string_view bytes) override { this->body += bytes; }
         void on_exchange_end(exchange_end how) override { this->end = how; }
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -82,8 +82,9 @@
 /// A request that may have crashed a target is sent to another one only if nothing else speaks against it.
 bool relay_session::may_crash_next_target(const attempt_state& after)
 {
-    return this->check_quarantine() == quarantine_verdict::blocked ||
-           (after.may_have_run && this->context.quarantine.is_suspect(this->request.prints));
+    // The quarantine is asked last, since its answer may use up a probe.
+    return (after.may_have_run && this->context.quarantine.is_suspect(this->request.prints)) ||
+           this->check_quarantine() == quarantine_verdict::blocked;
 }
 
 void relay_session::end_if_quarantined()
@@ -251,6 +252,11 @@
 
 void relay_session::on_deadline()
 {
+    const auto keep_alive = this->shared_from_this();
+    if (!this->has_ended && this->current.is_open && this->held && this->held->has_received()) {
+        this->end_attempt(attempt_end::lost,
+                          "the time limit was reached, and the target that the request has left answered");
+    }
     if (this->has_ended) {
         return;
     }
--- a/src/gateway/relay_session_move.cpp
+++ b/src/gateway/relay_session_move.cpp
@@ -8,7 +8,14 @@
 
 void relay_session::fail_over(const char* reason)
 {
-    if (this->has_ended || !this->current.is_open || !this->may_move()) {
+    if (this->has_ended || !this->current.is_open) {
+        return;
+    }
+    if (this->held && this->held->has_received()) {
+        this->end_attempt(attempt_end::lost, reason);
+        return;
+    }
+    if (!this->may_move()) {
         return;
     }
     const auto now = this->context.clock.now();
--- a/src/replicas/domain_record.cpp
+++ b/src/replicas/domain_record.cpp
@@ -77,21 +77,23 @@
                     {"last_generation", record.last_generation},
                     {"replicas", std::move(replicas)},
                     {"loads", std::move(loads)},
-                    {"revision", record.revision}});
+                    {"revision", record.revision},
+                    {"written_in_era", record.written_in_era}});
 }
 
 std::optional<domain_record> decode_domain(std::string_view text)
 {
     const auto parsed = parse_object(text);
     if (!parsed || !parsed->contains("replicas") || has_odd_unsigned(*parsed, "last_generation") ||
-        has_odd_unsigned(*parsed, "revision")) {
+        has_odd_unsigned(*parsed, "revision") || has_odd_unsigned(*parsed, "written_in_era")) {
         return std::nullopt;
     }
     domain_record record{text_member(*parsed, "owner"),
                          unsigned_member(*parsed, "last_generation").value_or(0),
                          {},
                          {},
-                         unsigned_member(*parsed, "revision").value_or(0)};
+                         unsigned_member(*parsed, "revision").value_or(0),
+                         unsigned_member(*parsed, "written_in_era").value_or(0)};
     for (const auto& one : array_member(*parsed, "replicas")) {
         auto entry = decode_replica_entry(one);
         if (!entry) {
