--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -252,4 +252,14 @@
     CHECK(table.store.server.requests()[4].find("from=") == std::string::npos);
 }
 
+TEST_CASE("table follower: a store whose era falls is not asked again and again without a delay")
+{
+    std::deque<std::string> answers{in_era(9, page(row("a", "1", 5), 5))};
+    answers.resize(20, in_era(2, page(row("a", "1", 6), 6)));
+    followed_table table{answers, {"t", 1_s, {}, {}, {}}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.follower.is_failing(); }));
+    CHECK(table.request_count() <= 4);
+}
+
 } // namespace coriander::platform
