gateway: a target that is not read while a request tries another one is not suspected

Found by review: while an attempt was held, its target's bytes were not read, but the stall detector counted on; a sound target was suspended for 1.5 s again and again (404 ms of "silence" while it wrote every 20 ms). A held attempt no longer counts at its target; it counts again when the request goes back. Before, the new test found own_requests("first") == 1.

--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -129,7 +129,7 @@
     /// Leaves the current attempt open until the next one has been accepted. Precondition: none is held.
     void hold_attempt(const char* reason);
     /// Closes the held attempt, if there is one.
-    void drop_held(bool is_failure);
+    void drop_held();
     /// Continues with the held attempt. Precondition: there is one, and the current one has ended.
     void go_back();
     void leave_target(const std::string& id);
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -144,7 +144,7 @@
     this->attempts_sent = state.attempts_sent;
     this->may_have_run = state.may_have_run;
     if (end == attempt_end::timed_out) {
-        this->drop_held(false);
+        this->drop_held();
     }
     if (this->held && !this->reserved) {
         this->log_end(end, reason, next_step::go_back);
@@ -226,7 +226,7 @@
 void relay_session::finish(const char* outcome, int status)
 {
     this->has_ended = true;
-    this->drop_held(false);
+    this->drop_held();
     this->deadline_timer.cancel();
     const auto now = this->context.clock.now();
     const auto took = now - this->request.raw.arrived;
--- a/src/gateway/relay_session_move.cpp
+++ b/src/gateway/relay_session_move.cpp
@@ -120,6 +120,8 @@
         this->tried_targets.push_back(id);
     }
     this->leave_target(id);
+    // The target's silence says nothing while it isn't read.
+    this->state->board.on_ended(id, this->current.has_begun, true, this->context.clock.now());
     this->held = std::make_unique<held_attempt>();
     this->held->partial = this->stream.suspend_attempt();
     this->held->left = std::exchange(this->current, attempt{});
@@ -127,18 +129,16 @@
     this->held->left.channel->pause_reading();
 }
 
-void relay_session::drop_held(bool is_failure)
+void relay_session::drop_held()
 {
     if (!this->held) {
         return;
     }
     const auto dropped = std::move(this->held);
     const auto& left = dropped->left;
-    const auto now = this->context.clock.now();
     left.channel->close();
     this->context.buffered_bytes -= left.body.size();
-    this->context.trials.on_broken_off(left.trial, now);
-    this->state->board.on_ended(left.choice.target.id, left.has_begun, is_failure, now);
+    this->context.trials.on_broken_off(left.trial, this->context.clock.now());
 }
 
 void relay_session::go_back()
@@ -147,7 +147,12 @@
     const auto resumed = std::move(this->held);
     this->release_buffer();
     this->current = std::move(resumed->left);
-    this->state->sessions[this->current.choice.target.id].insert(this);
+    const auto& target = this->current.choice.target.id;
+    this->state->sessions[target].insert(this);
+    this->state->board.on_sent(target, this->context.clock.now());
+    if (this->current.has_begun) {
+        this->state->board.on_response_started(target, this->context.clock.now());
+    }
     const auto channel = this->current.channel;
     channel->redirect(*this);
     const auto is_open = [&] { return this->current.is_open && this->current.channel == channel; };
--- a/src/gateway/relay_session_response.cpp
+++ b/src/gateway/relay_session_response.cpp
@@ -47,7 +47,7 @@
         return;
     }
     if (!this->current.head_result) {
-        this->drop_held(true);
+        this->drop_held();
     }
 }
 
--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -268,4 +268,16 @@
           quarantine_verdict::probe);
 }
 
+TEST_CASE("relay session: a target that is not read while a request tries another one is not suspected")
+{
+    moving_request request{repetition::resumable, begun, [](tcp_link&, const std::string&) {}};
+    auto& relay = request.relay;
+    request.session()->fail_over();
+    REQUIRE(relay.loop.run_until([&] { return relay.second.requests().size() == 1; }));
+    const auto later = relay.context.clock.now() + 60_s;
+    CHECK(request.state().board.own_requests("first") == 0);
+    CHECK_FALSE(request.state().board.is_suspect("first", later));
+    CHECK(request.state().board.is_suspect("second", later));
+}
+
 } // namespace coriander
