--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -35,12 +35,7 @@
     }
 
     [[nodiscard]] service_state& state() { return this->relay.context.service("desk"); }
-    [[nodiscard]] std::shared_ptr<relay_session> session()
-    {
-        auto& sessions = this->state().sessions["first"];
-        REQUIRE(sessions.size() == 1);
-        return (*sessions.begin())->shared_from_this();
-    }
+    [[nodiscard]] std::shared_ptr<relay_session> session() { return this->relay.session_on_first(); }
     /// Lets the first target send the rest of its response, and waits for the end of the request.
     void go_on(const std::string& rest)
     {
--- a/test/gateway/relay_session_pause_test.cpp
+++ b/test/gateway/relay_session_pause_test.cpp
@@ -133,13 +133,9 @@
 
 TEST_CASE("relay session: a stream neither moves to nor resumes at a target that wants no requests")
 {
-    const auto begun = stream_head + chunk_of_event(1);
-    const auto rest = stream_head + chunk_of_event(2) + last_chunk;
-    relay_fixture relay{repetition::resumable, respond_with(begun), respond_with(rest)};
-    relay.send();
-    REQUIRE(relay.loop.run_until([&] { return !relay.caller->body.empty(); }));
+    auto relay = divided_stream();
+    const auto session = relay.begin_stream();
     auto& state = relay.context.service("desk");
-    const auto session = (*state.sessions["first"].begin())->shared_from_this();
     pause(relay, "second", relay.second);
     session->fail_over();
     CHECK(state.sessions.count("first") == 1); // It goes on where it is.
--- a/test/gateway/relay_session_permission_test.cpp
+++ b/test/gateway/relay_session_permission_test.cpp
@@ -127,14 +127,10 @@
 
 TEST_CASE("relay session: a stream moves to a target with a rate limit only with a permit")
 {
-    const auto begun = stream_head + chunk_of_event(1);
-    const auto rest = stream_head + chunk_of_event(2) + last_chunk;
-    relay_fixture relay{repetition::resumable, respond_with(begun), respond_with(rest)};
-    relay.send();
-    REQUIRE(relay.loop.run_until([&] { return !relay.caller->body.empty(); }));
+    auto relay = divided_stream();
+    const auto session = relay.begin_stream();
     auto& state = relay.context.service("desk");
     state.board.on_rate_limit("second", 3.5, relay.context.clock.now());
-    const auto session = (*state.sessions["first"].begin())->shared_from_this();
     unsigned permits = 0;
     decide_permits(relay, false, permits);
     session->fail_over();
--- a/test/gateway/relay_session_statement_test.cpp
+++ b/test/gateway/relay_session_statement_test.cpp
@@ -127,13 +127,9 @@
 
 TEST_CASE("relay session: a stream does not move to a target that states that it leaves meanwhile")
 {
-    const auto begun = stream_head + chunk_of_event(1);
-    const auto rest = stream_head + chunk_of_event(2) + last_chunk;
-    relay_fixture relay{repetition::resumable, respond_with(begun), respond_with(rest)};
-    relay.send();
-    REQUIRE(relay.loop.run_until([&] { return !relay.caller->body.empty(); }));
+    auto relay = divided_stream();
+    const auto session = relay.begin_stream();
     auto& state = relay.context.service("desk");
-    const auto session = (*state.sessions["first"].begin())->shared_from_this();
     std::function<void(permit_decision)> answer;
     hold_permits(relay, answer);
     state.board.on_rate_limit("second", 3.5, relay.context.clock.now());
--- a/test/gateway/relay_session_test.cpp
+++ b/test/gateway/relay_session_test.cpp
@@ -169,14 +169,10 @@
 
 TEST_CASE("relay session: fail_over resumes a stream on another target immediately")
 {
-    const auto begun = stream_head + chunk_of_event(1);
-    const auto rest = stream_head + chunk_of_event(2) + last_chunk;
-    relay_fixture relay{repetition::resumable, respond_with(begun), respond_with(rest)};
-    relay.send();
-    REQUIRE(relay.loop.run_until([&] { return !relay.caller->body.empty(); }));
+    auto relay = divided_stream();
+    const auto session = relay.begin_stream();
     auto& sessions = relay.context.service("desk").sessions;
     REQUIRE(sessions.count("first") == 1);
-    const auto session = (*sessions["first"].begin())->shared_from_this();
     session->fail_over();
     REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
     CHECK(*relay.caller->end == exchange_end::complete);
--- a/test/support/relay_fixture.hpp
+++ b/test/support/relay_fixture.hpp
@@ -98,6 +98,21 @@
         REQUIRE(this->loop.run_until([this] { return this->caller->end.has_value(); }));
         return *this->caller->end;
     }
+    /// The request on `first`. Precondition: there is exactly one.
+    std::shared_ptr<relay_session> session_on_first()
+    {
+        auto& sessions = this->context.service("desk").sessions["first"];
+        REQUIRE(sessions.size() == 1);
+        return (*sessions.begin())->shared_from_this();
+    }
+    /// Sends a request and waits until the caller has received the start of the stream from `first`. Returns
+    /// the request.
+    std::shared_ptr<relay_session> begin_stream()
+    {
+        this->send();
+        REQUIRE(this->loop.run_until([this] { return !this->caller->body.empty(); }));
+        return this->session_on_first();
+    }
     [[nodiscard]] std::size_t requests_sent() const
     {
         return this->first.requests().size() + this->second.requests().size();
@@ -125,6 +140,13 @@
     };
 }
 
+/// A fixture whose first target begins a stream of two events, and whose second one has the rest of it.
+inline relay_fixture divided_stream()
+{
+    return {repetition::resumable, respond_with(stream_head + chunk_of_event(1)),
+            respond_with(stream_head + chunk_of_event(2) + last_chunk)};
+}
+
 inline const std::string ok_response = signed_head("Content-Length: 2\r\n") + "ok";
 
 inline bool contains(const std::string& text, const std::string& part)
