--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -1,6 +1,7 @@
 #include "peer/peer_link.hpp"
 
 #include "support/event_loop.hpp"
+#include "support/silent_server.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -78,6 +79,26 @@
     CHECK(loop.run_until([&] { return received.size() == 1; }));
 }
 
+TEST_CASE("peer link: messages do not vanish for good on a connection that has gone silent")
+{
+    event_loop loop;
+    silent_server peer{loop.context()};
+    peer_link from{loop.context(), "127.0.0.1", 0, [](const peer_message&) {}};
+    from.send(peer.address(), {});
+    REQUIRE(loop.run_until([&] { return peer.accepted() == 1 && peer.has_received_on_all(); }));
+    REQUIRE(peer.silence_all());
+    // Few enough messages that the socket's buffer does not fill up.
+    constexpr std::chrono::milliseconds interval{100};
+    auto sent_at = std::chrono::steady_clock::now();
+    CHECK(loop.run_until([&] {
+        if (std::chrono::steady_clock::now() - sent_at >= interval) {
+            from.send(peer.address(), {});
+            sent_at = std::chrono::steady_clock::now();
+        }
+        return peer.accepted() == 2;
+    }));
+}
+
 TEST_CASE("peer message: a lost host is decoded as it was encoded")
 {
     peer_message message;
