Connections to the store end after 2 s of silence, so that a manifest is not missed

What callers saw: 401 and 404 as an older manifest says, up to 4 s after a newer one was acknowledged (CONFIG).

Cause: the long poll for the manifest waited on a connection that had gone silent until it was noticed after 4 s (keep-alive after 2 s, and TCP_USER_TIMEOUT of 4 s). The platform excuses 3 s, and a manifest must be in force within 2 s.

Now connections to the store have their own probes (1 s, then one more after 1 s), by link_liveness, which takes the place of the constants in tcp_link. Connections to targets keep 4 s: a sound host may be silent for a second or so.

--- a/src/net/channel_pool.cpp
+++ b/src/net/channel_pool.cpp
@@ -27,7 +27,7 @@
     if (endpoint.port() == 0) {
         return nullptr;
     }
-    auto channel = std::make_shared<http_channel>(this->loop);
+    auto channel = std::make_shared<http_channel>(this->loop, this->settings.liveness);
     channel->connect(endpoint, this->settings.connect_timeout);
     return channel;
 }
--- a/src/net/channel_pool.hpp
+++ b/src/net/channel_pool.hpp
@@ -10,12 +10,13 @@
 
 namespace coriander {
 
-/// Timeouts and size of a pool.
+/// Timeouts and size of a pool, and how its connections notice that a server has disappeared.
 struct pool_settings {
     time_ms connect_timeout{300};   ///< A few round trips between regions; small against latency objectives.
     time_ms max_idle_time{4000};    ///< The network may drop connections idle for longer without notice.
     time_ms keep_alive_margin{500}; ///< Subtracted from the timeout of the server's Keep-Alive header.
     std::size_t max_idle_per_server = 8;
+    link_liveness liveness{};
 };
 
 /// A pool of idle keep-alive connections, by server address. Used on the event loop's thread only.
--- a/src/net/http_call_runner.hpp
+++ b/src/net/http_call_runner.hpp
@@ -31,7 +31,10 @@
 public:
     using on_done = std::function<void(http_result)>;
 
-    explicit http_call_runner(asio::io_context& loop) : loop{loop}, channels{loop} {}
+    explicit http_call_runner(asio::io_context& loop, const pool_settings& connections = {})
+        : loop{loop}, channels{loop, connections}
+    {
+    }
 
     /// Starts a call. `done` is called later on the loop's thread, never from within `start`.
     void start(const loop_call& call, on_done done);
--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-http_channel::http_channel(asio::io_context& loop)
-    : link{std::make_shared<tcp_link>(loop)}, parser{message_parser::side::responses, *this}
+http_channel::http_channel(asio::io_context& loop, const link_liveness& liveness)
+    : link{std::make_shared<tcp_link>(loop, liveness)}, parser{message_parser::side::responses, *this}
 {
 }
 
--- a/src/net/http_channel.hpp
+++ b/src/net/http_channel.hpp
@@ -31,7 +31,7 @@
 /// A connection to a server that carries one exchange at a time. Used on the event loop's thread only.
 class http_channel : public message_events, public std::enable_shared_from_this<http_channel> {
 public:
-    explicit http_channel(asio::io_context& loop);
+    explicit http_channel(asio::io_context& loop, const link_liveness& liveness = {});
 
     /// Starts to connect; `send` may be called at once. A failure or a timeout after `timeout` ends the
     /// exchange with `not_sent`.
--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -3,8 +3,6 @@
 #include <asio/buffer.hpp>
 #include <asio/socket_base.hpp>
 
-#include <netinet/tcp.h>
-
 #include <array>
 #include <chrono>
 
@@ -14,13 +12,6 @@
 /// Size of the read buffer, which is shared by all links of a thread.
 constexpr std::size_t read_size = 65536;
 
-/// TCP keep-alive, which detects a peer that disappeared without closing the connection: idle time before the
-/// first probe, interval and number of probes. `user_timeout_ms` bounds the time for unacknowledged data.
-constexpr int probe_idle_s = 2;
-constexpr int probe_interval_s = 1;
-constexpr int probe_count = 2;
-constexpr int user_timeout_ms = 4000;
-
 /// How long a closing connection waits for the peer to close too.
 constexpr std::chrono::seconds linger_timeout{2};
 
@@ -30,29 +21,25 @@
     return buffer;
 }
 
-template <int Level, int Name>
-using int_option = asio::detail::socket_option::integer<Level, Name>;
-
-void set_options(asio::ip::tcp::socket& socket)
+void set_options(asio::ip::tcp::socket& socket, const link_liveness& liveness)
 {
     asio::error_code ignored; // The system's default applies where an option is not supported.
     socket.non_blocking(true, ignored);
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-    socket.set_option(asio::socket_base::keep_alive{true}, ignored);
-    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPIDLE>{probe_idle_s}, ignored);
-    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPINTVL>{probe_interval_s}, ignored);
-    socket.set_option(int_option<IPPROTO_TCP, TCP_KEEPCNT>{probe_count}, ignored);
-    socket.set_option(int_option<IPPROTO_TCP, TCP_USER_TIMEOUT>{user_timeout_ms}, ignored);
+    set_liveness(socket, liveness);
 }
 
 } // namespace
 
-tcp_link::tcp_link(asio::io_context& loop) : socket{loop}, timer{loop} {}
+tcp_link::tcp_link(asio::io_context& loop, const link_liveness& liveness)
+    : socket{loop}, timer{loop}, liveness{liveness}
+{
+}
 
 tcp_link::tcp_link(asio::ip::tcp::socket accepted)
     : socket{std::move(accepted)}, timer{this->socket.get_executor()}, established{true}
 {
-    set_options(this->socket);
+    set_options(this->socket, this->liveness);
 }
 
 void tcp_link::listen(on_bytes bytes, on_end end)
@@ -66,7 +53,7 @@
     asio::error_code problem;
     this->socket.open(to.protocol(), problem);
     if (!problem) {
-        set_options(this->socket);
+        set_options(this->socket, this->liveness);
     }
     auto self = this->shared_from_this();
     this->timer.expires_after(std::chrono::milliseconds{timeout.count()});
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coriander/time_ms.hpp"
+#include "net/link_liveness.hpp"
 
 #include <asio/any_io_executor.hpp>
 #include <asio/ip/tcp.hpp>
@@ -30,7 +31,7 @@
     using on_connected = std::function<void()>;
 
     /// Creates an unconnected link.
-    explicit tcp_link(asio::io_context& loop);
+    explicit tcp_link(asio::io_context& loop, const link_liveness& liveness = {});
     /// Wraps an accepted connection.
     explicit tcp_link(asio::ip::tcp::socket accepted);
     tcp_link(const tcp_link&) = delete;
@@ -91,6 +92,7 @@
 
     asio::ip::tcp::socket socket;
     asio::steady_timer timer; ///< Bounds connecting, and waiting for the peer's end.
+    link_liveness liveness;
     on_bytes bytes;
     on_end ended;
     std::function<void()> drained;
--- a/test/platform/silent_store_test.cpp
+++ b/test/platform/silent_store_test.cpp
@@ -45,7 +45,7 @@
 {
     event_loop loop;
     silent_server store{loop.context()};
-    http_call_runner calls{loop.context()};
+    http_call_runner calls{loop.context(), store_connections};
     row_client rows{calls, store.address()};
     bool has_failed = false;
     rows.read_changes("op", {}, 60_s, [&](const result<row_page>& page) { has_failed = !page; });
--- a/test/support/scripted_store.hpp
+++ b/test/support/scripted_store.hpp
@@ -65,7 +65,7 @@
     std::deque<std::string> responses;
     std::string default_response; ///< Sent after the scripted ones, without waiting; empty: no answer.
     scripted_server server;
-    http_call_runner calls{this->loop.context()};
+    http_call_runner calls{this->loop.context(), store_connections};
     row_client rows{this->calls, this->server.address()};
 };
 
