Connections between daemons end when a message is not acknowledged for 1 s

Cause: a connection between gateways that had gone silent was used for good, since a message counts as sent once the socket has it. No heartbeat, load or crash report arrived any more, each gateway took itself for the only one, and each had to see three crashes by itself.

Now the system ends such a connection (TCP_USER_TIMEOUT of 1 s), and the next message opens a new one.

--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -1,5 +1,8 @@
 #include "peer/peer_link.hpp"
 
+#include "net/link_liveness.hpp"
+#include "runtime/log.hpp"
+
 #include <asio.hpp>
 
 #include <array>
@@ -20,6 +23,10 @@
 /// updates.
 constexpr std::size_t max_queued_messages = 8;
 constexpr auto write_timeout = std::chrono::seconds{2};
+/// A message counts as sent once the socket has taken it; only the system can notice that it is not
+/// acknowledged. The next message then uses a new connection. Probes are rare, since most of the links
+/// between many daemons are idle.
+constexpr link_liveness peer_liveness{20000_ms, 1000_ms, 1, 1000_ms};
 constexpr auto idle_timeout = std::chrono::seconds{60};
 
 using frame = std::vector<std::uint8_t>;
@@ -171,18 +178,22 @@
         connection->timer.expires_after(write_timeout);
         connection->timer.async_wait([this, address, connection](const asio::error_code& problem) {
             if (!problem) {
-                this->drop(address, connection);
+                this->drop(address, connection, "timed out");
             }
         });
     }
 
-    void drop(const std::string& address, const std::shared_ptr<outgoing>& connection)
+    void drop(const std::string& address, const std::shared_ptr<outgoing>& connection, const std::string& why)
     {
         asio::error_code ignored;
         connection->socket.close(ignored);
         connection->timer.cancel();
         const auto found = this->connections.find(address);
         if (found != this->connections.end() && found->second == connection) {
+            if (connection->is_connected) {
+                log_event(event::peer_connection_lost,
+                          {{"peer", address}, {"why", why}, {"queued", connection->queue.size()}});
+            }
             this->connections.erase(found);
         }
     }
@@ -193,9 +204,9 @@
     {
         connection->socket.async_read_some(
             asio::buffer(connection->unexpected),
-            [self = this->weak_from_this(), address, connection](const asio::error_code&, std::size_t) {
+            [self = this->weak_from_this(), address, connection](const asio::error_code& end, std::size_t) {
                 if (const auto link = self.lock()) {
-                    link->drop(address, connection);
+                    link->drop(address, connection, end.message());
                 }
             });
     }
@@ -207,16 +218,17 @@
         asio::error_code problem;
         const auto ip = asio::ip::make_address(address.substr(0, colon), problem);
         if (problem || colon == std::string::npos) {
-            this->drop(address, connection);
+            this->drop(address, connection, "invalid address");
             return;
         }
         const auto port = static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10));
         connection->socket.async_connect({ip, port}, [=, this](const asio::error_code& failed) {
             if (failed) {
-                this->drop(address, connection);
+                this->drop(address, connection, failed.message());
                 return;
             }
             connection->is_connected = true;
+            set_liveness(connection->socket, peer_liveness);
             this->watch_for_close(address, connection);
             this->write(address, connection, bytes);
         });
@@ -232,7 +244,7 @@
                 connection->timer.cancel();
                 connection->is_busy = false;
                 if (failed) {
-                    this->drop(address, connection);
+                    this->drop(address, connection, failed.message());
                 }
                 else if (!connection->queue.empty()) {
                     const auto next = connection->queue.front();
