--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -14,6 +14,7 @@
 #include "gateway/relay_session.hpp"
 #include "gateway/retiring_replicas.hpp"
 #include "gateway/silent_host_watch.hpp"
+#include "gateway/stall_checks.hpp"
 #include "gateway/stall_response.hpp"
 #include "net/http_listener.hpp"
 #include "runtime/log.hpp"
@@ -50,8 +51,9 @@
                                                                         [this](auto hosts) {
                                                                             this->on_hosts_lost(hosts);
                                                                         }},
-          silent_hosts{io, this->fleet}, stall_check_timer{loop}, control_timer{loop}, peer_timer{loop},
-          housekeeping_timer{loop}, stop_timer{loop}
+          silent_hosts{io, this->fleet}, checks{loop, this->relay, this->crashes, this->stalls,
+                                                this->retiring},
+          control_timer{loop}, peer_timer{loop}, housekeeping_timer{loop}, stop_timer{loop}
     {
         this->relay.retry_settings = this->values.retries;
         this->control.set_progress_listener([this] { this->schedule_control(); });
@@ -145,11 +147,6 @@
     }
 
 private:
-    /// How often the targets of open requests are checked for stalls.
-    static constexpr time_ms stall_check_interval{25};
-    /// If a stall check runs later than this, this process was itself stalled, so silent targets prove
-    /// nothing.
-    static constexpr time_ms max_stall_check_delay{60};
     static constexpr time_ms housekeeping_interval{1000};
     static constexpr time_ms stop_check_interval{100};
     /// How long new requests are accepted after the stop signal; later ones could be cut off by the exit.
@@ -171,7 +168,7 @@
     {
         return {[this](const std::shared_ptr<caller_connection>& caller, incoming_request request) {
                     std::make_shared<relay_session>(this->relay, caller, std::move(request))->start();
-                    this->start_stall_checks();
+                    this->checks.start();
                 },
                 [this] { return this->relay.connection_bounds(); }, [this] { return this->is_stopping; }};
     }
@@ -238,55 +235,6 @@
         });
     }
 
-    void start_stall_checks()
-    {
-        if (std::exchange(this->is_checking_stalls, true)) {
-            return;
-        }
-        this->schedule_stall_check();
-    }
-
-    void schedule_stall_check()
-    {
-        const auto due = this->relay.clock.now() + stall_check_interval;
-        this->call_after(this->stall_check_timer, stall_check_interval, [this, due] {
-            const auto now = this->relay.clock.now();
-            this->is_checking_stalls = this->relay.open_requests > 0;
-            this->crashes.check();
-            if (now - due <= max_stall_check_delay) {
-                this->check_stalls(now);
-            }
-            else {
-                this->reset_silence(now);
-            }
-            if (this->is_checking_stalls) {
-                this->schedule_stall_check();
-            }
-        });
-    }
-
-    void check_stalls(time_ms now)
-    {
-        if (!this->relay.routes) {
-            return;
-        }
-        const auto routes = this->relay.routes;
-        for (const auto& [name, service] : routes->manifest().services) {
-            if (service.engine) {
-                this->stalls.check(name, now);
-                this->retiring.check(service, now);
-            }
-        }
-    }
-
-    /// Restarts all silence timers after a stall of this process, during which it received nothing.
-    void reset_silence(time_ms now)
-    {
-        for (auto& [name, state] : this->relay.services) {
-            state.board.reset_silence(now);
-        }
-    }
-
     /// Runs control after a short delay, once for all host responses that arrive within it.
     void schedule_control()
     {
@@ -376,6 +324,7 @@
     retiring_replicas retiring{this->relay, this->fleet};
     crash_response<Io> crashes;
     silent_host_watch<Io> silent_hosts;
+    stall_checks<Io> checks;
     gateway_peers* peers = nullptr;
     permit_exchange permits{this->loop,
                             [this](std::uint64_t target) { return this->peers->permit_issuer_of(target); },
@@ -385,14 +334,12 @@
     std::vector<std::shared_ptr<http_listener>> listeners;
     std::string manifest_text;
     std::uint64_t targets_change_count = 0; ///< The view's change count when targets were set.
-    asio::steady_timer stall_check_timer;
     asio::steady_timer control_timer;
     asio::steady_timer peer_timer;
     asio::steady_timer housekeeping_timer;
     asio::steady_timer stop_timer;
     bool is_fleet_loaded = false;
     bool is_control_due = false;
-    bool is_checking_stalls = false;
     bool is_stopping = false;
     time_ms stopped_at;
 };
