A gateway that is cut from all hosts does not take them for lost

Cause: two refused connections, two unanswered orders or three unanswered probes, as one gateway saw them, made a host count as lost. The cut gateways still reached the store and dissolved sound replicas for everybody: 96 times "host_silent" within half a second.

Now evidence against a host counts only if another host of its service accepts a connection that is opened after it (`path_monitor`; up to four hosts of different domains, twice). Otherwise the gateway's own path is lost: it marks no host, reports no crash, leaves the control of replicas alone and says so in its heartbeats, so that others take over domains and reading; when two rounds in a row are answered, it comes back without what it believed of targets meanwhile. A real loss costs one more round trip.

Tests: the two of cut_gateway_test failed before; path_monitor_test.

--- a/include/coriander/membership.hpp
+++ b/include/coriander/membership.hpp
@@ -30,6 +30,7 @@
     std::uint64_t config_number = 0;
     bool stopping = false;
     bool table_reachable = true;
+    bool is_cut_off = false; ///< It can't reach the hosts of some service.
 };
 
 /// What this daemon knows about another member.
@@ -60,7 +61,8 @@
     membership(member_identity self, membership_settings settings = {});
 
     /// Advances this daemon's own heartbeat.
-    void advance_heartbeat(std::uint64_t config_number, bool stopping, bool table_reachable);
+    void advance_heartbeat(std::uint64_t config_number, bool stopping, bool table_reachable,
+                           bool is_cut_off = false);
 
     /// Adds or updates a member that the table or a message named. Does not count as a sign of life.
     void add_identity(const member_identity& identity, time_ms now);
--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -123,6 +123,10 @@
     /// Puts the target back into rotation.
     void restore(const std::string& id);
 
+    /// Puts all targets back into rotation and restarts the measurement of silence, after failures that were
+    /// not theirs.
+    void forget_failures(time_ms now);
+
     /// Whether the target is suspected to be stalled.
     [[nodiscard]] bool is_suspect(const std::string& id, time_ms now) const;
     /// Time without progress from the target; zero for an unknown target.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -19,12 +19,14 @@
     this->own_state.incarnation = this->own.incarnation;
 }
 
-void membership::advance_heartbeat(std::uint64_t config_number, bool stopping, bool table_reachable)
+void membership::advance_heartbeat(std::uint64_t config_number, bool stopping, bool table_reachable,
+                                   bool is_cut_off)
 {
     ++this->own_state.counter;
     this->own_state.config_number = config_number;
     this->own_state.stopping = stopping;
     this->own_state.table_reachable = table_reachable;
+    this->own_state.is_cut_off = is_cut_off;
 }
 
 void membership::add_identity(const member_identity& identity, time_ms now)
--- a/src/gateway/crash_response.hpp
+++ b/src/gateway/crash_response.hpp
@@ -4,6 +4,7 @@
 #include "gateway/controller_io.hpp"
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/path_check.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_events.hpp"
 #include "gateway/relay_session.hpp"
@@ -39,6 +40,10 @@
     crash_response(const crash_response&) = delete;
     crash_response& operator=(const crash_response&) = delete;
 
+    /// Sets the check that precedes the conclusion that a host has crashed. Without it, the path is taken for
+    /// granted.
+    void set_path_check(path_check check) { this->check_path = std::move(check); }
+
     /// Finds out whether the host, which closed the connection of a running request, has crashed. It may also
     /// have reset that connection only, or leave as planned. Sessions call it through the context.
     void on_connection_closed(const std::string& id)
@@ -89,10 +94,16 @@
                 this->check_port(pending);
                 return;
             }
-            this->checking.erase(pending->host.id);
-            if (is_refused) {
-                this->on_crash(pending->host, pending->closed_at);
+            if (!is_refused) {
+                this->checking.erase(pending->host.id);
+                return;
             }
+            this->check_path(pending->host, [this, pending](bool has_path) {
+                this->checking.erase(pending->host.id);
+                if (has_path) {
+                    this->on_crash(pending->host, pending->closed_at);
+                }
+            });
         });
     }
 
@@ -140,6 +151,7 @@
     relay_context& context;
     fleet_view& view;
     on_lost report_lost;
+    path_check check_path = without_path_check();
     std::set<std::string> checking; ///< Hosts with an inquiry in progress.
 };
 
--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coriander/replicas/domain_planner.hpp"
+#include "coriander/row_version.hpp"
 #include "coriander/time_ms.hpp"
 #include "gateway/host_inquiries.hpp"
 #include "gateway/host_staging.hpp"
@@ -23,6 +25,26 @@
     host_inquiries status_requests;
     replica_timing timing;
     std::string logged_free_hosts; ///< Models held by the free hosts, as logged last.
+
+    /// Whether the host has reported its state since the replica of the order was planned.
+    [[nodiscard]] bool has_reported(const host_order& order) const
+    {
+        const auto planned = this->timing.forming_since(order.replica);
+        return planned && this->status_requests.has_answered(order.host, *planned);
+    }
 };
 
+/// Describes the work that is due in a domain, so that a change of it can be noticed.
+[[nodiscard]] inline std::string due_signature_of(row_version version, const domain_decision& decision)
+{
+    auto text = std::to_string(version.era) + "." + std::to_string(version.number);
+    for (const auto& reason : decision.reasons) {
+        text += "|" + reason.text;
+    }
+    for (const auto& order : decision.orders) {
+        text += "|" + std::string{name_of(order.kind)} + order.host + std::to_string(order.generation);
+    }
+    return text;
+}
+
 } // namespace coriander
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -13,6 +13,7 @@
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_planner.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/path_check.hpp"
 #include "gateway/record_phases.hpp"
 #include "runtime/log.hpp"
 
@@ -52,6 +53,10 @@
     /// synchronously.
     void set_progress_listener(const std::function<void()>& listener) { this->progress_listener = listener; }
 
+    /// Sets the check that precedes the conclusion that a host is lost. Without it, the path is taken for
+    /// granted.
+    void set_path_check(path_check check) { this->check_path = std::move(check); }
+
     /// Performs due work in all domains of the service. Returns the maximum delay until the next call.
     /// Preconditions: the service has an engine.
     time_ms tick(const relay_service& service, time_ms now)
@@ -175,13 +180,7 @@
     bool is_my_turn(const domain_key& key, const versioned_domain& current, const domain_decision& decision,
                     domain_work& work, time_ms now)
     {
-        auto due = std::to_string(current.version.era) + "." + std::to_string(current.version.number);
-        for (const auto& reason : decision.reasons) {
-            due += "|" + reason.text;
-        }
-        for (const auto& order : decision.orders) {
-            due += "|" + std::string{name_of(order.kind)} + order.host + std::to_string(order.generation);
-        }
+        const auto due = due_signature_of(current.version, decision);
         if (due != work.due_signature) {
             work.due_signature = due;
             work.due_since = now;
@@ -258,7 +257,7 @@
         for (const auto& order : orders) {
             const auto* host = this->view.find_host(order.host);
             // A join requires a report of the host itself: the list may be older than another daemon's order.
-            const bool may_send = order.kind != order_kind::join || this->has_reported(work, order);
+            const bool may_send = order.kind != order_kind::join || work.has_reported(order);
             if (host != nullptr && may_send && work.orders.is_due(order, this->settings, now)) {
                 work.orders.on_sent(order, now);
                 this->send_order(*host, order);
@@ -266,13 +265,6 @@
         }
     }
 
-    /// Whether the host has reported its state since its replica was planned.
-    static bool has_reported(const domain_work& work, const host_order& order)
-    {
-        const auto planned = work.timing.forming_since(order.replica);
-        return planned && work.status_requests.has_answered(order.host, *planned);
-    }
-
     void send_order(const listed_host& host, const host_order& order)
     {
         const domain_key key{host.service, host.fabric_domain};
@@ -302,18 +294,28 @@
             return;
         }
         const auto order_sent_at = this->work[key].orders.last_sent(id);
-        this->io.probe(*host, this->settings.liveness_timeout,
-                       [this, key, id, order_sent_at, unanswered](std::optional<host_status> status) {
-                           if (!status) {
-                               log_silent_host(id, "unanswered orders", unanswered, this->view,
-                                               order_sent_at);
-                               this->view.mark_silent(id);
-                           }
-                           else if (this->work[key].status_requests.on_answer(id, order_sent_at)) {
-                               this->view.update_host(id, *status, order_sent_at);
-                           }
-                           this->progress_listener();
-                       });
+        this->io.probe(
+            *host, this->settings.liveness_timeout,
+            [this, key, id, host = *host, order_sent_at, unanswered](std::optional<host_status> status) {
+                if (!status) {
+                    this->confirm_loss(host, unanswered, order_sent_at);
+                }
+                else if (this->work[key].status_requests.on_answer(id, order_sent_at)) {
+                    this->view.update_host(id, *status, order_sent_at);
+                }
+                this->progress_listener();
+            });
+    }
+
+    void confirm_loss(const listed_host& suspect, unsigned unanswered, time_ms since)
+    {
+        this->check_path(suspect, [this, id = suspect.id, unanswered, since](bool has_path) {
+            if (has_path) {
+                log_silent_host(id, "unanswered orders", unanswered, this->view, since);
+                this->view.mark_silent(id);
+                this->progress_listener();
+            }
+        });
     }
 
     void request_statuses(const domain_key& key, const domain_record& record,
@@ -391,6 +393,7 @@
     std::string self;
     controller_settings settings;
     std::function<void()> progress_listener = [] {};
+    path_check check_path = without_path_check();
     std::vector<load_assignment> loads; ///< Loads to start now, of the service that `tick` is processing.
     std::map<domain_key, domain_work> work;
 };
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "gateway/loss_exchange.hpp"
 #include "gateway/manifest_source.hpp"
 #include "gateway/page_server.hpp"
+#include "gateway/path_monitor.hpp"
 #include "gateway/permit_exchange.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
@@ -53,9 +54,16 @@
                                                                         }},
           silent_hosts{io, this->fleet}, checks{loop, this->relay, this->crashes, this->stalls,
                                                 this->retiring},
-          control_timer{loop}, peer_timer{loop}, housekeeping_timer{loop}, stop_timer{loop}
+          control_timer{loop}, peer_timer{loop}, path_timer{loop}, housekeeping_timer{loop}, stop_timer{loop}
     {
         this->relay.retry_settings = this->values.retries;
+        const path_check check = [this](const listed_host& suspect, on_path_checked done) {
+            this->paths.check(suspect, std::move(done));
+        };
+        this->control.set_path_check(check);
+        this->stalls.set_path_check(check);
+        this->losses.set_path_check(check);
+        this->crashes.set_path_check(check);
         this->control.set_progress_listener([this] { this->schedule_control(); });
         this->relay.may_probe_quarantine = [this](fingerprint print) {
             const auto daemons = this->peers->controllers();
@@ -155,6 +163,8 @@
     static constexpr time_ms stop_margin{400};
     /// Some callers cache a directory response for this many times its TTL.
     static constexpr std::int64_t max_cached_ttls = 3;
+    /// How often hosts that can't be reached are contacted again.
+    static constexpr time_ms path_recheck_interval{200};
 
     void listen(const std::string& address, connection_handlers handlers)
     {
@@ -195,6 +205,28 @@
         return addresses;
     }
 
+    /// Called when the path to the hosts of a service was lost or restored.
+    void on_path_changed(const std::string& service)
+    {
+        this->run_peers();
+        if (this->paths.is_cut(service)) {
+            this->recheck_paths();
+            return;
+        }
+        this->relay.service(service).board.forget_failures(this->relay.clock.now());
+        this->run_control();
+    }
+
+    void recheck_paths()
+    {
+        this->call_after(this->path_timer, path_recheck_interval, [this] {
+            if (this->paths.is_cut()) {
+                this->paths.recheck();
+                this->recheck_paths();
+            }
+        });
+    }
+
     void update_targets()
     {
         if (!this->relay.routes) {
@@ -255,7 +287,7 @@
             const auto now = this->relay.clock.now();
             this->control.set_cheap_loads(this->values.is_first_start && !this->relay.has_traffic);
             for (const auto& [name, service] : this->relay.routes->manifest().services) {
-                if (service.engine) {
+                if (service.engine && !this->paths.is_cut(name)) {
                     this->control.set_needed_replicas(
                         name,
                         this->loads.replicas_needed(name, *service.engine, this->fleet.host_count(name)));
@@ -269,7 +301,8 @@
     void run_peers()
     {
         this->peers->send_round(
-            this->manifest_version(), this->manifest_text, this->is_stopping, this->io.reaches_table(),
+            this->manifest_version(), this->manifest_text,
+            {this->is_stopping, this->io.reaches_table(), this->paths.is_cut()},
             this->loads.snapshot(gateway_peers::loads_per_message),
             this->relay.quarantine.next_update(gateway_peers::crashes_per_message, this->relay.clock.now()));
         this->relay.daemons = this->peers->count();
@@ -318,6 +351,8 @@
     page_server pages;
     load_exchange loads{this->relay};
     fleet_view fleet{this->relay.statements};
+    path_monitor<Io> paths{this->io, this->fleet,
+                           [this](const std::string& service) { this->on_path_changed(service); }};
     fleet_controller<Io> control;
     stall_response<Io> stalls;
     loss_exchange<Io> losses;
@@ -336,6 +371,7 @@
     std::uint64_t targets_change_count = 0; ///< The view's change count when targets were set.
     asio::steady_timer control_timer;
     asio::steady_timer peer_timer;
+    asio::steady_timer path_timer;
     asio::steady_timer housekeeping_timer;
     asio::steady_timer stop_timer;
     bool is_fleet_loaded = false;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -84,14 +84,15 @@
 }
 
 void gateway_peers::send_round(std::uint64_t manifest_version, const std::string& manifest_text,
-                               bool is_stopping, bool reaches_table, load_update load_reports,
+                               const daemon_state& state, load_update load_reports,
                                crash_update crash_reports)
 {
     const auto now = this->clock.now();
     if (std::exchange(this->manifest_version, manifest_version) != manifest_version) {
         this->manifest_received_at = now;
     }
-    this->members.advance_heartbeat(manifest_version, is_stopping, reaches_table);
+    this->members.advance_heartbeat(manifest_version, state.is_stopping, state.reaches_table,
+                                    state.is_cut_off);
     peer_message message;
     message.identities = this->members.identities_to_send();
     message.beats = this->members.heartbeats_to_send(now);
@@ -109,7 +110,7 @@
     const auto others = this->members.alive(now);
     for (const auto& view : others) {
         if (view.heartbeat.config_number < manifest_version && !manifest_text.empty() &&
-            should_send_manifest(this->members.self().name, reaches_table, view, others,
+            should_send_manifest(this->members.self().name, state.reaches_table, view, others,
                                  now - this->manifest_received_at) &&
             this->sent.mark_sent_if_due(view.identity.name, manifest_version, now)) {
             log_event(event::config_told,
@@ -184,7 +185,8 @@
     const auto daemons = group.size();
     const auto own_group = group_of(own, daemons);
     std::erase_if(group, [&](const std::string& name) { return group_of(name, daemons) != own_group; });
-    return shard_rank(std::string{table}, own, group) == 0;
+    const bool is_member = std::find(group.begin(), group.end(), own) != group.end();
+    return is_member && shard_rank(std::string{table}, own, group) == 0;
 }
 
 void gateway_peers::publish(const table_delta& read)
@@ -220,14 +222,17 @@
 
 std::vector<std::string> gateway_peers::controllers() const
 {
-    std::vector<std::string> found{this->members.self().name};
+    std::vector<std::string> connected;
+    std::vector<std::string> cut_off;
+    (this->members.own_heartbeat().is_cut_off ? cut_off : connected).push_back(this->members.self().name);
     for (const auto& view : this->members.alive(this->clock.now())) {
         if (view.heartbeat.table_reachable && !view.heartbeat.stopping) {
-            found.push_back(view.identity.name);
+            (view.heartbeat.is_cut_off ? cut_off : connected).push_back(view.identity.name);
         }
     }
+    auto& found = connected.empty() ? cut_off : connected;
     std::sort(found.begin(), found.end());
-    return found;
+    return std::move(found);
 }
 
 } // namespace coriander
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -22,6 +22,13 @@
 
 namespace coriander {
 
+/// What a daemon reports of itself in each round.
+struct daemon_state {
+    bool is_stopping = false;
+    bool reaches_table = true;
+    bool is_cut_off = false; ///< It can't reach the hosts of some service.
+};
+
 /// Exchanges heartbeats with the other gateways, and sends the manifest to those that have an older one, so
 /// that a daemon that the store rejects stays up to date. A daemon that reads changes from a table forwards
 /// them, so that not every daemon polls the store. Soft state only. Must be used on the event loop's thread
@@ -75,8 +82,8 @@
 
     /// Sends heartbeats and loads to some of the peers; to be called every `round_length`. Only the first
     /// `loads_per_message` targets of `load_reports` are sent.
-    void send_round(std::uint64_t manifest_version, const std::string& manifest_text, bool is_stopping,
-                    bool reaches_table, load_update load_reports, crash_update crash_reports);
+    void send_round(std::uint64_t manifest_version, const std::string& manifest_text,
+                    const daemon_state& state, load_update load_reports, crash_update crash_reports);
     /// At 16 bytes each and 20 messages per second, 5 KB/s of the 8 KB/s that control traffic may use per
     /// daemon.
     static constexpr std::size_t loads_per_message = 16;
@@ -98,7 +105,7 @@
     /// The number of live gateways, including this one.
     [[nodiscard]] std::size_t count() const;
     /// Sorted names of the gateways that can control replicas: this one, and all others that are alive, reach
-    /// the table and aren't stopping.
+    /// the table and aren't stopping. Without those that are cut off from hosts, unless all are.
     [[nodiscard]] std::vector<std::string> controllers() const;
 
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
--- a/src/gateway/loss_exchange.hpp
+++ b/src/gateway/loss_exchange.hpp
@@ -6,6 +6,7 @@
 #include "gateway/controller_io.hpp"
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/path_check.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -34,6 +35,10 @@
     {
     }
 
+    /// Sets the check that precedes the conclusion that a host is lost. Without it, the path is taken for
+    /// granted.
+    void set_path_check(path_check check) { this->check_path = std::move(check); }
+
     /// The daemons to notify of a loss in the domain: its owner and the first daemons in the order of
     /// takeover. Empty if `self` is one of them.
     [[nodiscard]] std::vector<std::string> recipients(const domain_key& key, const std::string& self) const
@@ -89,19 +94,30 @@
                 return;
             }
             this->probing.erase(pending->reported.id);
-            if (verdict == loss_probe_result::lost) {
-                log_silent_host(pending->reported.id, "unanswered probes", this->settings.max_rounds,
-                                this->view, pending->started_at);
-                this->view.mark_silent(pending->reported.id);
-                this->notify_change();
+            const auto* suspect = this->view.find_host(pending->reported.id);
+            if (verdict == loss_probe_result::lost && suspect != nullptr) {
+                this->check_path(*suspect, [this, pending](bool has_path) {
+                    if (has_path) {
+                        this->on_lost(*pending);
+                    }
+                });
             }
         });
     }
 
+    void on_lost(const inquiry& ended)
+    {
+        log_silent_host(ended.reported.id, "unanswered probes", this->settings.max_rounds, this->view,
+                        ended.started_at);
+        this->view.mark_silent(ended.reported.id);
+        this->notify_change();
+    }
+
     Io& io;
     fleet_view& view;
     std::function<void()> notify_change;
     loss_probe_settings settings;
+    path_check check_path = without_path_check();
     std::set<std::string> probing; ///< Hosts with a probe in flight.
 };
 
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -5,6 +5,7 @@
 #include "gateway/fleet_controller.hpp"
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/path_check.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
 #include "runtime/log.hpp"
@@ -49,6 +50,10 @@
     {
     }
 
+    /// Sets the check that precedes the conclusion that hosts are lost. Without it, the path is taken for
+    /// granted.
+    void set_path_check(path_check check) { this->check_path = std::move(check); }
+
     /// Starts an inquiry for each replica of the service that appears to be stalled.
     void check(const std::string& service, time_ms now)
     {
@@ -177,11 +182,10 @@
                    {"silence", silence},
                    {"moves", has_progress ? "yes" : "no"}});
         if (verdict == loss_probe_result::lost) {
-            // If no host answers, this daemon itself may be disconnected. The replica has no surviving hosts
-            // to reassign either, so the other daemons can wait for the host list to show the loss.
-            if (silent.size() < pending->members.size()) {
-                this->mark_lost(silent, now);
-            }
+            // If no host answers, the replica has no surviving hosts to reassign, so that the other daemons
+            // can wait for the host list to show the loss.
+            const bool has_survivors = silent.size() < pending->members.size();
+            this->confirm_loss(has_survivors ? silent : std::vector<std::string>{}, *pending);
             state.board.suspend(target.id, suspension::stalled, now + this->settings.suspension_time);
             move_requests(state, target.id);
             return;
@@ -193,6 +197,20 @@
         }
     }
 
+    /// Marks the hosts as lost if the path to others works. Checks the path even if there is none to mark.
+    void confirm_loss(const std::vector<std::string>& hosts, const inquiry& ended)
+    {
+        const auto* suspect = this->view.find_host(hosts.empty() ? ended.target.host : hosts.front());
+        if (suspect == nullptr) {
+            return;
+        }
+        this->check_path(*suspect, [this, hosts](bool has_path) {
+            if (has_path && !hosts.empty()) {
+                this->mark_lost(hosts, this->context.clock.now());
+            }
+        });
+    }
+
     void mark_lost(const std::vector<std::string>& hosts, time_ms now)
     {
         for (const auto& host : hosts) {
@@ -207,6 +225,7 @@
     fleet_view& view;
     on_lost report_lost;
     stall_response_settings settings;
+    path_check check_path = without_path_check();
     std::map<std::string, time_ms> last_inquiries; ///< When each replica's last inquiry started.
 };
 
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint32_t stopping_flag = 1;
 constexpr std::uint32_t table_reachable_flag = 2;
+constexpr std::uint32_t cut_off_flag = 4;
 
 std::string text_of(const flatbuffers::String* text)
 {
@@ -18,7 +19,8 @@
 
 std::uint32_t flags_of(const member_heartbeat& beat)
 {
-    return (beat.stopping ? stopping_flag : 0) | (beat.table_reachable ? table_reachable_flag : 0);
+    return (beat.stopping ? stopping_flag : 0) | (beat.table_reachable ? table_reachable_flag : 0) |
+           (beat.is_cut_off ? cut_off_flag : 0);
 }
 
 /// Clamps a count to the 16 bits that it has on the wire.
@@ -170,7 +172,8 @@
         for (const auto* one : *beats) {
             message.beats.push_back({one->id(), one->incarnation(), one->beat(), one->config_number(),
                                      (one->flags() & stopping_flag) != 0,
-                                     (one->flags() & table_reachable_flag) != 0});
+                                     (one->flags() & table_reachable_flag) != 0,
+                                     (one->flags() & cut_off_flag) != 0});
         }
     }
 }
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -343,6 +343,14 @@
     }
 }
 
+void target_pool::forget_failures(time_ms now)
+{
+    for (const auto& [id, target] : this->targets) {
+        this->restore(id);
+    }
+    this->reset_silence(now);
+}
+
 bool target_pool::is_suspect(const std::string& id, time_ms now) const
 {
     const auto found = this->targets.find(id);
--- a/test/gateway/cut_gateway_test.cpp
+++ b/test/gateway/cut_gateway_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/crash_response.hpp"
 #include "gateway/loss_exchange.hpp"
+#include "gateway/path_monitor.hpp"
 
 #include "support/event_loop.hpp"
 #include "support/two_hosts.hpp"
@@ -11,7 +12,15 @@
 
 /// A daemon that has lost its paths to all hosts, with a request on `d-h0`.
 struct cut_gateway : two_hosts {
-    cut_gateway() { (void)this->context.trials.begin("d-h0", {1, 2}); }
+    cut_gateway()
+    {
+        (void)this->context.trials.begin("d-h0", {1, 2});
+        const path_check check = [this](const listed_host& suspect, on_path_checked done) {
+            this->paths.check(suspect, std::move(done));
+        };
+        this->crashes.set_path_check(check);
+        this->losses.set_path_check(check);
+    }
 
     void deliver_all()
     {
@@ -23,6 +32,9 @@
     event_loop loop;
     relay_context context{this->loop.context(), {}, "here"};
     unsigned lost = 0;
+    unsigned path_changes = 0;
+    path_monitor<fake_controller_io> paths{this->io, this->view,
+                                           [this](const std::string&) { ++this->path_changes; }};
     crash_response<fake_controller_io> crashes{this->io, this->context, this->view,
                                                [this](auto hosts) { this->lost += hosts.size(); }};
     loss_exchange<fake_controller_io> losses{this->io, this->view, [this] { ++this->lost; }};
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -153,7 +153,7 @@
 {
     peer_message message;
     message.identities = {beat_exchange::identity(1, 5)};
-    message.beats = {{7, 5, 3, 9, true, false}};
+    message.beats = {{7, 5, 3, 9, true, false, true}};
     message.strikes = {{"digest", 2, 1, true}};
     message.demands = {{"gent", 12.5F}};
     message.config = config_record{9, "an", "token", 5_s, "[[profile]]"};
@@ -164,6 +164,7 @@
     CHECK(decoded.beats.front().config_number == 9);
     CHECK(decoded.beats.front().stopping);
     CHECK_FALSE(decoded.beats.front().table_reachable);
+    CHECK(decoded.beats.front().is_cut_off);
     CHECK(decoded.strikes.front().deaths_alone == 1);
     CHECK(decoded.demands.front().requests_per_second == 12.5F);
     CHECK(decoded.config->toml == "[[profile]]");
