A gateway that is cut off passes requests on to one that reaches the hosts

Cause: a gateway had no other way to the hosts than its own.

Now a request that can't be sent from here goes, as the caller sent it, to a gateway that reaches the hosts, chosen at random, as an attempt of the session: resumes, moves, deadline, the caller's leaving and the rule for requests that may run once hold as for a target. That gateway makes all decisions and attempts; its answer is final, unless it says that it has not tried (cut off, stopping, without a manifest, too many). It never passes a relayed request on, so that there are no loops. The request counts once for demand and retry budget. A failed connection to a target first asks whether the path is lost, so that no attempts are used up.

Weighed: leaving the directory instead. Callers keep its answers for up to three times the TTL, a channel that is refused counts as a failed try, and all gateways of a zone may be cut.

--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -18,7 +18,8 @@
 
 namespace coriander {
 
-/// A target that can take requests for one service: a replica's leader, or a host of a plain service.
+/// A target that can take requests for one service: a replica's leader, a host of a plain service, or another
+/// gateway.
 struct relay_target {
     std::string id; ///< The replica's name, or the host's id.
     std::string host;
@@ -29,6 +30,7 @@
     unsigned slots = 1;
     double time_factor = 1.0;      ///< Relative processing time of the model; smaller is faster.
     std::uint64_t incarnation = 0; ///< Of the host.
+    bool is_gateway = false;       ///< Another gateway, which sends the request to a target of its own.
 };
 
 /// Why a target is temporarily out of rotation.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -57,6 +57,8 @@
           control_timer{loop}, peer_timer{loop}, path_timer{loop}, housekeeping_timer{loop}, stop_timer{loop}
     {
         this->relay.retry_settings = this->values.retries;
+        this->relay.is_cut = [this](const std::string& service) { return this->paths.is_cut(service); };
+        this->relay.relaying_gateways = [this] { return this->peers->connected(); };
         const path_check check = [this](const listed_host& suspect, on_path_checked done) {
             this->paths.check(suspect, std::move(done));
         };
@@ -64,6 +66,7 @@
         this->stalls.set_path_check(check);
         this->losses.set_path_check(check);
         this->crashes.set_path_check(check);
+        this->relay.check_path = check;
         this->control.set_progress_listener([this] { this->schedule_control(); });
         this->relay.may_probe_quarantine = [this](fingerprint print) {
             const auto daemons = this->peers->controllers();
@@ -210,6 +213,7 @@
     {
         this->run_peers();
         if (this->paths.is_cut(service)) {
+            this->relay.channels.close_idle();
             this->recheck_paths();
             return;
         }
@@ -219,6 +223,11 @@
 
     void recheck_paths()
     {
+        for (const auto& [name, state] : this->relay.services) {
+            if (this->paths.is_cut(name)) {
+                this->stalls.abandon_silent_targets(name);
+            }
+        }
         this->call_after(this->path_timer, path_recheck_interval, [this] {
             if (this->paths.is_cut()) {
                 this->paths.recheck();
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -215,6 +215,17 @@
     return found;
 }
 
+std::vector<member_identity> gateway_peers::connected() const
+{
+    std::vector<member_identity> found;
+    for (const auto& view : this->members.alive(this->clock.now())) {
+        if (!view.heartbeat.stopping && !view.heartbeat.is_cut_off && !view.identity.http_address.empty()) {
+            found.push_back(view.identity);
+        }
+    }
+    return found;
+}
+
 std::size_t gateway_peers::count() const
 {
     return this->members.alive(this->clock.now()).size() + 1;
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -102,6 +102,8 @@
 
     /// All other live gateways that take callers' requests and aren't stopping.
     [[nodiscard]] std::vector<member_identity> serving() const;
+    /// Those of them that reach the hosts of all services.
+    [[nodiscard]] std::vector<member_identity> connected() const;
     /// The number of live gateways, including this one.
     [[nodiscard]] std::size_t count() const;
     /// Sorted names of the gateways that can control replicas: this one, and all others that are alive, reach
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coriander/clock.hpp"
+#include "coriander/membership.hpp"
 #include "coriander/relay/admission_forecast.hpp"
 #include "coriander/relay/answer_trials.hpp"
 #include "coriander/relay/crash_quarantine.hpp"
@@ -8,6 +9,7 @@
 #include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/route_table.hpp"
 #include "coriander/relay/target_statements.hpp"
+#include "gateway/path_check.hpp"
 #include "gateway/relay_dialect.hpp"
 #include "gateway/service_state.hpp"
 #include "net/caller_connection.hpp"
@@ -23,6 +25,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace coriander {
 
@@ -60,11 +63,22 @@
     std::function<void()> on_statement = [] {};
     /// Called with the host that closed the connection of a running request.
     std::function<void(const std::string&)> on_connection_closed = [](const std::string&) {};
+    /// Finds out whether a failure to connect is the target's or that of this daemon's own path.
+    path_check check_path = without_path_check();
+    /// Whether this daemon has no path to the hosts of the service.
+    std::function<bool(const std::string& service)> is_cut = [](const std::string&) { return false; };
+    /// The gateways that can take requests from this one while it has no path to a service's hosts.
+    std::function<std::vector<member_identity>()> relaying_gateways = [] {
+        return std::vector<member_identity>{};
+    };
     std::size_t daemons = 1; ///< Number of daemons that take callers' requests, including this one.
     std::size_t open_requests = 0;
     std::size_t buffered_bytes = 0; ///< Of responses that are forwarded only once complete.
     /// Limit of `buffered_bytes`, chosen to fit the smallest entry hosts, which have 160 MB of memory.
     static constexpr std::size_t max_buffered_bytes = 32U << 20U;
+    std::size_t relayed_requests = 0; ///< Open requests that other gateways passed on.
+    /// Limit of `relayed_requests`: several times what a gateway has open in normal operation.
+    static constexpr std::size_t max_relayed_requests = 256;
     /// Limit for a single response.
     static constexpr std::size_t max_response_bytes = 8U << 20U;
     bool has_traffic = false;          ///< A request has been received since the process started.
--- a/src/gateway/relay_dialect.hpp
+++ b/src/gateway/relay_dialect.hpp
@@ -20,6 +20,8 @@
     std::string token_counts = "Coriander-Tokens";     ///< `prompt,maximum answer`, in tokens.
     std::string prompt_parts = "Coriander-Prompt"; ///< The prompt's parts in order: `id:tokens,id:tokens`.
     std::string priority = "Coriander-Priority";   ///< Priority in the engine's queue; 0 is the highest.
+    /// Set by a gateway that passes a request on to another one, which must not do the same.
+    std::string relayed = "Coriander-Relayed";
     std::string authorization = "Authorization";
     std::string key_scheme = "Bearer"; ///< Scheme before the key in `authorization`.
 };
--- a/src/gateway/relay_request.cpp
+++ b/src/gateway/relay_request.cpp
@@ -62,12 +62,49 @@
     return prints;
 }
 
+/// The caller's headers without hop-by-hop ones and those that the gateway sets itself, and with the length
+/// of the body.
+std::vector<http_header> passed_headers(const relay_request& request, const relay_dialect& dialect)
+{
+    const std::array<std::string_view, 7> replaced{
+        dialect.relayed,  dialect.customer, dialect.deadline_ms, dialect.expected_host, dialect.last_event_id,
+        "Content-Length", "Expect"};
+    std::vector<http_header> headers;
+    const auto& own = request.raw.head.headers;
+    const auto connection = request.raw.head.header("Connection");
+    for (const auto& header : own) {
+        const bool is_replaced = std::any_of(replaced.begin(), replaced.end(), [&](std::string_view name) {
+            return equal_ignoring_case(header.name, name);
+        });
+        // A header named by the Connection header is hop-by-hop.
+        const bool is_named =
+            connection.size() == header.name.size() && equal_ignoring_case(connection, header.name);
+        if (!is_replaced && !is_named && !is_hop_by_hop(header.name)) {
+            headers.push_back(header);
+        }
+    }
+    const bool has_body = !request.raw.body.empty() || !request.raw.head.header("Content-Length").empty() ||
+                          !request.raw.head.header("Transfer-Encoding").empty();
+    if (has_body) {
+        headers.push_back({"Content-Length", std::to_string(request.raw.body.size())});
+    }
+    return headers;
+}
+
+/// Whether another gateway may be able to do what this one can't.
+bool depends_on_gateway(local_reply reply) noexcept
+{
+    return reply == local_reply::no_manifest || reply == local_reply::cut_off ||
+           reply == local_reply::relay_limit || reply == local_reply::stopping;
+}
+
 } // namespace
 
 local_reply decode_request(relay_request& request, const relay_dialect& dialect, double draw)
 {
     const auto& head = request.raw.head;
     request.attempt_id = head.header(dialect.attempt_id);
+    request.is_relayed = !head.header(dialect.relayed).empty();
     if (!request.routes) {
         return local_reply::no_manifest;
     }
@@ -97,35 +134,20 @@
 
 std::vector<http_header> forwarded_headers(const relay_request& request, const relay_dialect& dialect)
 {
-    const std::array<std::string_view, 7> replaced{dialect.authorization,
-                                                   dialect.customer,
-                                                   dialect.deadline_ms,
-                                                   dialect.expected_host,
-                                                   dialect.last_event_id,
-                                                   "Content-Length",
-                                                   "Expect"};
-    std::vector<http_header> headers;
-    const auto& own = request.raw.head.headers;
-    const auto connection = request.raw.head.header("Connection");
-    for (const auto& header : own) {
-        const bool is_replaced = std::any_of(replaced.begin(), replaced.end(), [&](std::string_view name) {
-            return equal_ignoring_case(header.name, name);
-        });
-        // A header named by the Connection header is hop-by-hop.
-        const bool is_named =
-            connection.size() == header.name.size() && equal_ignoring_case(connection, header.name);
-        if (!is_replaced && !is_named && !is_hop_by_hop(header.name)) {
-            headers.push_back(header);
-        }
-    }
+    auto headers = passed_headers(request, dialect);
+    std::erase_if(headers, [&](const http_header& header) {
+        return equal_ignoring_case(header.name, dialect.authorization);
+    });
     if (request.customer != nullptr) {
         headers.push_back({dialect.customer, request.customer->name});
     }
-    const bool has_body = !request.raw.body.empty() || !request.raw.head.header("Content-Length").empty() ||
-                          !request.raw.head.header("Transfer-Encoding").empty();
-    if (has_body) {
-        headers.push_back({"Content-Length", std::to_string(request.raw.body.size())});
-    }
+    return headers;
+}
+
+std::vector<http_header> relayed_headers(const relay_request& request, const relay_dialect& dialect)
+{
+    auto headers = passed_headers(request, dialect);
+    headers.push_back({dialect.relayed, "1"});
     return headers;
 }
 
@@ -137,6 +159,9 @@
     if (!request.attempt_id.empty()) {
         headers.push_back({dialect.attempt_id, request.attempt_id});
     }
+    if (request.is_relayed && depends_on_gateway(reply)) {
+        headers.push_back({dialect.not_run, "1"});
+    }
     if (status_of(reply) == unavailable_status && retry_after > time_ms{}) {
         headers.push_back({"Retry-After", fmt::format("{:.3f}", retry_after.seconds())});
     }
@@ -162,8 +187,8 @@
 const char* name_of(local_reply reply) noexcept
 {
     constexpr std::array names{"none",        "no_manifest", "no_route", "unknown_key", "no_service",
-                               "quarantined", "no_target",   "paused",   "overloaded",  "stopping",
-                               "not_sent",    "unknown_end", "timed_out"};
+                               "quarantined", "no_target",   "cut_off",  "relay_limit", "paused",
+                               "overloaded",  "stopping",    "not_sent", "unknown_end", "timed_out"};
     return names[static_cast<std::size_t>(reply)];
 }
 
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -23,6 +23,8 @@
     no_service,  ///< The manifest doesn't declare the route's service.
     quarantined, ///< Requests like it crash their targets.
     no_target,   ///< No target of the service or model is available.
+    cut_off,     ///< This gateway can't reach the service's hosts, and no other gateway takes the request.
+    relay_limit, ///< Too many requests of other gateways are open here.
     paused,      ///< All targets have stated that they want no requests for a while.
     overloaded,  ///< The response would come too late, or demand exceeds capacity.
     stopping,    ///< The gateway is shutting down.
@@ -43,6 +45,7 @@
     double prompt_tokens = 0.0;
     double max_answer_tokens = 0.0;
     std::vector<fingerprint> prints; ///< Of the whole request and of the parts of its prompt but the last.
+    bool is_relayed = false;         ///< Another gateway passed it on.
     std::optional<std::uint64_t> last_event; ///< Set if the caller resumes a stream after this event.
     time_ms deadline;                        ///< The caller's or the route's limit, whichever comes first.
 };
@@ -55,8 +58,13 @@
 [[nodiscard]] std::vector<http_header> forwarded_headers(const relay_request& request,
                                                          const relay_dialect& dialect);
 
-/// The headers of a local reply. A 503, which guarantees that the request has not run, gets a Retry-After
-/// header if `retry_after` is positive.
+/// The headers with which the request is passed on to another gateway, without those specific to an attempt.
+[[nodiscard]] std::vector<http_header> relayed_headers(const relay_request& request,
+                                                       const relay_dialect& dialect);
+
+/// The headers of a local reply. A reply to another gateway that can't be helped here says so, so that it
+/// tries the next one. A 503, which guarantees that the request has not run, gets a Retry-After header if
+/// `retry_after` is positive.
 [[nodiscard]] std::vector<http_header> local_reply_headers(local_reply reply, const relay_request& request,
                                                            const relay_dialect& dialect, time_ms retry_after);
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -27,6 +27,9 @@
     if (this->is_counted) {
         --this->context.open_requests;
     }
+    if (this->is_counted_as_relayed) {
+        --this->context.relayed_requests;
+    }
 }
 
 void relay_session::start()
@@ -47,6 +50,14 @@
         this->send_local_reply(local_reply::stopping, short_retry_delay);
         return;
     }
+    if (this->request.is_relayed) {
+        if (this->context.relayed_requests >= relay_context::max_relayed_requests) {
+            this->send_local_reply(local_reply::relay_limit, short_retry_delay);
+            return;
+        }
+        this->is_counted_as_relayed = true;
+        ++this->context.relayed_requests;
+    }
     this->context.has_traffic = true;
     this->stream.resume_after(this->request.last_event);
     this->stream.on_disconnected([weak = this->weak_from_this()] {
@@ -68,11 +79,15 @@
 {
     const auto now = this->context.clock.now();
     this->state = &this->context.service(this->request.service);
-    this->state->retries.on_request(now);
     if (this->check_quarantine() == quarantine_verdict::blocked) {
         this->refuse_quarantined();
         return;
     }
+    if (this->context.is_cut(this->request.service)) {
+        this->relay_or_refuse();
+        return;
+    }
+    this->state->retries.on_request(now);
     auto& meter = this->state->meters[this->request.model];
     meter.on_request(this->request.prompt_tokens, now);
     const auto* service = this->request.routes->find_service(this->request.service);
@@ -200,6 +215,9 @@
 
 std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded)
 {
+    if (this->context.is_cut(this->request.service)) {
+        return this->choose_gateway(excluded);
+    }
     const bool excludes_limited = this->denied_permits >= max_denied_permits;
     return this->state->board.choose({this->target_model(), this->context.failure_domain, excluded,
                                       this->context.daemons, excludes_limited},
@@ -209,7 +227,8 @@
 void relay_session::dispatch(const target_choice& choice)
 {
     const auto now = this->context.clock.now();
-    if (!this->state->board.may_send(choice.target, now)) {
+    const bool may_send = choice.target.is_gateway || this->state->board.may_send(choice.target, now);
+    if (!may_send) {
         log_redirect(this->request, choice);
         this->choose_again();
         return;
@@ -219,12 +238,14 @@
     this->current.choice = choice;
     this->current.is_open = true;
     this->current.sent_at = now;
-    this->current.trial = this->context.trials.begin(choice.target.host, this->request.prints);
     this->current.events_before = this->stream.events();
     const auto& target = choice.target;
     log_choice(this->request, choice, this->attempts_sent + 1, this->stream.last_event());
-    this->state->board.on_sent(target.id, now);
-    this->state->sessions[target.id].insert(this);
+    if (!target.is_gateway) {
+        this->current.trial = this->context.trials.begin(target.host, this->request.prints);
+        this->state->board.on_sent(target.id, now);
+        this->state->sessions[target.id].insert(this);
+    }
     // A pooled connection may have been closed without notice, so requests that must not be repeated get a
     // new one.
     const bool is_fresh = this->request.route->kind == repetition::non_idempotent;
@@ -240,10 +261,14 @@
 std::string relay_session::request_text(const target_choice& choice) const
 {
     const auto& dialect = this->context.dialect;
-    auto headers = forwarded_headers(this->request, dialect);
+    const bool is_relayed = choice.target.is_gateway;
+    auto headers =
+        is_relayed ? relayed_headers(this->request, dialect) : forwarded_headers(this->request, dialect);
     const auto left = this->request.deadline - this->context.clock.now();
     headers.push_back({dialect.deadline_ms, std::to_string(std::max<std::int64_t>(1, left.count()))});
-    headers.push_back({dialect.expected_host, choice.target.host});
+    if (!is_relayed) {
+        headers.push_back({dialect.expected_host, choice.target.host});
+    }
     if (const auto last = this->stream.last_event()) {
         headers.push_back({dialect.last_event_id, std::to_string(*last)});
     }
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -114,6 +114,10 @@
     void log_stay(const char* why);
     void dispatch(const target_choice& choice);
     [[nodiscard]] std::string request_text(const target_choice& choice) const;
+    /// Passes the request on to a gateway that reaches the service's hosts, or refuses it.
+    void relay_or_refuse();
+    [[nodiscard]] std::optional<target_choice> choose_gateway(std::span<const std::string> excluded);
+    void on_gateway_head(message_head head);
     /// The best target that is not in `excluded`, a list of target ids.
     [[nodiscard]] std::optional<target_choice> choose_target(std::span<const std::string> excluded);
     void record_load(const message_head& head);
@@ -126,6 +130,8 @@
     [[nodiscard]] time_ms pause_left() const;
     [[nodiscard]] std::string_view target_model() const;
     void on_response_complete();
+    /// Records the size and the duration of the target's answer.
+    void record_answer(time_ms now);
     /// Leaves the current attempt open until the next one has been accepted. Precondition: none is held.
     void hold_attempt(const char* reason);
     /// Closes the held attempt, if there is one.
@@ -135,6 +141,9 @@
     void leave_target(const std::string& id);
     void log_end(attempt_end end, const char* reason, next_step step);
     void end_attempt(attempt_end end, const char* reason);
+    /// Continues after an attempt that could not be sent, once it is known whether the path is lost.
+    void check_path_and_continue(const char* reason);
+    void continue_after(attempt_state state, const char* reason);
     void close_attempt(bool is_failure);
     /// The state of the request if the current attempt ends like this.
     [[nodiscard]] attempt_state state_after(attempt_end end) const;
@@ -166,6 +175,7 @@
     bool may_have_run = false;
     bool has_ended = false;
     bool is_counted = false;
+    bool is_counted_as_relayed = false;
 };
 
 } // namespace coriander
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -140,7 +140,7 @@
         this->tried_targets.push_back(target.id);
     }
     this->stream.end_attempt();
-    auto state = this->state_after(end);
+    const auto state = this->state_after(end);
     this->attempts_sent = state.attempts_sent;
     this->may_have_run = state.may_have_run;
     if (end == attempt_end::timed_out) {
@@ -151,10 +151,34 @@
         this->go_back();
         return;
     }
+    this->last_end = state;
+    const bool may_be_path = end == attempt_end::not_sent && !target.is_gateway && !this->reserved;
+    if (may_be_path) {
+        this->check_path_and_continue(reason);
+        return;
+    }
+    this->continue_after(state, reason);
+}
+
+void relay_session::check_path_and_continue(const char* reason)
+{
+    listed_host suspect;
+    suspect.id = this->current.choice.target.host;
+    suspect.service = this->request.service;
+    this->context.check_path(suspect, [weak = this->weak_from_this(), reason](bool /*has_path*/) {
+        const auto session = weak.lock();
+        if (session && !session->has_ended) {
+            session->continue_after(*session->last_end, reason);
+        }
+    });
+}
+
+void relay_session::continue_after(attempt_state state, const char* reason)
+{
+    const auto now = this->context.clock.now();
     auto next = this->reserved;
     state.is_retry_allowed = next || this->may_retry(state, this->tried_targets.size());
     auto step = decide_next(state);
-    this->last_end = state;
     if (!next && (step == next_step::try_again || step == next_step::resume)) {
         const bool costs_budget = this->attempts_sent > 0;
         next = this->choose_target(this->tried_targets);
@@ -162,7 +186,7 @@
             next && (!costs_budget || this->state->retries.try_retry(now, this->context.daemons));
         step = decide_next(state);
     }
-    this->log_end(end, reason, step);
+    this->log_end(state.end, reason, step);
     this->execute(step, next);
 }
 
--- a/src/gateway/relay_session_response.cpp
+++ b/src/gateway/relay_session_response.cpp
@@ -29,6 +29,10 @@
 
 void relay_session::on_response_head(message_head head)
 {
+    if (this->current.choice.target.is_gateway) {
+        this->on_gateway_head(std::move(head));
+        return;
+    }
     this->current.has_begun = true;
     this->current.begun_at = this->context.clock.now();
     record_statements(this->context, this->current.choice.target, head);
@@ -149,6 +153,19 @@
     this->close_attempt(false);
     const auto now = this->context.clock.now();
     this->context.trials.on_complete(this->current.trial, now);
+    if (!this->current.choice.target.is_gateway) {
+        this->record_answer(now);
+    }
+    if (!this->is_event_stream()) {
+        this->forward_response();
+        return;
+    }
+    this->stream.finish(this->current.head, now);
+    this->finish("whole", this->current.head.status);
+}
+
+void relay_session::record_answer(time_ms now)
+{
     const auto* service = this->request.routes->find_service(this->request.service);
     const double tokens =
         service->engine ? static_cast<double>(this->stream.events()) * service->engine->steps_per_event : 0.0;
@@ -156,19 +173,18 @@
     const auto work_began =
         this->current.begun_at > time_ms{} ? this->current.begun_at : this->current.sent_at;
     this->state->meters[this->request.model].on_answer(tokens, now - work_began);
-    if (!this->is_event_stream()) {
-        this->forward_response();
-        return;
-    }
-    this->stream.finish(this->current.head, now);
-    this->finish("whole", this->current.head.status);
 }
 
 void relay_session::forward_response()
 {
     const auto& head = this->current.head;
     this->stream.send_whole(head.status, forwarded_response_headers(head), this->current.body);
-    this->finish(head.status < first_error_status ? "whole" : "target_failed", head.status);
+    const bool is_refusal =
+        this->current.choice.target.is_gateway && head.header(this->context.dialect.signature).empty();
+    this->finish(head.status < first_error_status ? "whole"
+                 : is_refusal                     ? "relay_refused"
+                                                  : "target_failed",
+                 head.status);
 }
 
 } // namespace coriander
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -33,6 +33,9 @@
     /// A started stream without events for this long is resumed on another replica even if all hosts answer:
     /// its connection is lost, or the hosts cannot reach each other.
     time_ms stream_stall_timeout{1500};
+    /// Targets without progress for this long are left when the path to the service's hosts is lost; others
+    /// may go on over the connections that they have.
+    time_ms silence_without_path{120};
 };
 
 /// Investigates stalled replicas and moves their requests to other replicas. A replica stops when it loses a
@@ -80,6 +83,22 @@
         }
     }
 
+    /// Moves the requests off targets that are silent, since this daemon has no path to the service's hosts.
+    void abandon_silent_targets(const std::string& service)
+    {
+        auto& state = this->context.service(service);
+        const auto now = this->context.clock.now();
+        std::vector<std::string> silent;
+        for (const auto& [target, sessions] : state.sessions) {
+            if (state.board.silence(target, now) >= this->settings.silence_without_path) {
+                silent.push_back(target);
+            }
+        }
+        for (const auto& target : silent) {
+            move_requests(state, target);
+        }
+    }
+
 private:
     struct inquiry {
         std::string service;
@@ -185,9 +204,8 @@
             // If no host answers, the replica has no surviving hosts to reassign, so that the other daemons
             // can wait for the host list to show the loss.
             const bool has_survivors = silent.size() < pending->members.size();
-            this->confirm_loss(has_survivors ? silent : std::vector<std::string>{}, *pending);
             state.board.suspend(target.id, suspension::stalled, now + this->settings.suspension_time);
-            move_requests(state, target.id);
+            this->confirm_loss(has_survivors ? silent : std::vector<std::string>{}, *pending);
             return;
         }
         state.board.restore(target.id);
@@ -197,18 +215,22 @@
         }
     }
 
-    /// Marks the hosts as lost if the path to others works. Checks the path even if there is none to mark.
+    /// Marks the hosts as lost if the path to others works, and moves the requests of their replica. Checks
+    /// the path even if there is no host to mark: it shows how the requests can be sent.
     void confirm_loss(const std::vector<std::string>& hosts, const inquiry& ended)
     {
         const auto* suspect = this->view.find_host(hosts.empty() ? ended.target.host : hosts.front());
-        if (suspect == nullptr) {
-            return;
-        }
-        this->check_path(*suspect, [this, hosts](bool has_path) {
+        const auto proceed = [this, hosts, service = ended.service, target = ended.target.id](bool has_path) {
             if (has_path && !hosts.empty()) {
                 this->mark_lost(hosts, this->context.clock.now());
             }
-        });
+            move_requests(this->context.service(service), target);
+        };
+        if (suspect == nullptr) {
+            proceed(false);
+            return;
+        }
+        this->check_path(*suspect, proceed);
     }
 
     void mark_lost(const std::vector<std::string>& hosts, time_ms now)
--- a/src/gateway/target_answer.cpp
+++ b/src/gateway/target_answer.cpp
@@ -104,4 +104,22 @@
     return is_other_response ? std::optional{attempt_end::lost} : std::nullopt;
 }
 
+std::optional<attempt_end> classify_relayed_response(const message_head& head, const relay_dialect& dialect,
+                                                     const expected_response& expected)
+{
+    if (!answers_attempt(head.header(dialect.attempt_id), expected)) {
+        return attempt_end::lost;
+    }
+    if (!head.header(dialect.not_run).empty()) {
+        return attempt_end::not_sent;
+    }
+    const bool is_success = head.status >= first_success_status && head.status < first_redirect_status;
+    const bool is_unsigned = head.header(dialect.signature).empty();
+    if (is_success ? is_unsigned : expected.continued.has_value()) {
+        return attempt_end::lost;
+    }
+    const bool is_other_response = expected.continued && form_of(head) != *expected.continued;
+    return is_other_response ? std::optional{attempt_end::lost} : std::nullopt;
+}
+
 } // namespace coriander
--- a/src/gateway/target_answer.hpp
+++ b/src/gateway/target_answer.hpp
@@ -58,6 +58,13 @@
 [[nodiscard]] std::optional<attempt_end>
 classify_response(const message_head& head, const relay_dialect& dialect, const expected_response& expected);
 
+/// The same for the response of another gateway to a request that was passed on to it: `not_sent` if it has
+/// not tried to send the request to a target, so that this may be tried elsewhere. A target's error or a
+/// refusal by that gateway is final and not ruled out, except in a stream that has begun.
+[[nodiscard]] std::optional<attempt_end> classify_relayed_response(const message_head& head,
+                                                                   const relay_dialect& dialect,
+                                                                   const expected_response& expected);
+
 /// The headers of a target's response that are forwarded to the caller.
 [[nodiscard]] std::vector<http_header> forwarded_response_headers(const message_head& head);
 
--- a/src/net/channel_pool.cpp
+++ b/src/net/channel_pool.cpp
@@ -46,6 +46,15 @@
     idle_channels.push_back({channel, this->clock.now() + idle_time});
 }
 
+void channel_pool::close_idle()
+{
+    for (auto& [address, idle_channels] : std::exchange(this->idle, {})) {
+        for (auto& one : idle_channels) {
+            one.channel->close();
+        }
+    }
+}
+
 void channel_pool::close_expired()
 {
     const auto now = this->clock.now();
--- a/src/net/channel_pool.hpp
+++ b/src/net/channel_pool.hpp
@@ -33,6 +33,9 @@
     /// Returns a connection to the pool, or closes it if it can't be reused or enough are idle.
     void release(const std::string& address, const std::shared_ptr<http_channel>& channel);
 
+    /// Closes all idle connections.
+    void close_idle();
+
     /// Closes connections that have been idle for too long or are no longer usable.
     void close_expired();
 
