Test: a response that stops in the middle of its head is not complete

A report of other operators: a replica stopped in the middle of its head and closed, and clients got a 200 with an empty or short body. Here each of the 63 places at which the test's response can stop, in its head or body, ends as lost or malformed, so that nothing is passed on as whole. No change was needed.

--- a/test/net/http_channel_test.cpp
+++ b/test/net/http_channel_test.cpp
@@ -93,6 +93,16 @@
     CHECK_FALSE(fixture.channel->is_reusable());
 }
 
+TEST_CASE("http channel: a response that stops in the middle of its head is not complete")
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nCoriander-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+    const auto cut_after = GENERATE_COPY(range(std::size_t{1}, whole.size()));
+    CAPTURE(cut_after);
+    exchange_fixture fixture{whole.substr(0, cut_after), true};
+    CHECK(fixture.run() != exchange_end::complete);
+    CHECK_FALSE(fixture.channel->is_reusable());
+}
+
 TEST_CASE("http channel: bytes that are not an HTTP response are reported as malformed")
 {
     exchange_fixture one{"nonsense\r\n\r\n"};
