gateway: requests that come late in a planned stop are not cut without an answer

What callers see otherwise (report of other operators): requests taken in the grace of a planned stop were cut at its end with no answer, among them some that may not be repeated.

Cause: requests were accepted for 2.5 s after the signal whatever their time limit and the stop's limit; at the end the process just closed its connections.

Begun streams break off, visibly. The stop has a file of its own (graceful_stop).

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/fleet_view.hpp"
 #include "gateway/gateway_peers.hpp"
 #include "gateway/gateway_settings.hpp"
+#include "gateway/graceful_stop.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/loss_exchange.hpp"
 #include "gateway/manifest_source.hpp"
@@ -54,7 +55,7 @@
                                                                         }},
           silent_hosts{io, this->fleet}, checks{loop, this->relay, this->crashes, this->stalls,
                                                 this->retiring},
-          control_timer{loop}, peer_timer{loop}, path_timer{loop}, housekeeping_timer{loop}, stop_timer{loop}
+          control_timer{loop}, peer_timer{loop}, path_timer{loop}, housekeeping_timer{loop}
     {
         this->relay.retry_settings = this->values.retries;
         this->relay.is_cut = [this](const std::string& service) { return this->paths.is_cut(service); };
@@ -148,24 +149,14 @@
     /// finished, then the event loop stops.
     void stop()
     {
-        if (std::exchange(this->is_stopping, true)) {
-            return;
+        if (!this->stopping.has_begun()) {
+            this->stopping.begin();
+            this->run_peers();
         }
-        log_event(event::process_stopping, {{"open", this->relay.open_requests}});
-        this->stopped_at = this->relay.clock.now();
-        this->run_peers();
-        this->continue_stop();
     }
 
 private:
     static constexpr time_ms housekeeping_interval{1000};
-    static constexpr time_ms stop_check_interval{100};
-    /// How long new requests are accepted after the stop signal; later ones could be cut off by the exit.
-    static constexpr time_ms stop_accept_period{2500};
-    /// The process exits by itself this long before it would be killed.
-    static constexpr time_ms stop_margin{400};
-    /// Some callers cache a directory response for this many times its TTL.
-    static constexpr std::int64_t max_cached_ttls = 3;
     /// How often hosts that can't be reached are contacted again.
     static constexpr time_ms path_recheck_interval{200};
 
@@ -183,7 +174,8 @@
                     std::make_shared<relay_session>(this->relay, caller, std::move(request))->start();
                     this->checks.start();
                 },
-                [this] { return this->relay.connection_bounds(); }, [this] { return this->is_stopping; }};
+                [this] { return this->relay.connection_bounds(); },
+                [this] { return this->stopping.has_begun(); }};
     }
 
     connection_handlers page_handlers()
@@ -191,12 +183,12 @@
         return {[this](const std::shared_ptr<caller_connection>& caller, const incoming_request& request) {
                     this->pages.serve(*caller, request);
                 },
-                [] { return connection_limits{}; }, [this] { return this->is_stopping; }};
+                [] { return connection_limits{}; }, [this] { return this->stopping.has_begun(); }};
     }
 
     [[nodiscard]] bool is_ready() const
     {
-        return this->relay.routes != nullptr && this->is_fleet_loaded && !this->is_stopping;
+        return this->relay.routes != nullptr && this->is_fleet_loaded && !this->stopping.has_begun();
     }
 
     [[nodiscard]] std::vector<std::string> other_addresses() const
@@ -292,7 +284,7 @@
         if (this->fleet.change_count() != this->targets_change_count) {
             this->update_targets();
         }
-        if (this->relay.routes && this->is_fleet_loaded && !this->is_stopping) {
+        if (this->relay.routes && this->is_fleet_loaded && !this->stopping.has_begun()) {
             const auto now = this->relay.clock.now();
             this->control.set_cheap_loads(this->values.is_first_start && !this->relay.has_traffic);
             for (const auto& [name, service] : this->relay.routes->manifest().services) {
@@ -311,7 +303,7 @@
     {
         this->peers->send_round(
             this->manifest_version(), this->manifest_text,
-            {this->is_stopping, this->io.reaches_table(), this->paths.is_cut()},
+            {this->stopping.has_begun(), this->io.reaches_table(), this->paths.is_cut()},
             this->loads.snapshot(gateway_peers::loads_per_message),
             this->relay.quarantine.next_update(gateway_peers::crashes_per_message, this->relay.clock.now()));
         this->relay.daemons = this->peers->count();
@@ -322,33 +314,12 @@
     {
         this->relay.channels.close_expired();
         this->relay.counters.set("coriander_open_requests", {},
-                                 static_cast<double>(this->relay.open_requests));
+                                 static_cast<double>(this->relay.open_requests()));
         this->silent_hosts.probe_all(this->relay.clock.now());
         this->call_after(this->housekeeping_timer, housekeeping_interval,
                          [this] { this->run_housekeeping(); });
     }
 
-    void continue_stop()
-    {
-        const auto since = this->relay.clock.now() - this->stopped_at;
-        this->relay.rejects_new_requests = since >= stop_accept_period;
-        const auto listen_period =
-            std::min(this->values.directory_ttl * max_cached_ttls, this->values.stop_limit - stop_margin);
-        std::size_t busy = 0;
-        for (const auto& listener : this->listeners) {
-            busy += listener->count_busy_connections();
-        }
-        const bool is_done = since >= listen_period && this->relay.open_requests == 0 && busy == 0;
-        if (is_done || since >= this->values.stop_limit - stop_margin) {
-            if (!is_done) {
-                log_event(event::stop_limit_reached, {{"open", this->relay.open_requests}, {"busy", busy}});
-            }
-            this->loop.stop();
-            return;
-        }
-        this->call_after(this->stop_timer, stop_check_interval, [this] { this->continue_stop(); });
-    }
-
     static constexpr time_ms control_idle_interval{500};
     /// Long enough for the responses of all hosts of a replica to arrive.
     static constexpr time_ms control_batch_delay{5};
@@ -375,18 +346,16 @@
                             [this](const std::string& address, const permit_message& message) {
                                 this->peers->send_permits(address, message);
                             }};
-    std::vector<std::shared_ptr<http_listener>> listeners;
+    graceful_stop::listener_list listeners;
+    graceful_stop stopping{this->loop, this->relay, this->values, this->listeners};
     std::string manifest_text;
     std::uint64_t targets_change_count = 0; ///< The view's change count when targets were set.
     asio::steady_timer control_timer;
     asio::steady_timer peer_timer;
     asio::steady_timer path_timer;
     asio::steady_timer housekeeping_timer;
-    asio::steady_timer stop_timer;
     bool is_fleet_loaded = false;
     bool is_control_due = false;
-    bool is_stopping = false;
-    time_ms stopped_at;
 };
 
 } // namespace coriander
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -22,13 +22,17 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace coriander {
 
+class relay_session;
+
 /// State shared by all requests of a gateway. Must be used on the event loop's thread only.
 struct relay_context {
     relay_context(asio::io_context& loop, relay_dialect dialect, std::string failure_domain)
@@ -71,9 +75,9 @@
     std::function<std::vector<member_identity>()> relaying_gateways = [] {
         return std::vector<member_identity>{};
     };
-    std::size_t daemons = 1; ///< Number of daemons that take callers' requests, including this one.
-    std::size_t open_requests = 0;
-    std::size_t buffered_bytes = 0; ///< Of responses that are forwarded only once complete.
+    std::size_t daemons = 1;           ///< Number of daemons that take callers' requests, including this one.
+    std::set<relay_session*> sessions; ///< Of all open requests.
+    std::size_t buffered_bytes = 0;    ///< Of responses that are forwarded only once complete.
     /// Limit of `buffered_bytes`, chosen to fit the smallest entry hosts, which have 160 MB of memory.
     static constexpr std::size_t max_buffered_bytes = 32U << 20U;
     std::size_t relayed_requests = 0; ///< Open requests that other gateways passed on.
@@ -83,6 +87,9 @@
     static constexpr std::size_t max_response_bytes = 8U << 20U;
     bool has_traffic = false;          ///< A request has been received since the process started.
     bool rejects_new_requests = false; ///< Shutting down: a request accepted now could be cut off.
+    std::optional<time_ms> exits_at;   ///< When the process exits at the latest; set once it is stopping.
+
+    [[nodiscard]] std::size_t open_requests() const noexcept { return this->sessions.size(); }
 
     /// Uniform in [0, 1).
     [[nodiscard]] double draw() { return std::uniform_real_distribution<double>{0.0, 1.0}(this->random); }
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -24,9 +24,7 @@
 relay_session::~relay_session()
 {
     this->release_buffer();
-    if (this->is_counted) {
-        --this->context.open_requests;
-    }
+    this->context.sessions.erase(this);
     if (this->is_counted_as_relayed) {
         --this->context.relayed_requests;
     }
@@ -35,8 +33,7 @@
 void relay_session::start()
 {
     this->self = this->shared_from_this();
-    this->is_counted = true;
-    ++this->context.open_requests;
+    this->context.sessions.insert(this);
     const auto problem = decode_request(this->request, this->context.dialect, this->context.draw());
     if (problem != local_reply::none) {
         this->send_local_reply(problem, short_retry_delay);
@@ -46,7 +43,7 @@
         this->on_caller_gone();
         return;
     }
-    if (this->context.rejects_new_requests) {
+    if (this->context.rejects_new_requests || this->may_outlast_process()) {
         this->send_local_reply(local_reply::stopping, short_retry_delay);
         return;
     }
@@ -75,6 +72,13 @@
     this->admit();
 }
 
+bool relay_session::may_outlast_process() const
+{
+    const auto& exits_at = this->context.exits_at;
+    return exits_at && this->request.route->kind == repetition::non_idempotent &&
+           this->request.deadline > *exits_at;
+}
+
 void relay_session::admit()
 {
     const auto now = this->context.clock.now();
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -41,6 +41,9 @@
     /// Sends a request that waits for a connection to another target if its target may no longer get it.
     void withdraw_if_forbidden();
 
+    /// Answers the request with what is known of it, since the process exits; breaks off a stream.
+    void end_before_exit();
+
     /// Whether the caller has received part of a streamed response.
     [[nodiscard]] bool has_begun() const noexcept { return this->stream.has_begun(); }
 
@@ -89,6 +92,8 @@
         void on_exchange_end(exchange_end how) override { this->end = how; }
     };
 
+    /// Whether the process may exit while the request runs, which can't be repeated elsewhere then.
+    [[nodiscard]] bool may_outlast_process() const;
     void admit();
     void try_admit();
     [[nodiscard]] quarantine_verdict check_quarantine();
@@ -155,6 +160,8 @@
     void finish(const char* outcome, int status);
     void on_deadline();
     void on_caller_gone();
+    /// Closes the attempt's connection, for a reason that is not the target's.
+    void abandon_attempt();
 
     relay_context& context;
     relay_request request;
@@ -174,7 +181,6 @@
     std::optional<attempt_state> last_end; ///< State after the last attempt, while another is prepared.
     bool may_have_run = false;
     bool has_ended = false;
-    bool is_counted = false;
     bool is_counted_as_relayed = false;
 };
 
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -291,18 +291,41 @@
     this->end_without_target();
 }
 
-void relay_session::on_caller_gone()
+void relay_session::abandon_attempt()
 {
-    if (this->has_ended) {
-        return;
-    }
-    const auto keep_alive = this->shared_from_this();
     this->attempts_sent += this->current.is_open && !this->current.is_counted ? 1 : 0;
     if (this->current.channel) {
         this->current.channel->close();
     }
     this->close_attempt(false);
     this->context.trials.on_broken_off(this->current.trial, this->context.clock.now());
+}
+
+void relay_session::end_before_exit()
+{
+    if (this->has_ended) {
+        return;
+    }
+    const auto keep_alive = this->shared_from_this();
+    const bool is_sent = this->current.is_open && !this->is_unsent();
+    const bool may_have_run = this->may_have_run || is_sent;
+    this->abandon_attempt();
+    if (this->stream.has_begun()) {
+        this->stream.abort();
+        this->finish("broken_off", 0);
+        return;
+    }
+    this->send_local_reply(may_have_run ? local_reply::unknown_end : local_reply::stopping,
+                           short_retry_delay);
+}
+
+void relay_session::on_caller_gone()
+{
+    if (this->has_ended) {
+        return;
+    }
+    const auto keep_alive = this->shared_from_this();
+    this->abandon_attempt();
     log_event(event::caller_gone, {{"request", this->request.attempt_id},
                                    {"after", this->context.clock.now() - this->request.raw.arrived},
                                    {"events", this->stream.events()}});
--- a/src/gateway/stall_checks.hpp
+++ b/src/gateway/stall_checks.hpp
@@ -52,7 +52,7 @@
     void check(time_ms due)
     {
         const auto now = this->context.clock.now();
-        this->is_running = this->context.open_requests > 0;
+        this->is_running = this->context.open_requests() > 0;
         this->crashes.check();
         if (now - due <= max_delay) {
             this->check_services(now);
--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -131,7 +131,7 @@
     request.go_on(chunk_of_event(2) + last_chunk);
     CHECK(*request.relay.caller->end == exchange_end::complete);
     CHECK(request.relay.caller->body == whole_stream);
-    CHECK(request.relay.context.open_requests == 0);
+    CHECK(request.relay.context.open_requests() == 0);
 }
 
 TEST_CASE(
@@ -180,7 +180,7 @@
     CHECK(relay.first.closed() == 0);
     relay.caller->disconnect();
     CHECK(relay.loop.run_until([&] { return relay.first.closed() == 1 && relay.second.closed() == 1; }));
-    CHECK(relay.context.open_requests == 0);
+    CHECK(relay.context.open_requests() == 0);
     CHECK(request.state().board.own_requests("first") == 0);
 }
 
--- a/test/gateway/relay_session_test.cpp
+++ b/test/gateway/relay_session_test.cpp
@@ -188,7 +188,7 @@
     REQUIRE(relay.loop.run_until([&] { return relay.first.requests().size() == 1; }));
     relay.caller->disconnect();
     CHECK(relay.loop.run_until([&] { return relay.first.closed() == 1; }));
-    CHECK(relay.context.open_requests == 0);
+    CHECK(relay.context.open_requests() == 0);
     CHECK(relay.requests_sent() == 1);
 }
 
@@ -205,7 +205,7 @@
     caller.close();
     REQUIRE(relay.loop.run_until(
         [&] { return relay.context.counters.text().find("outcome=\"caller_gone\"") != std::string::npos; }));
-    REQUIRE(relay.loop.run_until([&] { return relay.context.open_requests == 0; }));
+    REQUIRE(relay.loop.run_until([&] { return relay.context.open_requests() == 0; }));
     CHECK(relay.exchange() == exchange_end::complete);
     CHECK(relay.requests_sent() == 2);
 }
--- a/test/gateway/relay_through_gateway_test.cpp
+++ b/test/gateway/relay_through_gateway_test.cpp
@@ -200,7 +200,7 @@
     REQUIRE(relay.loop.run_until([&] { return relay.requests_sent() == 1; }));
     relay.caller->disconnect();
     CHECK(relay.loop.run_until([&] { return relay.first.closed() + relay.second.closed() == 1; }));
-    CHECK(relay.loop.run_until([&] { return relay.context.open_requests == 0; }));
+    CHECK(relay.loop.run_until([&] { return relay.context.open_requests() == 0; }));
 }
 
 } // namespace coriander
