Replicas: orders to leave wait while requests are kept on a replica whose silent host may be sound

Cause: a host that is silent for 120 ms counts as lost, its replica is dissolved, and our orders to leave ended the requests that could not move.

Now the hosts of a dissolving replica are ordered to leave only when its requests have ended (no gateway reports any to the owner, or the leader counts none), when a host is lost for good (it refuses connections, is no longer listed, has restarted, or is silent for 1.5 s), or after 9 s. New requests and those that can move leave the replica at once, as before.

--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -3,6 +3,7 @@
 #include "coriander/relay/relay_manifest.hpp"
 #include "coriander/replicas/domain_record.hpp"
 #include "coriander/replicas/listed_host.hpp"
+#include "coriander/time_ms.hpp"
 
 #include <map>
 #include <set>
@@ -31,17 +32,35 @@
     std::vector<std::string> members; ///< Ids of all hosts of the replica, the leader first.
 };
 
+/// A sound host may fall silent for about a second and go on; one that is silent for longer is lost.
+inline constexpr time_ms max_sound_silence{1500};
+
+/// A host that leaves probes or orders unanswered.
+struct silent_host {
+    std::uint64_t incarnation = 0; ///< The incarnation that fell silent.
+    time_ms since{};               ///< When the first request that it left unanswered was sent.
+    bool has_ended = false;        ///< Its process is proved to have ended.
+};
+
 /// Known state of one fabric domain.
 struct domain_view {
     const domain_record* record = nullptr;
     std::span<const listed_host> hosts; ///< Hosts of the domain.
-    /// Unresponsive hosts by id, each with the incarnation that stopped responding.
-    const std::map<std::string, std::uint64_t>* silent = nullptr;
-    /// Names of retiring replicas whose requests have ended or timed out, and of forming replicas that timed
-    /// out.
+    /// Unresponsive hosts by id.
+    const std::map<std::string, silent_host>* silent = nullptr;
+    /// Names of retiring and dissolving replicas whose requests have ended or timed out, and of forming
+    /// replicas that timed out.
     const std::set<std::string>* finished = nullptr;
     /// Hosts whose load timed out.
     const std::set<std::string>* overdue_loads = nullptr;
+    time_ms now{};
+    /// Whether this daemon owns the domain and so requests the status of hosts of dissolving replicas.
+    bool is_owner = true;
+
+    /// The host of the domain with this id, or null if it is not listed.
+    [[nodiscard]] const listed_host* find_host(std::string_view id) const;
+    /// Whether this incarnation of the host is silent.
+    [[nodiscard]] bool is_unresponsive(const std::string& id, std::uint64_t incarnation) const;
 };
 
 /// Reason for a change of a domain's record, for log lines.
@@ -61,6 +80,8 @@
     /// Hosts of open replicas for which the host list, but not the host itself, shows a different state. They
     /// should be queried.
     std::vector<std::string> unconfirmed_hosts;
+    /// Dissolving replicas whose hosts are not ordered to leave yet, since their requests may go on.
+    std::vector<std::string> waiting_replicas;
     std::vector<domain_reason> reasons; ///< One per change.
 
     /// Whether the record changes or there are orders other than for loads.
--- a/src/gateway/controller_settings.hpp
+++ b/src/gateway/controller_settings.hpp
@@ -34,6 +34,11 @@
     time_ms forming_margin{4000};
     /// Maximum time for the requests of a retiring replica to end. Its leaving host waits about as long.
     time_ms retiring_timeout{9000};
+    /// Time until the daemons have reported that they keep requests on a dissolving replica: the change of
+    /// its record has to reach them first.
+    time_ms kept_report_wait{250};
+    /// How long such a report counts.
+    time_ms kept_report_validity{300};
     /// Minimum time between two warmings in a domain, so that a host that fails to warm is not retried at
     /// once.
     time_ms warming_interval{10000};
--- a/src/gateway/crash_response.hpp
+++ b/src/gateway/crash_response.hpp
@@ -119,12 +119,17 @@
         this->update_quarantine();
         // Hosts of plain services answer no status requests, which would show that they are back.
         const auto* current = this->view.find_host(host.id);
-        if (current != nullptr && current->incarnation == host.incarnation &&
-            !current->fabric_domain.empty() && !this->view.is_silent(host.id)) {
+        const bool is_known =
+            current != nullptr && current->incarnation == host.incarnation && !current->fabric_domain.empty();
+        if (is_known && !this->view.is_silent(host.id)) {
             log_silent_host(host.id, "process ended", min_refusals, this->view, closed_at);
-            this->view.mark_silent(host.id);
+            this->view.mark_silent(host.id, closed_at);
+            this->view.mark_ended(host.id);
             this->report_lost({&host.id, 1});
         }
+        else if (is_known) {
+            this->view.mark_ended(host.id);
+        }
     }
 
     void update_quarantine()
--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -3,12 +3,15 @@
 #include "coriander/replicas/domain_planner.hpp"
 #include "coriander/row_version.hpp"
 #include "coriander/time_ms.hpp"
+#include "gateway/controller_settings.hpp"
 #include "gateway/host_inquiries.hpp"
 #include "gateway/host_staging.hpp"
 #include "gateway/order_history.hpp"
 #include "gateway/replica_timing.hpp"
 
+#include <map>
 #include <string>
+#include <vector>
 
 namespace coriander {
 
@@ -24,7 +27,24 @@
     host_staging staging;
     host_inquiries status_requests;
     replica_timing timing;
-    std::string logged_free_hosts; ///< Models held by the free hosts, as logged last.
+    std::string logged_free_hosts;           ///< Models held by the free hosts, as logged last.
+    std::vector<std::string> logged_waiting; ///< Dissolving replicas that wait, as logged last.
+
+    std::map<std::string, time_ms> kept_until; ///< Until when reports of kept requests count, by replica.
+
+    /// Notes which dissolving replicas have no requests that a daemon keeps there.
+    void update_kept(const domain_record& record, const controller_settings& settings, time_ms now)
+    {
+        for (const auto& replica : record.replicas) {
+            const auto since = this->timing.dissolving_since(replica.name);
+            const auto kept = this->kept_until.find(replica.name);
+            const bool is_kept = kept != this->kept_until.end() && now < kept->second;
+            if (since && now - *since >= settings.kept_report_wait && !is_kept) {
+                this->timing.on_idle(replica.name);
+            }
+        }
+        std::erase_if(this->kept_until, [&](const auto& item) { return now >= item.second; });
+    }
 
     /// Whether the host has reported its state since the replica of the order was planned.
     [[nodiscard]] bool has_reported(const host_order& order) const
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -3,6 +3,7 @@
 #include "coriander/relay/relay_manifest.hpp"
 #include "coriander/replicas/domain_planner.hpp"
 #include "coriander/replicas/formation_plan.hpp"
+#include "coriander/replicas/kept_requests.hpp"
 #include "coriander/replicas/load_plan.hpp"
 #include "coriander/shard_choice.hpp"
 #include "coriander/table_store.hpp"
@@ -10,11 +11,13 @@
 #include "gateway/controller_io.hpp"
 #include "gateway/controller_settings.hpp"
 #include "gateway/domain_work.hpp"
+#include "gateway/ended_host_check.hpp"
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_planner.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/path_check.hpp"
 #include "gateway/record_phases.hpp"
+#include "gateway/silent_host_watch.hpp"
 #include "runtime/log.hpp"
 
 #include <algorithm>
@@ -36,7 +39,9 @@
 class fleet_controller {
 public:
     fleet_controller(Io& io, fleet_view& view, std::string self, controller_settings settings = {})
-        : io{io}, view{view}, planner{view, settings}, self{std::move(self)}, settings{settings}
+        : io{io}, view{view}, planner{view, settings},
+          ended_hosts{io, view, [this] { this->progress_listener(); }}, self{std::move(self)}, settings{
+                                                                                                   settings}
     {
     }
 
@@ -55,7 +60,19 @@
 
     /// Sets the check that precedes the conclusion that a host is lost. Without it, the path is taken for
     /// granted.
-    void set_path_check(path_check check) { this->check_path = std::move(check); }
+    void set_path_check(const path_check& check)
+    {
+        this->check_path = check;
+        this->ended_hosts.set_path_check(check);
+    }
+
+    /// Records that a daemon keeps requests on a dissolving replica.
+    void on_kept_requests(const kept_requests& report, time_ms now)
+    {
+        if (const auto key = parse_domain_key(report.row_key)) {
+            this->work[*key].kept_until[report.replica] = now + this->settings.kept_report_validity;
+        }
+    }
 
     /// Performs due work in all domains of the service. Returns the maximum delay until the next call.
     /// Preconditions: the service has an engine.
@@ -75,9 +92,15 @@
     static constexpr time_ms idle_interval{500};
 
     domain_view view_of(const domain_record& record, const std::vector<listed_host>& hosts,
-                        const domain_work& work) const
+                        const domain_work& work, time_ms now) const
     {
-        return {&record, hosts, &this->view.silent(), &work.timing.finished(), &work.staging.overdue()};
+        return {&record,
+                hosts,
+                &this->view.silent(),
+                &work.timing.finished(),
+                &work.staging.overdue(),
+                now,
+                record.owner == this->self};
     }
 
     /// Returns whether the domain has work in progress.
@@ -96,8 +119,12 @@
         if (has_phase(current.record, replica_phase::warming)) {
             work.next_warming_at = now + this->settings.warming_interval;
         }
-        const auto view = this->view_of(current.record, hosts, work);
+        if (current.record.owner == this->self) { // Only the owner gets the reports.
+            work.update_kept(current.record, this->settings, now);
+        }
+        const auto view = this->view_of(current.record, hosts, work, now);
         auto decision = plan_domain(view);
+        log_waiting_replicas(key, work.logged_waiting, decision.waiting_replicas);
         if (current.is_lost && !decision.is_changed) {
             decision.is_changed = true;
             decision.reasons.push_back({"write the record again that the restored table has lost"});
@@ -122,6 +149,9 @@
         else if (this->is_my_turn(key, current, decision, work, now)) {
             this->act(key, current, decision, work, now);
         }
+        if (is_owner || work.is_committing) {
+            this->ended_hosts.check(current.record, now);
+        }
         const bool is_unfinished = has_unfinished_replica(current.record);
         if (is_owner && (is_unfinished || !decision.unconfirmed_hosts.empty())) {
             this->request_statuses(key, current.record, decision.unconfirmed_hosts, work, now);
@@ -312,7 +342,7 @@
         this->check_path(suspect, [this, id = suspect.id, unanswered, since](bool has_path) {
             if (has_path) {
                 log_silent_host(id, "unanswered orders", unanswered, this->view, since);
-                this->view.mark_silent(id);
+                this->view.mark_silent(id, since);
                 this->progress_listener();
             }
         });
@@ -339,20 +369,21 @@
     void request_status(const listed_host& host, const replica_entry& replica, time_ms now)
     {
         const domain_key key{host.service, host.fabric_domain};
-        const bool is_retiring = replica.phase == replica_phase::retiring;
+        const bool shows_requests = ends_requests(replica.phase) && host.id == replica.hosts.front().id;
         this->io.request_status(host, [this, key, now, id = host.id, name = replica.name,
-                                       is_retiring](std::optional<host_status> status) {
+                                       shows_requests](std::optional<host_status> status) {
             if (!status) {
-                if (is_retiring && this->view.find_host(id) == nullptr) {
+                if (shows_requests && this->view.find_host(id) == nullptr) {
                     this->work[key].timing.on_idle(name); // No longer listed, and stopped.
                 }
                 return; // Otherwise unanswered orders show whether the host is lost.
             }
             if (this->work[key].status_requests.on_answer(id, now)) {
+                clear_if_answering(this->view, id, *status);
                 this->view.update_host(id, *status, now);
             }
             this->progress_listener();
-            if (is_retiring && status->running == 0 && status->waiting == 0) {
+            if (shows_requests && status->running == 0 && status->waiting == 0) {
                 this->work[key].timing.on_idle(name);
             }
         });
@@ -390,6 +421,7 @@
     Io& io;
     fleet_view& view;
     fleet_planner planner;
+    ended_host_check<Io> ended_hosts;
     std::string self;
     controller_settings settings;
     std::function<void()> progress_listener = [] {};
--- a/src/gateway/fleet_events.cpp
+++ b/src/gateway/fleet_events.cpp
@@ -56,6 +56,25 @@
                                    {"list_age", age_text(view.last_listed_at(host), now)}});
 }
 
+void log_ended_host(const std::string& host)
+{
+    log_event(event::host_ended, {{"host", host}});
+}
+
+void log_waiting_replicas(const domain_key& key, std::vector<std::string>& logged,
+                          const std::vector<std::string>& waiting)
+{
+    if (logged == waiting) {
+        return;
+    }
+    logged = waiting;
+    std::string names;
+    for (const auto& name : waiting) {
+        names += (names.empty() ? "" : ",") + name;
+    }
+    log_event(event::leave_delayed, {{"domain", key.row_key()}, {"replicas", names}});
+}
+
 void log_outdated_record(const domain_key& key, const versioned_domain& domain, bool is_outdated)
 {
     log_event(event::placement_outdated, {{"domain", key.row_key()},
--- a/src/gateway/fleet_events.hpp
+++ b/src/gateway/fleet_events.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace coriander {
 
@@ -19,6 +20,12 @@
 /// Logs that a host is treated as lost after `unanswered` consecutive probes or orders without an answer.
 void log_silent_host(const std::string& host, const char* reason, unsigned unanswered, const fleet_view& view,
                      time_ms now);
+/// Logs that a silent host refuses connections.
+void log_ended_host(const std::string& host);
+/// Logs the dissolving replicas whose hosts are not ordered to leave yet if they differ from `logged`, and
+/// updates it.
+void log_waiting_replicas(const domain_key& key, std::vector<std::string>& logged,
+                          const std::vector<std::string>& waiting);
 void log_order(const host_order& order, order_answer answer);
 /// Logs that the domain's record is older than what its hosts report, or is no longer treated so.
 void log_outdated_record(const domain_key& key, const versioned_domain& domain, bool is_outdated);
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -246,15 +246,22 @@
     });
 }
 
-void fleet_view::mark_silent(const std::string& id)
+void fleet_view::mark_silent(const std::string& id, time_ms since)
 {
     const auto* host = this->find_host(id);
-    if (host != nullptr) {
-        this->silent_hosts[id] = host->incarnation;
+    if (host != nullptr && !this->is_silent(id)) {
+        this->silent_hosts[id] = {host->incarnation, since};
         ++this->changes;
     }
 }
 
+void fleet_view::mark_ended(const std::string& id)
+{
+    if (this->is_silent(id)) {
+        this->silent_hosts.at(id).has_ended = true;
+    }
+}
+
 void fleet_view::clear_silent(const std::string& id)
 {
     this->changes += this->silent_hosts.erase(id);
@@ -264,7 +271,8 @@
 {
     const auto found = this->silent_hosts.find(id);
     const auto* host = this->find_host(id);
-    return found != this->silent_hosts.end() && host != nullptr && host->incarnation == found->second;
+    return found != this->silent_hosts.end() && host != nullptr &&
+           host->incarnation == found->second.incarnation;
 }
 
 const listed_host* fleet_view::find_host(const std::string& id) const
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -94,14 +94,17 @@
     /// Whether a host of the domain belongs to a replica that is newer than the known record.
     [[nodiscard]] bool is_outdated(const domain_key& key) const;
 
-    /// Marks a host as not answering, until it answers or restarts.
-    void mark_silent(const std::string& id);
+    /// Marks a host as not answering, until it answers or restarts. `since` is when the first request that it
+    /// left unanswered was sent.
+    void mark_silent(const std::string& id, time_ms since);
+    /// Notes that the process of a silent host is proved to have ended.
+    void mark_ended(const std::string& id);
     void clear_silent(const std::string& id);
     [[nodiscard]] bool is_silent(const std::string& id) const;
 
     [[nodiscard]] const listed_host* find_host(const std::string& id) const;
     [[nodiscard]] const std::map<std::string, listed_host>& hosts() const noexcept { return this->known; }
-    [[nodiscard]] const std::map<std::string, std::uint64_t>& silent() const noexcept
+    [[nodiscard]] const std::map<std::string, silent_host>& silent() const noexcept
     {
         return this->silent_hosts;
     }
@@ -149,7 +152,7 @@
 
     const target_statements* statements = nullptr;
     std::map<std::string, listed_host> known;
-    std::map<std::string, std::uint64_t> silent_hosts; ///< With the incarnation that stopped answering.
+    std::map<std::string, silent_host> silent_hosts;
     std::map<domain_key, versioned_domain> records;
     std::map<domain_key, time_ms> arrivals;
     std::map<std::string, time_ms> report_times;       ///< When each host's last report was requested.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "gateway/gateway_peers.hpp"
 #include "gateway/gateway_settings.hpp"
 #include "gateway/graceful_stop.hpp"
+#include "gateway/kept_request_reports.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/loss_exchange.hpp"
 #include "gateway/manifest_source.hpp"
@@ -53,8 +54,8 @@
                                                                         [this](auto hosts) {
                                                                             this->on_hosts_lost(hosts);
                                                                         }},
-          silent_hosts{io, this->fleet}, checks{loop, this->relay, this->crashes, this->stalls,
-                                                this->retiring},
+          silent_hosts{io, this->fleet}, checks{loop,         this->relay,    this->crashes,
+                                                this->stalls, this->retiring, this->kept},
           control_timer{loop}, peer_timer{loop}, path_timer{loop}, housekeeping_timer{loop}
     {
         this->relay.retry_settings = this->values.retries;
@@ -86,6 +87,9 @@
         this->peers->set_permit_listener([this](const std::string& sender, const permit_message& message) {
             this->permits.receive(sender, message);
         });
+        this->peers->set_kept_listener([this](const kept_requests& report) {
+            this->control.on_kept_requests(report, this->relay.clock.now());
+        });
         this->relay.on_statement = [this] { this->schedule_control(); };
         this->relay.request_permit = [this](const rate_limit& limit, permit_exchange::on_decision done) {
             this->permits.request(limit, std::move(done));
@@ -257,6 +261,16 @@
         this->refresh();
     }
 
+    /// Reports requests on a dissolving replica to the owner of its domain.
+    void send_kept(const std::string& owner, const kept_requests& report)
+    {
+        if (owner == this->values.name) {
+            this->control.on_kept_requests(report, this->relay.clock.now());
+            return;
+        }
+        this->peers->send_kept(report, owner);
+    }
+
     template <typename Next>
     void call_after(asio::steady_timer& timer, time_ms delay, Next next)
     {
@@ -337,6 +351,9 @@
     stall_response<Io> stalls;
     loss_exchange<Io> losses;
     retiring_replicas retiring{this->relay, this->fleet};
+    kept_request_reports kept{this->relay, this->fleet, [this](const auto& owner, const auto& report) {
+                                  this->send_kept(owner, report);
+                              }};
     crash_response<Io> crashes;
     silent_host_watch<Io> silent_hosts;
     stall_checks<Io> checks;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -73,6 +73,9 @@
     if (!message.lost_hosts.empty()) {
         this->losses(message.lost_hosts);
     }
+    for (const auto& report : message.kept) {
+        this->kept(report);
+    }
     this->crashes(message.crashes);
     const bool has_permits = !message.permits.requests.empty() || !message.permits.answers.empty();
     if (has_permits && !message.identities.empty()) {
@@ -138,6 +141,18 @@
 {
     peer_message message;
     message.lost_hosts.push_back(host);
+    this->send_to(names, message);
+}
+
+void gateway_peers::send_kept(const kept_requests& report, const std::string& name)
+{
+    peer_message message;
+    message.kept.push_back(report);
+    this->send_to({&name, 1}, message);
+}
+
+void gateway_peers::send_to(std::span<const std::string> names, const peer_message& message)
+{
     std::vector<std::string> addresses;
     for (const auto& view : this->members.alive(this->clock.now())) {
         if (std::find(names.begin(), names.end(), view.identity.name) != names.end()) {
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -75,6 +75,13 @@
     /// requests; nothing if it is this gateway.
     [[nodiscard]] std::optional<std::string> permit_issuer_of(std::uint64_t target) const;
 
+    /// Receives peers' reports on requests that they keep on dissolving replicas.
+    using kept_handler = std::function<void(const kept_requests&)>;
+    /// Sets the receiver of these reports.
+    void set_kept_listener(kept_handler listener) { this->kept = std::move(listener); }
+    /// Sends such a report to the named daemon.
+    void send_kept(const kept_requests& report, const std::string& name);
+
     /// Sets the source of the crash reports that a daemon gets when it is first heard of.
     void set_crash_source(std::function<crash_update()> source) { this->known_crashes = std::move(source); }
     /// Notifies the named daemons that a host is lost.
@@ -117,6 +124,7 @@
     static constexpr std::size_t reader_group_size = 64;
 
     void receive(const peer_message& message);
+    void send_to(std::span<const std::string> names, const peer_message& message);
     void send_known_crashes(const member_identity& sender);
     [[nodiscard]] static std::size_t group_of(const std::string& name, std::size_t daemons);
 
@@ -128,6 +136,7 @@
     std::function<crash_update()> known_crashes = [] { return crash_update{}; };
     std::map<std::string, std::uint64_t> informed_peers; ///< Incarnations of the peers heard of, by name.
     permits_handler permits = [](const std::string&, const permit_message&) {};
+    kept_handler kept = [](const kept_requests&) {};
     std::size_t limit_cursor = 0;
     losses_handler losses = [](std::span<const lost_host>) {};
     std::uint64_t manifest_version = 0;
--- a/src/gateway/loss_exchange.hpp
+++ b/src/gateway/loss_exchange.hpp
@@ -109,7 +109,7 @@
     {
         log_silent_host(ended.reported.id, "unanswered probes", this->settings.max_rounds, this->view,
                         ended.started_at);
-        this->view.mark_silent(ended.reported.id);
+        this->view.mark_silent(ended.reported.id, ended.started_at);
         this->notify_change();
     }
 
--- a/src/gateway/record_phases.hpp
+++ b/src/gateway/record_phases.hpp
@@ -22,6 +22,13 @@
                        [](const replica_entry& one) { return one.phase != replica_phase::open; });
 }
 
+/// Whether a replica in this phase gets no new requests, so that it has none once the running ones have
+/// ended.
+[[nodiscard]] constexpr bool ends_requests(replica_phase phase) noexcept
+{
+    return phase == replica_phase::retiring || phase == replica_phase::dissolving;
+}
+
 /// Whether a report of the host is needed in the current phase of its replica.
 [[nodiscard]] inline bool needs_status(const replica_entry& replica, const std::string& host,
                                        const std::vector<std::string>& doubts)
--- a/src/gateway/replica_timing.hpp
+++ b/src/gateway/replica_timing.hpp
@@ -4,6 +4,7 @@
 #include "coriander/replicas/domain_record.hpp"
 #include "coriander/time_ms.hpp"
 #include "gateway/controller_settings.hpp"
+#include "gateway/record_phases.hpp"
 
 #include <algorithm>
 #include <map>
@@ -13,7 +14,7 @@
 
 namespace coriander {
 
-/// Tracks how long a domain's replicas have been forming or retiring. Not thread-safe.
+/// Tracks how long a domain's replicas have been forming, retiring or dissolving. Not thread-safe.
 class replica_timing {
 public:
     /// Updates the replicas from the record, and marks those that exceed their time limit as finished.
@@ -23,7 +24,7 @@
         std::set<std::string> seen;
         for (const auto& replica : record.replicas) {
             const bool is_forming = joins_hosts(replica.phase);
-            if (!is_forming && replica.phase != replica_phase::retiring) {
+            if (!is_forming && !ends_requests(replica.phase)) {
                 continue;
             }
             const auto id = key_of(replica.name, is_forming ? replica_phase::forming : replica.phase);
@@ -42,7 +43,7 @@
         });
     }
 
-    /// Records that a retiring replica has no requests left.
+    /// Records that a retiring or dissolving replica has no requests left.
     void on_idle(const std::string& replica) { this->finished_replicas.insert(replica); }
 
     /// Replicas that have no requests left or have exceeded their time limit.
@@ -55,6 +56,13 @@
         return found == this->started_at.end() ? std::nullopt : std::optional{found->second};
     }
 
+    /// When the replica began to be dissolved; `std::nullopt` if it is not being dissolved.
+    [[nodiscard]] std::optional<time_ms> dissolving_since(const std::string& replica) const
+    {
+        const auto found = this->started_at.find(key_of(replica, replica_phase::dissolving));
+        return found == this->started_at.end() ? std::nullopt : std::optional{found->second};
+    }
+
 private:
     /// Whether hosts get join orders in this phase.
     static bool joins_hosts(replica_phase phase)
--- a/src/gateway/silent_host_watch.hpp
+++ b/src/gateway/silent_host_watch.hpp
@@ -9,6 +9,16 @@
 
 namespace coriander {
 
+/// Marks a silent host as answering if the status is of the incarnation that fell silent.
+inline void clear_if_answering(fleet_view& view, const std::string& id, const host_status& status)
+{
+    const auto* known = view.find_host(id);
+    if (view.is_silent(id) && known->incarnation == status.incarnation) {
+        log_event(event::host_answers, {{"host", id}, {"domain", known->fabric_domain}});
+        view.clear_silent(id);
+    }
+}
+
 /// Probes silent hosts until they answer again. A host that was disconnected or paused keeps its incarnation,
 /// so that without a probe it would never be used again. Lost hosts soon disappear from the list. Not
 /// thread-safe: used on the event loop's thread only.
@@ -20,7 +30,7 @@
     /// Probes each silent host that is still listed. Call about once a second.
     void probe_all(time_ms now)
     {
-        for (const auto& [id, incarnation] : this->view.silent()) {
+        for (const auto& [id, silence] : this->view.silent()) {
             const auto* host = this->view.find_host(id);
             if (host == nullptr) {
                 continue;
@@ -28,8 +38,7 @@
             this->io.probe(*host, probe_timeout, [this, id = id, now](std::optional<host_status> status) {
                 const auto* known = this->view.find_host(id);
                 if (status && known != nullptr && known->incarnation == status->incarnation) {
-                    log_event(event::host_answers, {{"host", id}, {"domain", known->fabric_domain}});
-                    this->view.clear_silent(id);
+                    clear_if_answering(this->view, id, *status);
                     this->view.update_host(id, *status, now);
                 }
             });
--- a/src/gateway/stall_checks.hpp
+++ b/src/gateway/stall_checks.hpp
@@ -2,6 +2,7 @@
 
 #include "coriander/time_ms.hpp"
 #include "gateway/crash_response.hpp"
+#include "gateway/kept_request_reports.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/retiring_replicas.hpp"
 #include "gateway/stall_response.hpp"
@@ -20,8 +21,8 @@
 class stall_checks {
 public:
     stall_checks(asio::io_context& loop, relay_context& context, crash_response<Io>& crashes,
-                 stall_response<Io>& stalls, retiring_replicas& retiring)
-        : context{context}, crashes{crashes}, stalls{stalls}, retiring{retiring}, timer{loop}
+                 stall_response<Io>& stalls, retiring_replicas& retiring, kept_request_reports& kept)
+        : context{context}, crashes{crashes}, stalls{stalls}, retiring{retiring}, kept{kept}, timer{loop}
     {
     }
 
@@ -75,6 +76,7 @@
             if (service.engine) {
                 this->stalls.check(name, now);
                 this->retiring.check(service, now);
+                this->kept.check(name, now);
             }
         }
     }
@@ -91,6 +93,7 @@
     crash_response<Io>& crashes;
     stall_response<Io>& stalls;
     retiring_replicas& retiring;
+    kept_request_reports& kept;
     asio::steady_timer timer;
     bool is_running = false;
 };
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -220,9 +220,10 @@
     void confirm_loss(const std::vector<std::string>& hosts, const inquiry& ended)
     {
         const auto* suspect = this->view.find_host(hosts.empty() ? ended.target.host : hosts.front());
-        const auto proceed = [this, hosts, service = ended.service, target = ended.target.id](bool has_path) {
+        const auto proceed = [this, hosts, service = ended.service, target = ended.target.id,
+                              since = ended.started_at](bool has_path) {
             if (has_path && !hosts.empty()) {
-                this->mark_lost(hosts, this->context.clock.now());
+                this->mark_lost(hosts, since, this->context.clock.now());
             }
             move_requests(this->context.service(service), target);
         };
@@ -233,11 +234,11 @@
         this->check_path(*suspect, proceed);
     }
 
-    void mark_lost(const std::vector<std::string>& hosts, time_ms now)
+    void mark_lost(const std::vector<std::string>& hosts, time_ms since, time_ms now)
     {
         for (const auto& host : hosts) {
             log_silent_host(host, "unanswered probes", this->settings.inquiry.max_rounds, this->view, now);
-            this->view.mark_silent(host);
+            this->view.mark_silent(host, since);
         }
         this->report_lost(hosts);
     }
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -122,11 +122,17 @@
         const auto permit_answers =
             converted<wire::PermitAnswer>(message.permits.answers, wire_permit_answer);
         const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
+        const auto kept =
+            converted<flatbuffers::Offset<wire::KeptRequests>>(message.kept, [this](const auto& one) {
+                return wire::CreateKeptRequestsDirect(this->builder, one.row_key.c_str(),
+                                                      one.replica.c_str());
+            });
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
-        this->builder.Finish(wire::CreatePeerMessageDirect(
-            this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
-            &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers, &statements));
+        this->builder.Finish(
+            wire::CreatePeerMessageDirect(this->builder, &identities, &beats, &strikes, &demands, config,
+                                          news, &loads, &model_demands, &lost_hosts, &suspects, &cleared,
+                                          &limits, &permit_requests, &permit_answers, &statements, &kept));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -232,6 +238,15 @@
     }
 }
 
+void read_kept_requests(const wire::PeerMessage& root, peer_message& message)
+{
+    if (const auto* reports = root.kept_requests()) {
+        for (const auto* one : *reports) {
+            message.kept.push_back({text_of(one->row_key()), text_of(one->replica())});
+        }
+    }
+}
+
 void read_crashes(const wire::PeerMessage& root, peer_message& message)
 {
     if (const auto* suspects = root.crash_suspects()) {
@@ -316,6 +331,7 @@
     read_loads(root, message);
     read_statements(root, message);
     read_lost_hosts(root, message);
+    read_kept_requests(root, message);
     read_crashes(root, message);
     read_permits(root, message);
     return message;
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -7,6 +7,7 @@
 #include "coriander/relay/crash_report.hpp"
 #include "coriander/relay/load_update.hpp"
 #include "coriander/relay/permit_message.hpp"
+#include "coriander/replicas/kept_requests.hpp"
 #include "coriander/strike_table.hpp"
 #include "coriander/table_delta.hpp"
 
@@ -36,6 +37,7 @@
     std::vector<lost_host> lost_hosts; ///< Hosts that the sender has detected as lost.
     crash_update crashes;
     permit_message permits;
+    std::vector<kept_requests> kept; ///< On replicas whose owner is the recipient.
 };
 
 /// Serializes a message.
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -1,5 +1,7 @@
 #include "coriander/replicas/domain_planner.hpp"
 
+#include "coriander/replicas/leave_decision.hpp"
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -7,26 +9,13 @@
 namespace coriander {
 namespace {
 
-const listed_host* find_host(const domain_view& view, std::string_view id)
-{
-    const auto found = std::find_if(view.hosts.begin(), view.hosts.end(),
-                                    [&](const listed_host& host) { return host.id == id; });
-    return found == view.hosts.end() ? nullptr : &*found;
-}
-
-bool is_unresponsive(const domain_view& view, const std::string& id, std::uint64_t incarnation)
-{
-    const auto found = view.silent->find(id);
-    return found != view.silent->end() && found->second == incarnation;
-}
-
 /// The member's host if it is listed, responsive and has not restarted since the replica was formed;
 /// otherwise null.
 const listed_host* reachable_host(const domain_view& view, const replica_host& member)
 {
-    const auto* host = find_host(view, member.id);
+    const auto* host = view.find_host(member.id);
     const bool is_present = host != nullptr && host->incarnation == member.incarnation && !member.is_lost &&
-                            !is_unresponsive(view, member.id, member.incarnation);
+                            !view.is_unresponsive(member.id, member.incarnation);
     return is_present ? host : nullptr;
 }
 
@@ -37,8 +26,8 @@
 {
     std::optional<domain_reason> reason;
     for (auto& member : replica.hosts) {
-        const auto* host = find_host(view, member.id);
-        const bool is_unavailable = is_unresponsive(view, member.id, member.incarnation) ||
+        const auto* host = view.find_host(member.id);
+        const bool is_unavailable = view.is_unresponsive(member.id, member.incarnation) ||
                                     (host != nullptr && host->incarnation != member.incarnation);
         if (!member.is_lost && is_unavailable) {
             member.is_lost = true;
@@ -190,18 +179,25 @@
     }
 }
 
-/// Whether all hosts have left the replica. Orders the remaining ones to leave.
+/// Whether all hosts have left the replica. Orders the remaining ones to leave once its requests have ended
+/// or cannot go on.
 bool plan_dissolving(const replica_entry& replica, const domain_view& view, domain_decision& decision)
 {
     bool is_empty = true;
+    const bool must_wait = may_serve_on(replica, view);
     for (const auto& member : replica.hosts) {
         const auto* host = reachable_host(view, member);
         if (host != nullptr && has_part(*host, replica)) {
             is_empty = false;
-            decision.orders.push_back(
-                {order_kind::leave, member.id, replica.name, replica.generation, {}, {}});
+            if (!must_wait) {
+                decision.orders.push_back(
+                    {order_kind::leave, member.id, replica.name, replica.generation, {}, {}});
+            }
         }
     }
+    if (must_wait && !is_empty) {
+        decision.waiting_replicas.push_back(replica.name);
+    }
     return is_empty;
 }
 
@@ -217,7 +213,7 @@
 void release_unrecorded_hosts(const domain_view& view, domain_decision& decision)
 {
     for (const auto& host : view.hosts) {
-        if (host.part && !host.is_leaving && !is_unresponsive(view, host.id, host.incarnation) &&
+        if (host.part && !host.is_leaving && !view.is_unresponsive(host.id, host.incarnation) &&
             !is_member(*view.record, host.id)) {
             decision.orders.push_back(
                 {order_kind::leave, host.id, host.part->replica, host.part->generation, {}, {}});
@@ -234,9 +230,9 @@
 void plan_pending_loads(const domain_view& view, domain_decision& decision)
 {
     const auto has_ended = [&](const pending_load& load) {
-        const auto* host = find_host(view, load.host);
+        const auto* host = view.find_host(load.host);
         return host == nullptr || host->part || host->is_leaving ||
-               is_unresponsive(view, host->id, host->incarnation) || is_staged(*host, load.model) ||
+               view.is_unresponsive(host->id, host->incarnation) || is_staged(*host, load.model) ||
                is_member(decision.next, load.host) || view.overdue_loads->contains(load.host);
     };
     const auto ended = std::erase_if(decision.next.loads, has_ended);
@@ -280,6 +276,19 @@
 
 } // namespace
 
+const listed_host* domain_view::find_host(std::string_view id) const
+{
+    const auto found = std::find_if(this->hosts.begin(), this->hosts.end(),
+                                    [&](const listed_host& host) { return host.id == id; });
+    return found == this->hosts.end() ? nullptr : &*found;
+}
+
+bool domain_view::is_unresponsive(const std::string& id, std::uint64_t incarnation) const
+{
+    const auto found = this->silent->find(id);
+    return found != this->silent->end() && found->second.incarnation == incarnation;
+}
+
 bool has_part(const listed_host& host, const replica_entry& replica)
 {
     return host.part && host.part->replica == replica.name && host.part->generation == replica.generation;
@@ -326,7 +335,7 @@
 {
     std::vector<const listed_host*> found;
     for (const auto& host : view.hosts) {
-        if (!host.part && !host.is_leaving && !is_unresponsive(view, host.id, host.incarnation) &&
+        if (!host.part && !host.is_leaving && !view.is_unresponsive(host.id, host.incarnation) &&
             !is_member(*view.record, host.id)) {
             found.push_back(&host);
         }
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -170,6 +170,66 @@
     CHECK(fleet.open_replicas() >= before - 1);
 }
 
+TEST_CASE(
+    "fleet controller: orders to leave do not cut streams when a host is silent for a second and goes on")
+{
+    fleet_fixture fleet{2};
+    fleet.run(8_s);
+    const auto replica = fleet.record().replicas.front();
+    const auto leave_orders = [&] {
+        return std::count_if(fleet.world.orders.begin(), fleet.world.orders.end(),
+                             [&](const host_order& one) {
+                                 return one.kind == order_kind::leave && one.replica == replica.name;
+                             });
+    };
+    fleet.world.running[replica.hosts.front().id] = 3;
+    bool are_kept = true;
+    const auto run = [&](time_ms length) {
+        for (const auto end = fleet.now + length; fleet.now < end;) {
+            if (are_kept) {
+                fleet.owner().control.on_kept_requests({"assistant/d", replica.name}, fleet.now);
+            }
+            fleet.step();
+        }
+    };
+    const auto is_leader = GENERATE(true, false);
+    CAPTURE(is_leader);
+    const auto silent = is_leader ? replica.hosts.front().id : replica.hosts.back().id;
+    fleet.world.unreachable = {silent};
+    fleet.owner().view.mark_silent(silent, fleet.now);
+    run(1_s);
+    REQUIRE(fleet.record().replicas.front().name == replica.name);
+    CHECK(fleet.record().replicas.front().phase == replica_phase::dissolving);
+    CHECK(leave_orders() == 0);
+    SECTION("it answers, and the streams end")
+    {
+        fleet.world.unreachable.clear();
+        run(5_s);
+        CHECK(leave_orders() == 0);
+        fleet.world.running.clear();
+    }
+    SECTION("it answers, but the streams do not end")
+    {
+        fleet.world.unreachable.clear();
+        run(10_s);
+    }
+    SECTION("it stays silent, and no daemon keeps streams there any more, although the leader counts them")
+    {
+        are_kept = false;
+        run(400_ms);
+        CHECK(leave_orders() >= 3);
+    }
+    SECTION("it stays silent") {}
+    SECTION("its process has ended")
+    {
+        fleet.world.ended = {silent};
+        run(400_ms);
+        CHECK(leave_orders() >= 3);
+    }
+    run(1_s);
+    CHECK(leave_orders() >= 3);
+}
+
 TEST_CASE(
     "fleet controller: a host's stale report does not dissolve a healthy replica that it has since joined")
 {
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -55,7 +55,7 @@
     }
     SECTION("silent")
     {
-        fleet.view.mark_silent("d-h3");
+        fleet.view.mark_silent("d-h3", 0_s);
     }
     SECTION("leaving")
     {
@@ -245,7 +245,7 @@
 TEST_CASE("fleet view: a silent host that restarts is no longer silent")
 {
     view_fixture fleet;
-    fleet.view.mark_silent("d-h1");
+    fleet.view.mark_silent("d-h1", 0_s);
     CHECK(fleet.view.is_silent("d-h1"));
     fleet.hosts[1].incarnation = 500;
     fleet.view.set_host(fleet.hosts[1], start);
--- a/test/gateway/silent_host_watch_test.cpp
+++ b/test/gateway/silent_host_watch_test.cpp
@@ -9,7 +9,7 @@
 
 /// Two hosts, the first of which is silent.
 struct watch_fixture : two_hosts {
-    watch_fixture() { this->view.mark_silent("d-h0"); }
+    watch_fixture() { this->view.mark_silent("d-h0", 0_s); }
     void probe()
     {
         this->watch.probe_all(this->start + 1_s);
--- a/test/peer_link_test.cpp
+++ b/test/peer_link_test.cpp
@@ -110,6 +110,17 @@
     CHECK(read.value().lost_hosts.front().incarnation == 17);
 }
 
+TEST_CASE("peer message: a report of kept requests is decoded as it was encoded")
+{
+    peer_message message;
+    message.kept = {{"desk/d0", "d0-3"}};
+    const auto read = decode_peer_message(encode_peer_message(message));
+    REQUIRE(read);
+    REQUIRE(read.value().kept.size() == 1);
+    CHECK(read.value().kept.front().row_key == "desk/d0");
+    CHECK(read.value().kept.front().replica == "d0-3");
+}
+
 TEST_CASE("peer message: reports on crashes are decoded as they were encoded")
 {
     peer_message message;
--- a/test/replicas/domain_planner_test.cpp
+++ b/test/replicas/domain_planner_test.cpp
@@ -1,5 +1,6 @@
 #include "coriander/replicas/domain_planner.hpp"
 
+#include "support/domain_fixture.hpp"
 #include "support/fleet_samples.hpp"
 
 #include <catch2/catch.hpp>
@@ -9,41 +10,6 @@
 namespace coriander {
 namespace {
 
-/// A domain of nine hosts; the first four form an open replica.
-struct domain_fixture {
-    domain_fixture()
-    {
-        std::vector<listed_host> members(this->hosts.begin(), this->hosts.begin() + 4);
-        this->record.last_generation = 5;
-        this->record.replicas.push_back(samples::replica_of(members, "d-5", 5, replica_phase::open));
-        std::copy(members.begin(), members.end(), this->hosts.begin());
-    }
-
-    [[nodiscard]] domain_view view() const
-    {
-        return {&this->record, this->hosts, &this->silent, &this->finished, &this->overdue};
-    }
-    [[nodiscard]] domain_decision decide() const { return plan_domain(this->view()); }
-
-    /// Ids of the hosts that get an order of this kind.
-    [[nodiscard]] std::vector<std::string> hosts_ordered_to(order_kind kind) const
-    {
-        std::vector<std::string> found;
-        for (const auto& order : this->decide().orders) {
-            if (order.kind == kind) {
-                found.push_back(order.host);
-            }
-        }
-        return found;
-    }
-
-    std::vector<listed_host> hosts = samples::free_hosts_of("d", 9, "large");
-    domain_record record;
-    std::map<std::string, std::uint64_t> silent;
-    std::set<std::string> finished;
-    std::set<std::string> overdue;
-};
-
 using names = std::vector<std::string>;
 
 } // namespace
@@ -95,7 +61,7 @@
 {
     domain_fixture domain;
     add_warming_replicas(domain.record, domain.view(), samples::two_models(), "d");
-    domain.silent = {{"d-h3", domain.hosts[3].incarnation}};
+    domain.silent = {{"d-h3", {domain.hosts[3].incarnation}}};
     domain.record = domain.decide().next;
     REQUIRE(domain.record.replicas[0].phase == replica_phase::dissolving);
     domain.record = domain.decide().next;
@@ -121,7 +87,7 @@
     }
     SECTION("the host is unresponsive")
     {
-        domain.silent["d-h5"] = domain.hosts[5].incarnation;
+        domain.silent["d-h5"] = {domain.hosts[5].incarnation};
     }
     SECTION("the load times out")
     {
@@ -147,7 +113,7 @@
     }
     SECTION("the host is unresponsive")
     {
-        domain.silent["d-h2"] = 102;
+        domain.silent["d-h2"] = {102};
     }
     const auto decision = domain.decide();
     CHECK(decision.is_changed);
@@ -173,7 +139,7 @@
     }
     SECTION("the host becomes unresponsive")
     {
-        domain.silent["d-h2"] = 102;
+        domain.silent["d-h2"] = {102};
     }
     CHECK(domain.decide().next.replicas[0].phase == replica_phase::dissolving);
 }
@@ -189,7 +155,7 @@
 TEST_CASE("domain planner: an unresponsive earlier incarnation of a host is ignored")
 {
     domain_fixture domain;
-    domain.silent["d-h2"] = 1;
+    domain.silent["d-h2"] = {1};
     CHECK_FALSE(domain.decide().needs_action());
 }
 
@@ -198,6 +164,7 @@
     domain_fixture domain;
     domain.record.replicas[0].phase = replica_phase::dissolving;
     domain.record.replicas[0].hosts[1].is_lost = true;
+    domain.hosts[1].incarnation = 999; // It has restarted.
     CHECK(domain.hosts_ordered_to(order_kind::leave) == names{"d-h0", "d-h2", "d-h3"});
     CHECK_FALSE(domain.decide().is_changed);
     CHECK(free_hosts(domain.view()).size() == 5);
@@ -329,7 +296,7 @@
 {
     domain_fixture domain;
     domain.hosts[5].is_leaving = true;
-    domain.silent["d-h6"] = 106;
+    domain.silent["d-h6"] = {106};
     auto next = domain.record;
     CHECK_FALSE(form_replica(next, domain.view(), samples::two_models()[0], "d", false));
     CHECK(form_replica(next, domain.view(), samples::two_models()[1], "d", false));
--- a/test/support/fake_controller_io.hpp
+++ b/test/support/fake_controller_io.hpp
@@ -30,10 +30,11 @@
         std::vector<std::string> daemons;
         std::vector<host_order> orders; ///< Executed orders, oldest first.
         row_version last_version;
-        std::vector<std::string> unreachable;    ///< Hosts that answer neither requests nor orders.
-        std::vector<std::string> ended;          ///< Hosts whose process has ended: nothing listens.
-        std::vector<std::string> ignores_orders; ///< Hosts that answer status requests but no orders.
-        unsigned double_joins = 0;               ///< Joins by hosts that still belonged to another replica.
+        std::vector<std::string> unreachable;         ///< Hosts that answer neither requests nor orders.
+        std::vector<std::string> ended;               ///< Hosts whose process has ended: nothing listens.
+        std::vector<std::string> ignores_orders;      ///< Hosts that answer status requests but no orders.
+        std::map<std::string, std::uint32_t> running; ///< Running requests by host.
+        unsigned double_joins = 0; ///< Joins by hosts that still belonged to another replica.
     };
 
     explicit fake_controller_io(world& shared) : shared{shared} {}
@@ -84,6 +85,8 @@
             status.incarnation = known.incarnation;
             status.staged = known.staged;
             status.part = known.part;
+            const auto running = this->shared.running.find(id);
+            status.running = running == this->shared.running.end() ? 0 : running->second;
             done(status);
         });
     }
