--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -15,6 +15,7 @@
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_planner.hpp"
 #include "gateway/fleet_view.hpp"
+#include "gateway/order_sender.hpp"
 #include "gateway/path_check.hpp"
 #include "gateway/record_phases.hpp"
 #include "gateway/silent_host_watch.hpp"
@@ -62,7 +63,7 @@
     /// granted.
     void set_path_check(const path_check& check)
     {
-        this->check_path = check;
+        this->orders.set_path_check(check);
         this->ended_hosts.set_path_check(check);
     }
 
@@ -141,7 +142,7 @@
             this->add_warming(service, key, view, work, decision, now);
         }
         if (is_owner) {
-            this->send_orders(decision.load_orders, work, now);
+            this->orders.send(decision.load_orders, work, now);
         }
         if (!decision.needs_action()) {
             work.due_signature.clear();
@@ -248,7 +249,7 @@
             return;
         }
         if (!decision.is_changed && current.record.owner == this->self) {
-            this->send_orders(decision.orders, work, now);
+            this->orders.send(decision.orders, work, now);
             return;
         }
         if (!decision.is_changed) {
@@ -282,72 +283,6 @@
         });
     }
 
-    void send_orders(const std::vector<host_order>& orders, domain_work& work, time_ms now)
-    {
-        for (const auto& order : orders) {
-            const auto* host = this->view.find_host(order.host);
-            // A join requires a report of the host itself: the list may be older than another daemon's order.
-            const bool may_send = order.kind != order_kind::join || work.has_reported(order);
-            if (host != nullptr && may_send && work.orders.is_due(order, this->settings, now)) {
-                work.orders.on_sent(order, now);
-                this->send_order(*host, order);
-            }
-        }
-    }
-
-    void send_order(const listed_host& host, const host_order& order)
-    {
-        const domain_key key{host.service, host.fabric_domain};
-        this->io.order(host, order, [this, key, order](order_answer answer) {
-            auto& history = this->work[key].orders;
-            const auto unanswered = history.on_answer(order, answer);
-            log_order(order, answer);
-            if (unanswered >= this->settings.orders_before_probe) {
-                this->probe_unresponsive(key, order.host, unanswered);
-            }
-            if (answer == order_answer::accepted) {
-                if (order.kind == order_kind::leave) {
-                    const auto now = history.last_sent(order.host);
-                    this->work[key].status_requests.on_left(order.host, now);
-                    this->view.on_host_left(order.host, order.replica, order.generation, now);
-                }
-                this->progress_listener();
-            }
-        });
-    }
-
-    /// Probes a host that did not answer orders. If it answers, it is alive and may still execute them.
-    void probe_unresponsive(const domain_key& key, const std::string& id, unsigned unanswered)
-    {
-        const auto* host = this->view.find_host(id);
-        if (host == nullptr) {
-            return;
-        }
-        const auto order_sent_at = this->work[key].orders.last_sent(id);
-        this->io.probe(
-            *host, this->settings.liveness_timeout,
-            [this, key, id, host = *host, order_sent_at, unanswered](std::optional<host_status> status) {
-                if (!status) {
-                    this->confirm_loss(host, unanswered, order_sent_at);
-                }
-                else if (this->work[key].status_requests.on_answer(id, order_sent_at)) {
-                    this->view.update_host(id, *status, order_sent_at);
-                }
-                this->progress_listener();
-            });
-    }
-
-    void confirm_loss(const listed_host& suspect, unsigned unanswered, time_ms since)
-    {
-        this->check_path(suspect, [this, id = suspect.id, unanswered, since](bool has_path) {
-            if (has_path) {
-                log_silent_host(id, "unanswered orders", unanswered, this->view, since);
-                this->view.mark_silent(id, since);
-                this->progress_listener();
-            }
-        });
-    }
-
     void request_statuses(const domain_key& key, const domain_record& record,
                           const std::vector<std::string>& doubts, domain_work& work, time_ms now)
     {
@@ -425,9 +360,10 @@
     std::string self;
     controller_settings settings;
     std::function<void()> progress_listener = [] {};
-    path_check check_path = without_path_check();
     std::vector<load_assignment> loads; ///< Loads to start now, of the service that `tick` is processing.
     std::map<domain_key, domain_work> work;
+    order_sender<Io> orders{this->io, this->view, this->work, this->settings,
+                            [this] { this->progress_listener(); }};
 };
 
 } // namespace coriander
