--- a/src/gateway/crash_response.hpp
+++ b/src/gateway/crash_response.hpp
@@ -5,6 +5,7 @@
 #include "gateway/fleet_events.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/path_check.hpp"
+#include "gateway/process_check.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_events.hpp"
 #include "gateway/relay_session.hpp"
@@ -31,7 +32,7 @@
     using on_lost = std::function<void(std::span<const std::string>)>;
 
     crash_response(Io& io, relay_context& context, fleet_view& view, on_lost report_lost)
-        : io{io}, context{context}, view{view}, report_lost{std::move(report_lost)}
+        : processes{io}, context{context}, view{view}, report_lost{std::move(report_lost)}
     {
         this->context.on_connection_closed = [this](const std::string& host) {
             this->on_connection_closed(host);
@@ -40,9 +41,8 @@
     crash_response(const crash_response&) = delete;
     crash_response& operator=(const crash_response&) = delete;
 
-    /// Sets the check that precedes the conclusion that a host has crashed. Without it, the path is taken for
-    /// granted.
-    void set_path_check(path_check check) { this->check_path = std::move(check); }
+    /// See `process_check`.
+    void set_path_check(path_check check) { this->processes.set_path_check(std::move(check)); }
 
     /// Finds out whether the host, which closed the connection of a running request, has crashed. It may also
     /// have reset that connection only, or leave as planned. Sessions call it through the context.
@@ -52,7 +52,13 @@
         if (host == nullptr || host->is_leaving || !this->checking.insert(id).second) {
             return;
         }
-        this->check_port(std::make_shared<inquiry>(inquiry{*host, this->context.clock.now()}));
+        this->processes.check(*host,
+                              [this, host = *host, closed_at = this->context.clock.now()](bool has_ended) {
+                                  this->checking.erase(host.id);
+                                  if (has_ended) {
+                                      this->on_crash(host, closed_at);
+                                  }
+                              });
     }
 
     /// Merges the reports of another daemon.
@@ -75,38 +81,6 @@
     }
 
 private:
-    /// Refused connections that prove that a host's process has ended. A single one may be a connection that
-    /// was reset while it was opened.
-    static constexpr unsigned min_refusals = 2;
-    static constexpr time_ms check_timeout{40};
-
-    struct inquiry {
-        listed_host host;
-        time_ms closed_at;
-        unsigned refusals = 0;
-    };
-
-    void check_port(const std::shared_ptr<inquiry>& pending)
-    {
-        this->io.check_port(pending->host, check_timeout, [this, pending](port_state state) {
-            const bool is_refused = state == port_state::refused;
-            if (is_refused && ++pending->refusals < min_refusals) {
-                this->check_port(pending);
-                return;
-            }
-            if (!is_refused) {
-                this->checking.erase(pending->host.id);
-                return;
-            }
-            this->check_path(pending->host, [this, pending](bool has_path) {
-                this->checking.erase(pending->host.id);
-                if (has_path) {
-                    this->on_crash(pending->host, pending->closed_at);
-                }
-            });
-        });
-    }
-
     void on_crash(const listed_host& host, time_ms closed_at)
     {
         const auto now = this->context.clock.now();
@@ -122,7 +96,7 @@
         const bool is_known =
             current != nullptr && current->incarnation == host.incarnation && !current->fabric_domain.empty();
         if (is_known && !this->view.is_silent(host.id)) {
-            log_silent_host(host.id, "process ended", min_refusals, this->view, closed_at);
+            log_silent_host(host.id, "process ended", process_check<Io>::min_refusals, this->view, closed_at);
             this->view.mark_silent(host.id, closed_at);
             this->view.mark_ended(host.id);
             this->report_lost({&host.id, 1});
@@ -152,11 +126,10 @@
         }
     }
 
-    Io& io;
+    process_check<Io> processes;
     relay_context& context;
     fleet_view& view;
     on_lost report_lost;
-    path_check check_path = without_path_check();
     std::set<std::string> checking; ///< Hosts with an inquiry in progress.
 };
 
