Connections to targets: a request that is given up is discarded, not delivered late

Cause: when a request was given up, at its deadline or because its caller had left, the connection was closed in an orderly way. What the system had not delivered yet, since packets were lost or the path was cut, went on being sent again after the close, and reached the target when the path was back.

Now a connection with an exchange in progress is reset, which discards it.

Test: 'http channel: a request that was given up does not reach the server later' failed before: 18 bytes arrived after the close, on a real socket that dropped what came before it.

--- a/src/net/http_channel.cpp
+++ b/src/net/http_channel.cpp
@@ -60,8 +60,12 @@
 
 void http_channel::close()
 {
-    this->receiver = nullptr;
+    const bool has_exchange = std::exchange(this->receiver, nullptr) != nullptr;
     this->reusable = false;
+    if (has_exchange) {
+        this->link->reset();
+        return;
+    }
     this->link->close();
 }
 
--- a/src/net/http_channel.hpp
+++ b/src/net/http_channel.hpp
@@ -44,7 +44,8 @@
     /// Passes the rest of the response to another receiver, to which the same conditions apply.
     void redirect(response_receiver& to) noexcept;
 
-    /// Aborts the exchange and closes the connection without calling the receiver.
+    /// Aborts the exchange and closes the connection without calling the receiver. A request that has not
+    /// reached the server yet never does.
     void close();
 
     /// Whether another request may be sent: the last exchange is complete and the connection is open.
--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -224,6 +224,13 @@
     this->socket.close(ignored);
 }
 
+void tcp_link::reset()
+{
+    asio::error_code ignored; // Without the option, the connection is closed all the same.
+    this->socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    this->close();
+}
+
 void tcp_link::close_when_sent()
 {
     if (!this->established) {
--- a/test/net/http_channel_test.cpp
+++ b/test/net/http_channel_test.cpp
@@ -4,9 +4,12 @@
 #include "support/event_loop.hpp"
 #include "support/response_recorder.hpp"
 #include "support/scripted_server.hpp"
+#include "support/silent_server.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+
 namespace coriander {
 namespace {
 
@@ -103,6 +106,25 @@
     CHECK_FALSE(fixture.channel->is_reusable());
 }
 
+TEST_CASE("http channel: a request that was given up does not reach the server later")
+{
+    event_loop loop;
+    silent_server server{loop.context()};
+    channel_pool pool{loop.context()};
+    const auto channel = pool.acquire(server.address(), true);
+    REQUIRE(loop.run_until([&] { return server.accepted() == 1 && channel->is_connected(); }));
+    REQUIRE(server.silence_all());
+    response_recorder response;
+    channel->send(plain_request, response);
+    loop.run_ready();
+    channel->close();
+    server.restore_all();
+    // Long enough for several retransmissions.
+    loop.context().restart();
+    loop.context().run_for(std::chrono::milliseconds{1500});
+    CHECK(server.received() == 0);
+}
+
 TEST_CASE("http channel: bytes that are not an HTTP response are reported as malformed")
 {
     exchange_fixture one{"nonsense\r\n\r\n"};
--- a/test/support/silent_server.hpp
+++ b/test/support/silent_server.hpp
@@ -54,6 +54,25 @@
         return is_set;
     }
 
+    /// Ends the silence.
+    void restore_all()
+    {
+        int unused = 0;
+        for (auto& socket : this->sockets) {
+            (void)::setsockopt(socket.native_handle(), SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+        }
+    }
+
+    /// Bytes that have been received and not read.
+    [[nodiscard]] std::size_t received()
+    {
+        std::size_t count = 0;
+        for (auto& socket : this->sockets) {
+            count += socket.available();
+        }
+        return count;
+    }
+
 private:
     void accept()
     {
