Cut gateways: own targets are still tried if no gateway reaches them, and checks of the path are bounded

Found by reading. Hosts that take no new connections, as at their limit, look like a lost path to every gateway; with all of them cut off, all requests would have been refused, although connections that are open work. And each request that could not be sent opened up to four connections to other hosts; an answer of the last 100 ms is enough for that question.

Tests: 'if all gateways seem to be cut off, a request is still sent to a target' failed before (503); 'frequent failures to send do not open connections each time'.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -68,7 +68,9 @@
         this->stalls.set_path_check(check);
         this->losses.set_path_check(check);
         this->crashes.set_path_check(check);
-        this->relay.check_path = check;
+        this->relay.check_path = [this](const listed_host& suspect, on_path_checked done) {
+            this->paths.check_recent(suspect, std::move(done));
+        };
         this->control.set_progress_listener([this] { this->schedule_control(); });
         this->relay.may_probe_quarantine = [this](fingerprint print) {
             const auto daemons = this->peers->controllers();
--- a/src/gateway/path_monitor.hpp
+++ b/src/gateway/path_monitor.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -28,7 +29,8 @@
     unsigned rounds_to_lose = 2;
     /// Consecutive rounds with an answer after which it counts as restored.
     unsigned rounds_to_restore = 2;
-    time_ms connect_timeout{60}; ///< Several round trips between the most distant failure domains.
+    time_ms answer_validity{100}; ///< How long an answer shows that the path works.
+    time_ms connect_timeout{60};  ///< Several round trips between the most distant failure domains.
 };
 
 /// Knows whether this daemon has a path to the hosts of each service. What one daemon sees of a host is a
@@ -63,6 +65,21 @@
         }
     }
 
+    /// The same for a request that could not be sent, after which a recent answer is good enough: failures
+    /// may be frequent, and each check opens connections.
+    void check_recent(const listed_host& suspect, on_path_checked done)
+    {
+        const auto found = this->services.find(suspect.service);
+        const bool is_recent =
+            found != this->services.end() && found->second.answered_at &&
+            this->clock.now() - *found->second.answered_at < this->settings.answer_validity;
+        if (is_recent) {
+            done(true);
+            return;
+        }
+        this->check(suspect, std::move(done));
+    }
+
     /// Contacts hosts of the services to which the path is lost. Call several times a second.
     void recheck()
     {
@@ -100,6 +117,7 @@
         bool is_checking = false;
         bool is_cut = false;
         time_ms cut_at;
+        std::optional<time_ms> answered_at; ///< When the last check found that the path works.
         unsigned answered_rounds = 0;
         std::size_t ignored = 0; ///< Evidence that did not count.
     };
@@ -183,6 +201,7 @@
         auto& service = this->services[name];
         auto asked = std::exchange(service.asking, {});
         service.is_checking = false;
+        service.answered_at = has_path ? std::optional{this->clock.now()} : std::nullopt;
         if (!has_path) {
             auto later = std::exchange(service.waiting, {});
             std::move(later.begin(), later.end(), std::back_inserter(asked));
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -23,7 +23,7 @@
     no_service,  ///< The manifest doesn't declare the route's service.
     quarantined, ///< Requests like it crash their targets.
     no_target,   ///< No target of the service or model is available.
-    cut_off,     ///< This gateway can't reach the service's hosts, and no other gateway takes the request.
+    cut_off,     ///< Another gateway passed the request on, but this one can't reach the hosts either.
     relay_limit, ///< Too many requests of other gateways are open here.
     paused,      ///< All targets have stated that they want no requests for a while.
     overloaded,  ///< The response would come too late, or demand exceeds capacity.
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -87,8 +87,7 @@
         this->refuse_quarantined();
         return;
     }
-    if (this->context.is_cut(this->request.service)) {
-        this->relay_or_refuse();
+    if (this->context.is_cut(this->request.service) && this->relay_or_refuse()) {
         return;
     }
     this->state->retries.on_request(now);
@@ -220,7 +219,10 @@
 std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded)
 {
     if (this->context.is_cut(this->request.service)) {
-        return this->choose_gateway(excluded);
+        auto gateway = this->choose_gateway(excluded);
+        if (gateway || this->request.is_relayed) {
+            return gateway;
+        }
     }
     const bool excludes_limited = this->denied_permits >= max_denied_permits;
     return this->state->board.choose({this->target_model(), this->context.failure_domain, excluded,
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -119,8 +119,9 @@
     void log_stay(const char* why);
     void dispatch(const target_choice& choice);
     [[nodiscard]] std::string request_text(const target_choice& choice) const;
-    /// Passes the request on to a gateway that reaches the service's hosts, or refuses it.
-    void relay_or_refuse();
+    /// Passes the request on to a gateway that reaches the service's hosts, or refuses it if another gateway
+    /// has passed it on. Returns false, and does nothing, if there is no such gateway.
+    [[nodiscard]] bool relay_or_refuse();
     [[nodiscard]] std::optional<target_choice> choose_gateway(std::span<const std::string> excluded);
     void on_gateway_head(message_head head);
     /// The best target that is not in `excluded`, a list of target ids.
--- a/src/gateway/relay_session_gateway.cpp
+++ b/src/gateway/relay_session_gateway.cpp
@@ -7,14 +7,18 @@
 // Requests that are passed on to another gateway, while this one can't reach the service's hosts.
 namespace coriander {
 
-void relay_session::relay_or_refuse()
+bool relay_session::relay_or_refuse()
 {
     if (const auto gateway = this->choose_gateway({})) {
         this->send_to(*gateway);
-        return;
+        return true;
+    }
+    if (!this->request.is_relayed) {
+        return false; // All gateways seem to be cut off: the hosts may just take no new connections.
     }
     log_refusal(this->request, local_reply::cut_off, std::nullopt, {{}, short_retry_delay, 0, 0.0});
     this->send_local_reply(local_reply::cut_off, short_retry_delay);
+    return true;
 }
 
 std::optional<target_choice> relay_session::choose_gateway(std::span<const std::string> excluded)
--- a/test/gateway/path_monitor_test.cpp
+++ b/test/gateway/path_monitor_test.cpp
@@ -86,6 +86,20 @@
     CHECK(later == false);
 }
 
+TEST_CASE("path monitor: frequent failures to send do not open connections each time")
+{
+    suspecting_daemon daemon;
+    (void)daemon.check();
+    daemon.io.deliver();
+    daemon.world.unreachable = {"d-h0", "d-h1"};
+    std::optional<bool> verdict;
+    daemon.paths.check_recent(*daemon.view.find_host("d-h0"), [&](bool has_path) { verdict = has_path; });
+    CHECK(verdict == true);
+    daemon.lose_path();
+    daemon.paths.check_recent(*daemon.view.find_host("d-h0"), [&](bool has_path) { verdict = has_path; });
+    CHECK(verdict == false);
+}
+
 TEST_CASE("path monitor: the path is restored once a host has accepted connections in two rounds in a row")
 {
     suspecting_daemon daemon;
--- a/test/gateway/relay_through_gateway_test.cpp
+++ b/test/gateway/relay_through_gateway_test.cpp
@@ -100,6 +100,16 @@
     CHECK(relay.requests_sent() == 2);
 }
 
+TEST_CASE("relay through gateway: if all gateways seem to be cut off, a request is still sent to a target")
+{
+    auto relay = relay_to_both(repetition::idempotent, ok_response);
+    relay.context.relaying_gateways = [] { return std::vector<member_identity>{}; };
+    relay.set_targets({relay_fixture::target("first", relay.first)});
+    CHECK(relay.exchange() == exchange_end::complete);
+    CHECK(relay.caller->head.status == 200);
+    CHECK(contains(relay.request_sent(), "Coriander-Host: first\r\n"));
+}
+
 TEST_CASE("relay through gateway: a request that another gateway has passed on is not passed on again")
 {
     auto relay = relay_to_both(repetition::idempotent, ok_response);
