--- a/src/gateway/crash_response.hpp
+++ b/src/gateway/crash_response.hpp
@@ -42,7 +42,7 @@
     crash_response& operator=(const crash_response&) = delete;
 
     /// See `process_check`.
-    void set_path_check(path_check check) { this->processes.set_path_check(std::move(check)); }
+    void set_path_check(const path_check& check) { this->processes.set_path_check(check); }
 
     /// Finds out whether the host, which closed the connection of a running request, has crashed. It may also
     /// have reset that connection only, or leave as planned. Sessions call it through the context.
--- a/src/gateway/ended_host_check.hpp
+++ b/src/gateway/ended_host_check.hpp
@@ -28,7 +28,7 @@
     }
 
     /// See `process_check`.
-    void set_path_check(path_check check) { this->processes.set_path_check(std::move(check)); }
+    void set_path_check(const path_check& check) { this->processes.set_path_check(check); }
 
     /// Checks the silent hosts of the record's replicas, unless a check of them is in progress.
     void check(const domain_record& record, time_ms now)
--- a/src/gateway/loss_exchange.hpp
+++ b/src/gateway/loss_exchange.hpp
@@ -37,7 +37,7 @@
 
     /// Sets the check that precedes the conclusion that a host is lost. Without it, the path is taken for
     /// granted.
-    void set_path_check(path_check check) { this->check_path = std::move(check); }
+    void set_path_check(const path_check& check) { this->check_path = check; }
 
     /// The daemons to notify of a loss in the domain: its owner and the first daemons in the order of
     /// takeover. Empty if `self` is one of them.
--- a/src/gateway/order_sender.hpp
+++ b/src/gateway/order_sender.hpp
@@ -31,7 +31,7 @@
 
     /// Sets the check that precedes the conclusion that a host is lost. Without it, the path is taken for
     /// granted.
-    void set_path_check(path_check check) { this->check_path = std::move(check); }
+    void set_path_check(const path_check& check) { this->check_path = check; }
 
     /// Sends the orders that are due.
     void send(std::span<const host_order> orders, domain_work& domain, time_ms now)
--- a/src/gateway/process_check.hpp
+++ b/src/gateway/process_check.hpp
@@ -25,7 +25,7 @@
 
     /// Sets the check that precedes the conclusion that a process has ended: connections may be refused on
     /// the way. Without it, the path is taken for granted.
-    void set_path_check(path_check check) { this->check_path = std::move(check); }
+    void set_path_check(const path_check& check) { this->check_path = check; }
 
     /// Calls `done` once with the result.
     void check(const listed_host& host, on_checked done) { this->check_port(host, 0, std::move(done)); }
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -55,7 +55,7 @@
 
     /// Sets the check that precedes the conclusion that hosts are lost. Without it, the path is taken for
     /// granted.
-    void set_path_check(path_check check) { this->check_path = std::move(check); }
+    void set_path_check(const path_check& check) { this->check_path = check; }
 
     /// Starts an inquiry for each replica of the service that appears to be stalled.
     void check(const std::string& service, time_ms now)
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -68,8 +68,8 @@
     /// Closes at once without calling any callback. Queued bytes are discarded.
     void close();
 
-    /// Closes at once like `close`, and also discards what the system has not delivered yet: it would otherwise
-    /// keep sending it, and a peer that could not be reached meanwhile would get it late.
+    /// Closes at once like `close`, and also discards what the system has not delivered yet: it would
+    /// otherwise keep sending it, and a peer that could not be reached meanwhile would get it late.
     void reset();
 
     /// Sends the queue and its end, then closes when the peer does or after a time-out. Received bytes are
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -104,10 +104,7 @@
                 model, static_cast<float>(load.requests_per_s), static_cast<float>(load.prompt_tokens),
                 static_cast<float>(load.answer_tokens), static_cast<float>(load.duration_ms));
         }
-        std::vector<flatbuffers::Offset<wire::LostHost>> lost_hosts;
-        for (const auto& one : message.lost_hosts) {
-            lost_hosts.push_back(wire::CreateLostHostDirect(this->builder, one.id.c_str(), one.incarnation));
-        }
+        const auto lost_hosts = this->write_lost_hosts(message.lost_hosts);
         const auto suspects = converted<flatbuffers::Offset<wire::CrashSuspect>>(
             message.crashes.suspects, [this](const auto& one) {
                 return wire::CreateCrashSuspectDirect(this->builder, one.crash, clamped_age(one.age),
@@ -122,11 +119,7 @@
         const auto permit_answers =
             converted<wire::PermitAnswer>(message.permits.answers, wire_permit_answer);
         const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
-        const auto kept =
-            converted<flatbuffers::Offset<wire::KeptRequests>>(message.kept, [this](const auto& one) {
-                return wire::CreateKeptRequestsDirect(this->builder, one.row_key.c_str(),
-                                                      one.replica.c_str());
-            });
+        const auto kept = this->write_kept_requests(message.kept);
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
         this->builder.Finish(
@@ -137,6 +130,21 @@
     }
 
 private:
+    std::vector<flatbuffers::Offset<wire::LostHost>> write_lost_hosts(const std::vector<lost_host>& hosts)
+    {
+        return converted<flatbuffers::Offset<wire::LostHost>>(hosts, [this](const auto& one) {
+            return wire::CreateLostHostDirect(this->builder, one.id.c_str(), one.incarnation);
+        });
+    }
+
+    std::vector<flatbuffers::Offset<wire::KeptRequests>>
+    write_kept_requests(const std::vector<kept_requests>& reports)
+    {
+        return converted<flatbuffers::Offset<wire::KeptRequests>>(reports, [this](const auto& one) {
+            return wire::CreateKeptRequestsDirect(this->builder, one.row_key.c_str(), one.replica.c_str());
+        });
+    }
+
     flatbuffers::Offset<wire::Config> write_config(const std::optional<config_record>& record)
     {
         if (!record) {
