--- /dev/null
+++ b/src/replicas/domain_view.cpp
@@ -0,0 +1,20 @@
+#include "coriander/replicas/domain_planner.hpp"
+
+#include <algorithm>
+
+namespace coriander {
+
+const listed_host* domain_view::find_host(std::string_view id) const
+{
+    const auto found = std::find_if(this->hosts.begin(), this->hosts.end(),
+                                    [&](const listed_host& host) { return host.id == id; });
+    return found == this->hosts.end() ? nullptr : &*found;
+}
+
+bool domain_view::is_unresponsive(const std::string& id, std::uint64_t incarnation) const
+{
+    const auto found = this->silent->find(id);
+    return found != this->silent->end() && found->second.incarnation == incarnation;
+}
+
+} // namespace coriander
