Kept requests: domains are gone through only while requests are on a withdrawn target

Every 25 ms the reports went through all hosts of a service to find its domains, although hardly ever is a replica with requests being dissolved. Found by reading; the time was not measured. Behaviour as before: a dissolving replica is never a listed target.

--- a/src/gateway/kept_request_reports.hpp
+++ b/src/gateway/kept_request_reports.hpp
@@ -5,6 +5,7 @@
 #include "gateway/fleet_view.hpp"
 #include "gateway/relay_context.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -12,8 +13,8 @@
 
 namespace coriander {
 
-/// Tells the owners of domains which dissolving replicas still have requests of this daemon. Their hosts may
-/// be sound, and would cut the requests if they were ordered to leave. Not thread-safe: used on the event
+/// Reports to the owners of domains which dissolving replicas still have requests of this daemon. Their hosts
+/// may be sound, and would cut the requests if they were ordered to leave. Not thread-safe: used on the event
 /// loop's thread only.
 class kept_request_reports {
 public:
@@ -29,7 +30,7 @@
     void check(const std::string& service, time_ms now)
     {
         const auto state = this->context.services.find(service);
-        if (state == this->context.services.end()) {
+        if (state == this->context.services.end() || !has_unlisted_target(state->second)) {
             return;
         }
         for (const auto& key : this->view.domains_of(service)) {
@@ -49,6 +50,14 @@
     /// Several reports arrive while one counts.
     static constexpr time_ms interval{100};
 
+    /// Whether requests are on a target that gets no new ones, as a dissolving replica does not. Seldom so,
+    /// while going through all domains takes time.
+    [[nodiscard]] static bool has_unlisted_target(const service_state& state)
+    {
+        return std::any_of(state.sessions.begin(), state.sessions.end(),
+                           [&](const auto& item) { return !state.board.is_listed(item.first); });
+    }
+
     [[nodiscard]] bool is_due(const std::string& replica, time_ms now)
     {
         const auto [last, is_first] = this->last_sent.try_emplace(replica, now);
