--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -221,24 +221,12 @@
 
 std::vector<member_identity> gateway_peers::serving() const
 {
-    std::vector<member_identity> found;
-    for (const auto& view : this->members.alive(this->clock.now())) {
-        if (!view.heartbeat.stopping && !view.identity.http_address.empty()) {
-            found.push_back(view.identity);
-        }
-    }
-    return found;
+    return this->serving_if([](const member_view& /*any*/) { return true; });
 }
 
 std::vector<member_identity> gateway_peers::connected() const
 {
-    std::vector<member_identity> found;
-    for (const auto& view : this->members.alive(this->clock.now())) {
-        if (!view.heartbeat.stopping && !view.heartbeat.is_cut_off && !view.identity.http_address.empty()) {
-            found.push_back(view.identity);
-        }
-    }
-    return found;
+    return this->serving_if([](const member_view& view) { return !view.heartbeat.is_cut_off; });
 }
 
 std::size_t gateway_peers::count() const
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -120,6 +120,19 @@
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
 
 private:
+    /// The serving gateways that satisfy a predicate on their `member_view`.
+    template <typename Predicate>
+    [[nodiscard]] std::vector<member_identity> serving_if(Predicate is_wanted) const
+    {
+        std::vector<member_identity> found;
+        for (const auto& view : this->members.alive(this->clock.now())) {
+            if (!view.heartbeat.stopping && !view.identity.http_address.empty() && is_wanted(view)) {
+                found.push_back(view.identity);
+            }
+        }
+        return found;
+    }
+
     /// Approximate size of a reader group; keeps what a reader sends constant for any number of daemons.
     static constexpr std::size_t reader_group_size = 64;
 
--- a/src/gateway/replica_timing.hpp
+++ b/src/gateway/replica_timing.hpp
@@ -52,18 +52,22 @@
     /// When the replica began to form; `std::nullopt` if it is not forming.
     [[nodiscard]] std::optional<time_ms> forming_since(const std::string& replica) const
     {
-        const auto found = this->started_at.find(key_of(replica, replica_phase::forming));
-        return found == this->started_at.end() ? std::nullopt : std::optional{found->second};
+        return this->since(replica, replica_phase::forming);
     }
 
     /// When the replica began to be dissolved; `std::nullopt` if it is not being dissolved.
     [[nodiscard]] std::optional<time_ms> dissolving_since(const std::string& replica) const
     {
-        const auto found = this->started_at.find(key_of(replica, replica_phase::dissolving));
-        return found == this->started_at.end() ? std::nullopt : std::optional{found->second};
+        return this->since(replica, replica_phase::dissolving);
     }
 
 private:
+    [[nodiscard]] std::optional<time_ms> since(const std::string& replica, replica_phase phase) const
+    {
+        const auto found = this->started_at.find(key_of(replica, phase));
+        return found == this->started_at.end() ? std::nullopt : std::optional{found->second};
+    }
+
     /// Whether hosts get join orders in this phase.
     static bool joins_hosts(replica_phase phase)
     {
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -70,17 +70,11 @@
     void abandon_lost_replicas(const std::string& service)
     {
         auto& state = this->context.service(service);
-        std::vector<std::string> lost;
-        for (const auto& [target, sessions] : state.sessions) {
+        move_requests_if(state, [&](const std::string& target) {
             const auto* replica = this->view.find_replica(service, target);
             const bool is_lost = replica == nullptr || replica->phase == replica_phase::dissolving;
-            if (!state.board.is_listed(target) && is_lost) {
-                lost.push_back(target);
-            }
-        }
-        for (const auto& target : lost) {
-            move_requests(state, target);
-        }
+            return !state.board.is_listed(target) && is_lost;
+        });
     }
 
     /// Moves the requests off targets that are silent, since this daemon has no path to the service's hosts.
@@ -88,15 +82,9 @@
     {
         auto& state = this->context.service(service);
         const auto now = this->context.clock.now();
-        std::vector<std::string> silent;
-        for (const auto& [target, sessions] : state.sessions) {
-            if (state.board.silence(target, now) >= this->settings.silence_without_path) {
-                silent.push_back(target);
-            }
-        }
-        for (const auto& target : silent) {
-            move_requests(state, target);
-        }
+        move_requests_if(state, [&](const std::string& target) {
+            return state.board.silence(target, now) >= this->settings.silence_without_path;
+        });
     }
 
 private:
@@ -126,6 +114,21 @@
         }
     }
 
+    /// Moves the requests off the targets that satisfy the predicate.
+    template <typename Predicate>
+    static void move_requests_if(service_state& state, Predicate must_leave)
+    {
+        std::vector<std::string> targets;
+        for (const auto& [target, sessions] : state.sessions) {
+            if (must_leave(target)) {
+                targets.push_back(target);
+            }
+        }
+        for (const auto& target : targets) {
+            move_requests(state, target);
+        }
+    }
+
     void investigate(const std::string& service, service_state& state, const relay_target& target,
                      time_ms now)
     {
--- a/test/gateway/kept_request_reports_test.cpp
+++ b/test/gateway/kept_request_reports_test.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-TEST_CASE("kept request reports: the owner is told of requests on a dissolving replica, again and again")
+TEST_CASE("kept request reports: the owner receives repeated reports of requests on a dissolving replica")
 {
     daemon_with_request daemon;
     daemon.reports.check("assistant", 1000_ms);
--- a/test/gateway/relay_through_gateway_test.cpp
+++ b/test/gateway/relay_through_gateway_test.cpp
@@ -119,7 +119,8 @@
     CHECK(relay.requests_sent() == 0);
 }
 
-TEST_CASE("relay through gateway: a gateway with a path does not tell targets that a request was passed on")
+TEST_CASE(
+    "relay through gateway: a gateway with a path does not forward the mark of a relayed request to targets")
 {
     auto relay = relay_to_both(repetition::idempotent, ok_response);
     relay.is_cut = false;
