Stand-in hosts: what belongs to a replica, or to a life of the host, ends with it

More state outlived what it belonged to, or took silence for loss:

- streams of a replica went on in the leader's next one after `leave` or another `join`; now they end with it
- an order to open, which takes effect some time later, opened whatever replica the leader was in by then
- what became due while a host was silent (a load, a join, an opening) never happened
- a lost host answered again when an earlier silence of it ended, with its streams gone and its connections open
- a restart kept the leaving, the numbers of the entries and the callers' connections of the life before
- a leader that was silent itself broke off its streams meanwhile
- a stall that ended without streams was counted with the next one
- silences of two hosts one after the other added up to a loss, though each was as short as a sound host's may be: a stall is now counted for each host that is missing
- a replica that had stalled for too long took new requests and cut them.

--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -13,18 +13,12 @@
 constexpr int conflict_status = 409;
 constexpr int precondition_failed_status = 412;
 constexpr int misdirected_status = 421;
-constexpr int unavailable_status = 503;
 
 std::chrono::milliseconds to_chrono(time_ms length)
 {
     return std::chrono::milliseconds{length.count()};
 }
 
-std::string encode_event(unsigned number)
-{
-    return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
-}
-
 } // namespace
 
 standin_host::standin_host(asio::io_context& loop, fleet_state& fleet, std::string id, std::string service,
@@ -60,9 +54,14 @@
     const auto timer = std::make_shared<asio::steady_timer>(this->loop, to_chrono(delay));
     timer->async_wait([timer, action = std::move(action), started_incarnation = this->incarnation,
                        this](const asio::error_code&) {
-        if (started_incarnation == this->incarnation && !this->is_unresponsive) {
-            action();
+        if (started_incarnation != this->incarnation || this->is_lost) {
+            return;
+        }
+        if (this->is_unresponsive) {
+            this->overdue_actions.push_back(action);
+            return;
         }
+        action();
     });
 }
 
@@ -102,7 +101,9 @@
 void standin_host::crash()
 {
     this->is_unresponsive = true;
+    this->is_lost = true;
     this->streams.clear();
+    this->overdue_actions.clear();
     const auto timer = std::make_shared<asio::steady_timer>(this->loop, to_chrono(entry_lifetime));
     timer->async_wait([timer, this](const asio::error_code&) {
         if (this->is_unresponsive) {
@@ -116,11 +117,7 @@
     ++this->fleet.crashes;
     this->crash();
     this->listener->stop();
-    for (const auto& connection : std::exchange(this->connections, {})) {
-        if (const auto caller = connection.lock()) {
-            caller->abort();
-        }
-    }
+    this->close_connections();
     const auto timer =
         std::make_shared<asio::steady_timer>(this->loop, to_chrono(this->fleet.settings.crash_downtime));
     timer->async_wait([timer, this](const asio::error_code&) {
@@ -129,12 +126,26 @@
     });
 }
 
+void standin_host::close_connections()
+{
+    for (const auto& connection : std::exchange(this->connections, {})) {
+        if (const auto caller = connection.lock()) {
+            caller->abort();
+        }
+    }
+}
+
 void standin_host::restart()
 {
     this->is_unresponsive = false;
+    this->is_lost = false;
+    this->is_draining = false;
     this->incarnation += 1000;
     this->orders_accepted = 0;
-    this->membership.reset();
+    this->heartbeats = 0;
+    this->overdue_actions.clear();
+    this->end_membership();
+    this->close_connections();
     this->staged.clear();
     this->own_statements.clear();
     for (const auto& [caller, request] : std::exchange(this->unanswered, {})) {
@@ -145,7 +156,13 @@
 
 void standin_host::resume()
 {
+    if (this->is_lost) {
+        return;
+    }
     this->is_unresponsive = false;
+    for (const auto& action : std::exchange(this->overdue_actions, {})) {
+        action();
+    }
     for (const auto& [caller, request] : std::exchange(this->unanswered, {})) {
         if (!caller->has_caller_disconnected()) {
             this->serve(caller, request);
@@ -156,13 +173,13 @@
 void standin_host::set_rate_limit(double per_second)
 {
     this->rate_limit = per_second;
-    this->limited_since = this->clock.now();
+    this->limited_since = this->fleet.now();
     this->arrivals.clear();
 }
 
 void standin_host::count_arrival()
 {
-    const auto now = this->clock.now();
+    const auto now = this->fleet.now();
     if (this->rate_limit == 0.0 || now - this->limited_since < limit_grace) {
         return;
     }
@@ -185,16 +202,10 @@
            this->membership->members.front() == this->id;
 }
 
-bool standin_host::is_replica_complete() const
+bool standin_host::is_member(const std::string& replica, std::uint64_t generation) const
 {
-    return std::all_of(this->membership->members.begin(), this->membership->members.end(),
-                       [&](const std::string& member) {
-                           const auto found = this->fleet.hosts.find(member);
-                           return found != this->fleet.hosts.end() && !found->second->is_unresponsive &&
-                                  found->second->membership &&
-                                  found->second->membership->replica == this->membership->replica &&
-                                  found->second->membership->generation == this->membership->generation;
-                       });
+    return this->membership && this->membership->replica == replica &&
+           this->membership->generation == generation;
 }
 
 void standin_host::serve(const std::shared_ptr<caller_connection>& caller, const incoming_request& request)
@@ -248,14 +259,13 @@
     if (op == "join") {
         return this->join(order);
     }
-    const bool is_current =
-        this->membership && this->membership->replica == text_member(order, "group") &&
-        this->membership->generation == static_cast<std::uint64_t>(integer_member(order, "epoch"));
-    if (!is_current) {
+    const auto replica = text_member(order, "group");
+    const auto generation = static_cast<std::uint64_t>(integer_member(order, "epoch"));
+    if (!this->is_member(replica, generation)) {
         return conflict_status;
     }
     if (op == "leave") {
-        this->membership.reset();
+        this->end_membership();
         return accepted_status;
     }
     if (this->membership->state == "open") {
@@ -264,8 +274,8 @@
     if (op != "open" || this->membership->state != "ready") {
         return conflict_status;
     }
-    this->run_after(this->fleet.settings.open_time, [this] {
-        if (this->membership) {
+    this->run_after(this->fleet.settings.open_time, [this, replica, generation] {
+        if (this->is_member(replica, generation)) {
             this->membership->state = "open";
             this->write_entry();
         }
@@ -281,8 +291,7 @@
     if (this->membership && this->membership->generation > joined.generation) {
         return precondition_failed_status;
     }
-    if (this->membership && this->membership->replica == joined.replica &&
-        this->membership->generation == joined.generation) {
+    if (this->is_member(joined.replica, joined.generation)) {
         return ok_status;
     }
     if (this->membership) {
@@ -291,11 +300,13 @@
     }
     const bool is_staged =
         std::find(this->staged.begin(), this->staged.end(), joined.model) != this->staged.end();
+    this->end_membership();
+    const auto replica = joined.replica;
     const auto generation = joined.generation;
     this->membership = std::move(joined);
     this->run_after(is_staged ? this->fleet.settings.staged_join_time : this->fleet.settings.load_time,
-                    [this, generation] {
-                        if (this->membership && this->membership->generation == generation) {
+                    [this, replica, generation] {
+                        if (this->is_member(replica, generation)) {
                             this->staged = {this->membership->model};
                             this->membership->state = "ready";
                             this->write_entry();
@@ -304,91 +315,4 @@
     return accepted_status;
 }
 
-void standin_host::serve_request(const std::shared_ptr<caller_connection>& caller,
-                                 const incoming_request& request)
-{
-    const std::string attempt{request.head.header("Attempt-Id")};
-    std::vector<http_header> headers{{"Attempt-Id", attempt}, {"Server-Stamp", this->id}};
-    if (this->rate_limit > 0.0) {
-        headers.push_back({"Server-Limit", std::to_string(this->rate_limit)});
-    }
-    this->count_arrival();
-    const auto pause = this->own_statements.on_request(this->clock.now());
-    if (this->own_statements.is_leaving()) {
-        headers.push_back({"Server-Leaving", "1"});
-    }
-    if (pause > time_ms{}) {
-        headers.push_back({"Not-Executed", "1"});
-        headers.push_back({"Retry-After", std::to_string(pause.seconds())});
-        caller->send(unavailable_status, headers, {});
-        return;
-    }
-    if (this->domain.empty()) {
-        ++this->fleet.run_counts[attempt];
-        caller->send(ok_status, headers, "done " + attempt);
-        return;
-    }
-    if (!this->leads_open_replica()) {
-        caller->send(misdirected_status, {{"Replica-Id", this->id}}, {});
-        return;
-    }
-    if (this->is_replica_complete()) {
-        ++this->fleet.run_counts[attempt];
-    }
-    const auto parts = request.head.header("Prefix-Hash");
-    const bool is_crashing = !this->fleet.crashing_part.empty() &&
-                             parts.find(this->fleet.crashing_part + ':') != std::string_view::npos;
-    if (is_crashing) {
-        ++this->fleet.crashing_arrivals;
-        this->run_after(this->fleet.settings.crash_delay, [this] { this->die(); });
-    }
-    const auto last = request.head.header("Last-Event-Id");
-    const auto next_event = last.empty() ? 1U : static_cast<unsigned>(std::stoul(std::string{last})) + 1;
-    caller->begin_stream(ok_status, headers);
-    this->streams.push_back({caller, attempt, next_event});
-    if (this->streams.size() == 1) {
-        this->send_events();
-    }
-}
-
-void standin_host::send_events()
-{
-    this->event_timer.expires_after(to_chrono(this->fleet.settings.event_interval));
-    this->event_timer.async_wait([this](const asio::error_code& cancelled) {
-        if (cancelled || this->streams.empty()) {
-            return;
-        }
-        const auto now = this->clock.now();
-        if (this->membership && this->membership->state == "open" && this->is_replica_complete()) {
-            this->stalled_since.reset();
-            for (auto& active_stream : this->streams) {
-                if (const auto caller = active_stream.caller.lock();
-                    caller && active_stream.next_event <= this->fleet.settings.events_per_answer) {
-                    caller->append(encode_event(active_stream.next_event++));
-                    if (active_stream.next_event > this->fleet.settings.events_per_answer) {
-                        caller->finish_stream();
-                    }
-                }
-            }
-            std::erase_if(this->streams, [this](const stream& active_stream) {
-                return active_stream.caller.expired() ||
-                       active_stream.next_event > this->fleet.settings.events_per_answer;
-            });
-        }
-        else if (!this->stalled_since) {
-            this->stalled_since = now;
-        }
-        else if (now - *this->stalled_since > this->fleet.settings.stall_timeout) {
-            for (const auto& active_stream : std::exchange(this->streams, {})) {
-                if (const auto caller = active_stream.caller.lock()) {
-                    caller->abort();
-                }
-            }
-        }
-        if (!this->streams.empty()) {
-            this->send_events();
-        }
-    });
-}
-
 } // namespace coriander::standin
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -44,6 +44,7 @@
     unsigned crashes = 0;           ///< Hosts that they crashed.
     std::size_t most_arrivals = 0;  ///< At a host in a time window, a while after it stated a rate limit.
     unsigned joined_while_open = 0; ///< Joins of hosts whose previous leader still accepted requests.
+    std::function<time_ms()> now = [clock = monotonic_clock{}] { return clock.now(); };
 };
 
 /// A host of an engine, or, without a fabric domain, a target of a plain service. Not thread-safe: used on
@@ -91,11 +92,14 @@
         std::vector<std::string> members;
         std::string model;
         std::string state = "joining";
+        std::map<std::string, time_ms> missing_since = {}; ///< By member, while there are streams.
     };
     struct stream {
         std::weak_ptr<caller_connection> caller;
         std::string attempt;
+        std::vector<http_header> headers;
         unsigned next_event = 1;
+        bool has_begun = false;
     };
 
     void listen();
@@ -105,10 +109,17 @@
     int execute_order(const json_object& order);
     int join(const json_object& order);
     void serve_request(const std::shared_ptr<caller_connection>& caller, const incoming_request& request);
+    void begin(stream& started);
     void send_events();
+    void advance_streams();
+    void note_stall();
+    void end_membership();
+    void close_connections();
     void write_entry();
     [[nodiscard]] json_object encode_state() const;
-    [[nodiscard]] bool is_replica_complete() const;
+    /// Members of the replica on which its work can't rely.
+    [[nodiscard]] std::vector<std::string> missing_members() const;
+    [[nodiscard]] bool is_member(const std::string& replica, std::uint64_t generation) const;
     void run_after(time_ms delay, std::function<void()> action);
 
     asio::io_context& loop;
@@ -120,7 +131,6 @@
     std::shared_ptr<http_listener> listener;
     asio::steady_timer heartbeat_timer;
     asio::steady_timer event_timer;
-    monotonic_clock clock;
     std::uint64_t incarnation = 0;
     std::uint64_t orders_accepted = 0;
     std::uint64_t heartbeats = 0;
@@ -129,7 +139,6 @@
     std::list<stream> streams;
     std::list<std::weak_ptr<caller_connection>> connections;
     std::list<std::pair<std::shared_ptr<caller_connection>, incoming_request>> unanswered;
-    std::optional<time_ms> stalled_since;
     static constexpr time_ms limit_window{4000};
     static constexpr time_ms limit_grace{3000}; ///< Arrivals count from then on.
     standin_statements own_statements;
@@ -137,6 +146,8 @@
     time_ms limited_since;
     std::deque<time_ms> arrivals;
     bool is_unresponsive = false;
+    bool is_lost = false;                               ///< Until it restarts.
+    std::vector<std::function<void()>> overdue_actions; ///< Became due while the host was unresponsive.
     bool is_draining = false;
 };
 
