--- a/scripts/gateway-cluster.sh
+++ b/scripts/gateway-cluster.sh
@@ -7,6 +7,8 @@
 NET="127.$((1 + $$ % 250)).$((1 + $$ / 250 % 250))"
 STORE=""
 CONTROL=""
+# For each gateway: the program of its next start, that build's label, and the label of the build that runs. Unset: BUILD's.
+declare -A GATEWAY_PROGRAM=() NEXT_LABEL=() RUNNING_LABEL=()
 
 # announced_as NAME WORD: the address after "listening WORD" in the program's log.
 announced_as() {
@@ -20,6 +22,11 @@
   CONTROL=$(announced_as fleet control)
 }
 
+# keep_log N: the log of gateway N's last process, which ended, stays beside that of the next one.
+keep_log() {
+  [ ! -e "$RUN_DIR/gateway-$1.log" ] || mv "$RUN_DIR/gateway-$1.log" "$RUN_DIR/ended-$1.${PID_OF[gateway-$1]}.${RUNNING_LABEL[$1]:-new}.log"
+}
+
 # start_gateway N FIRST_START: settings and process of entry host N.
 start_gateway() {
   local ip="$NET.$1"
@@ -48,7 +55,9 @@
 [retries]
 allowance = ${RETRY_ALLOWANCE:-200}
 END
-  start "gateway-$1" "$BUILD/coriander_gateway" --settings="$RUN_DIR/gateway-$1.toml"
+  keep_log "$1"
+  RUNNING_LABEL[$1]=${NEXT_LABEL[$1]:-new}
+  start "gateway-$1" "${GATEWAY_PROGRAM[$1]:-$BUILD/coriander_gateway}" --settings="$RUN_DIR/gateway-$1.toml"
 }
 
 start_gateways() {
