A gateway that is cut off passes requests on only to builds that take them

A gateway without a path to the hosts passed requests on to any live gateway. One of an older build takes such a request for a caller's: it sends the header on to the target, and its refusal lacks the header that makes the sender try the next gateway, so the caller got a refusal although another gateway would have served.

Peers that take such requests report the feature relayed_requests. The test failed before: CHECK( fleet.connected() == std::vector<std::string>{"newer"} ): { "newer", "older" } == { "newer" }

--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -226,7 +226,9 @@
 
 std::vector<member_identity> gateway_peers::connected() const
 {
-    return this->serving_if([](const member_view& view) { return !view.heartbeat.is_cut_off; });
+    return this->serving_if([](const member_view& view) {
+        return !view.heartbeat.is_cut_off && view.understands(peer_feature::relayed_requests);
+    });
 }
 
 std::size_t gateway_peers::count() const
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -109,7 +109,7 @@
 
     /// All other live gateways that take callers' requests and aren't stopping.
     [[nodiscard]] std::vector<member_identity> serving() const;
-    /// Those of them that reach the hosts of all services.
+    /// Those of them that reach the hosts of all services, and take requests that another gateway passes on.
     [[nodiscard]] std::vector<member_identity> connected() const;
     /// The number of live gateways, including this one.
     [[nodiscard]] std::size_t count() const;
@@ -118,6 +118,8 @@
     [[nodiscard]] std::vector<std::string> controllers() const;
 
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
+    /// The port on which peers' messages arrive.
+    [[nodiscard]] std::uint16_t port() const { return this->link.port(); }
 
 private:
     /// The serving gateways that satisfy a predicate on their `member_view`.
--- /dev/null
+++ b/test/gateway/gateway_peers_test.cpp
@@ -0,0 +1,80 @@
+#include "gateway/gateway_peers.hpp"
+
+#include "support/event_loop.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+namespace coriander {
+namespace {
+
+/// A gateway's connections to its peers, and peers that report to it.
+class reported_peers {
+public:
+    /// The peer sends its identity and a heartbeat.
+    void report(const std::string& name, feature_set features, const std::string& build = "0.1.0+old",
+                std::uint64_t incarnation = 1)
+    {
+        peer_message message;
+        message.identities = {identity_of(name, features, build, incarnation)};
+        message.beats = {{member_id(name), incarnation, ++this->beats, 0, false, true}};
+        this->from.send("127.0.0.1:" + std::to_string(this->peers.port()), message);
+        const auto is_known = [&] {
+            const auto known = this->peers.serving();
+            return std::any_of(known.begin(), known.end(), [&](const member_identity& one) {
+                return one.name == name && one.incarnation == incarnation;
+            });
+        };
+        REQUIRE(this->loop.run_until(is_known));
+    }
+
+    [[nodiscard]] std::vector<std::string> connected() const
+    {
+        std::vector<std::string> names;
+        for (const auto& one : this->peers.connected()) {
+            names.push_back(one.name);
+        }
+        return names;
+    }
+
+    static member_identity identity_of(const std::string& name, feature_set features,
+                                       const std::string& build, std::uint64_t incarnation)
+    {
+        return {name, incarnation, "127.0.0.1:1", "127.0.0.1:2", "gent", "flanders", features, build};
+    }
+
+    event_loop loop;
+    gateway_peers peers{loop.context(),
+                        identity_of("own", gateway_features, "0.1.0+new", 1),
+                        0,
+                        {},
+                        [](std::uint64_t, const std::string&) {},
+                        [](const table_delta&) {}};
+    peer_link from{loop.context(), "127.0.0.1", 0, [](const peer_message&) {}};
+    std::uint32_t beats = 0;
+};
+
+} // namespace
+
+TEST_CASE("gateway peers: requests are not passed on to a gateway of a build that doesn't take them")
+{
+    reported_peers fleet;
+    fleet.report("older", {});
+    CHECK(fleet.connected().empty());
+    fleet.report("newer", gateway_features);
+    CHECK(fleet.connected() == std::vector<std::string>{"newer"});
+    SECTION("it is rolled back")
+    {
+        fleet.report("newer", {}, "0.1.0+old", 2);
+        CHECK(fleet.connected().empty());
+    }
+    SECTION("a later build has further features")
+    {
+        fleet.report("latest", feature_set::from_bits(~0ULL));
+        CHECK(fleet.connected().size() == 2);
+    }
+}
+
+} // namespace coriander
