Domain records keep the members of their rows that only a newer build knows

A row was decoded into the members that this build knows, and written back without the others. Where two builds run side by side, the older one so removed what the newer one had written, as builds without revisions do.

Each part of a record keeps its unknown members as JSON text and writes them back. They are empty in all rows of today, and cost nothing then.

--- a/include/coriander/replicas/domain_record.hpp
+++ b/include/coriander/replicas/domain_record.hpp
@@ -23,6 +23,7 @@
     std::string address;
     std::uint64_t incarnation = 0;
     bool is_lost = false; ///< It is unresponsive or has restarted.
+    std::string unknown_members{};
 };
 
 /// A replica of one fabric domain.
@@ -32,16 +33,19 @@
     std::uint64_t generation = 0; ///< Unique in the domain; increases with each replica.
     replica_phase phase = replica_phase::forming;
     std::vector<replica_host> hosts; ///< The first is the leader, which accepts requests.
+    std::string unknown_members{};
 };
 
 /// A model that a host was ordered to load into its own memory.
 struct pending_load {
     std::string host;
     std::string model;
+    std::string unknown_members{};
 };
 
 /// All replicas of one service in one fabric domain. They share one row of the table, so that changes to a
-/// domain are serialized and a host belongs to at most one replica.
+/// domain are serialized and a host belongs to at most one replica. Each part keeps the members of its JSON
+/// object that only a newer build knows, as JSON text (empty if there are none), and writes them back.
 struct domain_record {
     std::string owner; ///< The daemon that sends the orders; others take over if it fails to.
     std::uint64_t last_generation = 0;
@@ -53,6 +57,7 @@
     /// The era of the table in which the record was written. One that was written after a restore is newer
     /// than any from before, whatever the revisions.
     std::uint64_t written_in_era = 0;
+    std::string unknown_members{};
 };
 
 [[nodiscard]] std::string encode_domain(const domain_record& record);
--- a/src/replicas/domain_record.cpp
+++ b/src/replicas/domain_record.cpp
@@ -2,7 +2,9 @@
 
 #include "core/json_text.hpp"
 
+#include <algorithm>
 #include <array>
+#include <initializer_list>
 
 namespace coriander {
 namespace {
@@ -19,12 +21,35 @@
     return std::nullopt;
 }
 
+/// The members of the object that this build doesn't know, as JSON; empty if there are none.
+std::string unknown_members_of(const json_object& object, std::initializer_list<std::string_view> known)
+{
+    auto unknown = json_object::object();
+    if (object.is_object()) {
+        for (const auto& [name, value] : object.items()) {
+            if (std::find(known.begin(), known.end(), name) == known.end()) {
+                unknown[name] = value;
+            }
+        }
+    }
+    return unknown.empty() ? std::string{} : to_text(unknown);
+}
+
+void add_unknown_members(json_object& object, const std::string& unknown)
+{
+    const auto members = unknown.empty() ? std::nullopt : parse_object(unknown);
+    if (members) {
+        object.update(*members);
+    }
+}
+
 json_object encode_host(const replica_host& host)
 {
     json_object text{{"id", host.id}, {"address", host.address}, {"incarnation", host.incarnation}};
     if (host.is_lost) {
         text["lost"] = true;
     }
+    add_unknown_members(text, host.unknown_members);
     return text;
 }
 
@@ -40,8 +65,10 @@
     for (const auto& host : array_member(text, "hosts")) {
         is_odd = is_odd || has_odd_unsigned(host, "incarnation");
         entry.hosts.push_back({text_member(host, "id"), text_member(host, "address"),
-                               unsigned_member(host, "incarnation").value_or(0), bool_member(host, "lost")});
+                               unsigned_member(host, "incarnation").value_or(0), bool_member(host, "lost"),
+                               unknown_members_of(host, {"id", "address", "incarnation", "lost"})});
     }
+    entry.unknown_members = unknown_members_of(text, {"name", "model", "generation", "phase", "hosts"});
     if (is_odd || !phase || entry.name.empty() || entry.hosts.empty()) {
         return std::nullopt;
     }
@@ -68,17 +95,18 @@
                             {"generation", one.generation},
                             {"phase", name_of(one.phase)},
                             {"hosts", std::move(hosts)}});
+        add_unknown_members(replicas.back(), one.unknown_members);
     }
     auto loads = json_object::array();
     for (const auto& one : record.loads) {
         loads.push_back({{"host", one.host}, {"model", one.model}});
+        add_unknown_members(loads.back(), one.unknown_members);
     }
-    return to_text({{"owner", record.owner},
-                    {"last_generation", record.last_generation},
-                    {"replicas", std::move(replicas)},
-                    {"loads", std::move(loads)},
-                    {"revision", record.revision},
-                    {"written_in_era", record.written_in_era}});
+    json_object row{{"owner", record.owner},           {"last_generation", record.last_generation},
+                    {"replicas", std::move(replicas)}, {"loads", std::move(loads)},
+                    {"revision", record.revision},     {"written_in_era", record.written_in_era}};
+    add_unknown_members(row, record.unknown_members);
+    return to_text(row);
 }
 
 std::optional<domain_record> decode_domain(std::string_view text)
@@ -102,8 +130,11 @@
         record.replicas.push_back(std::move(*entry));
     }
     for (const auto& one : array_member(*parsed, "loads")) {
-        record.loads.push_back({text_member(one, "host"), text_member(one, "model")});
+        record.loads.push_back({text_member(one, "host"), text_member(one, "model"),
+                                unknown_members_of(one, {"host", "model"})});
     }
+    record.unknown_members = unknown_members_of(
+        *parsed, {"owner", "last_generation", "replicas", "loads", "revision", "written_in_era"});
     return record;
 }
 
