A restored table's copy doesn't replace a record that a build without revisions wrote

Such a build writes a record back without its revision. If the table was restored after that, every copy with a revision seemed newer than the record, although it was older: hosts would have got orders of replicas that were gone. The reader now counts on from the revision that it knew. The test failed before: CHECK( fleet.view.domain(key).record.owner == "older" ): "edge" == "older"

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -206,6 +206,10 @@
         current.is_lost = true;
         return true;
     }
+    if (version.era == current.version.era && record.revision < current.record.revision) {
+        // A build without revisions has written it; an outdated copy must not seem newer after a restore.
+        record.revision = current.record.revision + 1;
+    }
     current = {std::move(record), version};
     for (const auto& replica : current.record.replicas) {
         for (const auto& member : replica.hosts) {
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -116,6 +116,22 @@
     CHECK_FALSE(fleet.view.domain(key).is_lost);
 }
 
+TEST_CASE("fleet view: a record that a build without revisions wrote is newer than a restored table's copy")
+{
+    view_fixture fleet;
+    const domain_key key{"assistant", "d"};
+    auto record = fleet.view.domain(key).record;
+    record.revision = 7;
+    fleet.view.set_domain(key, record, {1, 20});
+    record.owner = "older";
+    record.revision = 0;
+    fleet.view.set_domain(key, record, {1, 21});
+    REQUIRE(fleet.view.domain(key).record.owner == "older");
+    fleet.view.set_domain(key, {"edge", 1, {}, {}, 7, 1}, {2, 8}); // The copy of the table.
+    CHECK(fleet.view.domain(key).record.owner == "older");
+    CHECK(fleet.view.domain(key).is_lost);
+}
+
 TEST_CASE("fleet view: a row with a version that was given out again is applied unless it is older")
 {
     view_fixture fleet;
