Relayed requests: only a gateway can say that it has passed a request on

What callers saw: `Coriander-Relayed` was believed from any caller. A forged request at a gateway that is cut off was refused instead of passed on.

Cause: any value of the header counted.

Each gateway draws the key at its start and sends it in each round's message itself. Any other value is dropped and the request is a caller's in all respects; E2021 (one line per 10 s with a count) and coriander_rejected_marks_total show it. No value reaches a target, as before. docs/RELAYED-REQUESTS.md has the threat model and what was weighed (a secret in the store, source addresses, the sender's key): the receiver's key needs no row, no rotation and no store, and having it means that the receiver will recognize the mark. Internal ports are for traffic between daemons; who can send there can already change the manifest in force.

Gated by the feature authenticated_relaying and by the key itself, in gateway_peers::relaying(). By pair of builds: - older to older: as before. - older to newer: `1` isn't believed, the request is served as a caller's. A refusal lacks "not run", so the older sender hands it on (503, not run) without trying a third gateway. A newer receiver that is cut off too passes it on once more, to a newer one. - newer to older: nothing is passed on; as if all gateways were cut off. - newer to newer: by the mark. A request is passed on only by a gateway that doesn't believe its mark, and newer ones send only what the receiver believes: no loop. "Not run" is said less often, never more.

Tests changed: relay_through_gateway_test.cpp used `Coriander-Relayed: 1` as a valid mark; it makes a valid one now, and where it looked for the bare value in what is sent, it checks that the receiver recognizes it.

--- a/include/coriander/peer_feature.hpp
+++ b/include/coriander/peer_feature.hpp
@@ -10,6 +10,8 @@
 /// rows; it is never changed, and not used again once the feature is removed (docs/UPGRADES.md).
 enum class peer_feature : std::uint8_t {
     relayed_requests = 0, ///< Takes requests passed on by a gateway that can't reach the hosts.
+    /// Believes only a mark made with its key (docs/RELAYED-REQUESTS.md).
+    authenticated_relaying = 1,
 };
 
 /// A set of features. Keeps those that this build doesn't know.
@@ -57,7 +59,8 @@
 };
 
 /// The features that this build of the gateway understands.
-inline constexpr feature_set gateway_features{peer_feature::relayed_requests};
+inline constexpr feature_set gateway_features{peer_feature::relayed_requests,
+                                              peer_feature::authenticated_relaying};
 
 /// The features' names, joined by "+"; those unknown to this build by number, and "none" for an empty set.
 [[nodiscard]] std::string names_of(feature_set features);
--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coriander/load_estimate.hpp"
+#include "coriander/message_mac.hpp"
 #include "coriander/relay/load_report.hpp"
 #include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/stall_detector.hpp"
@@ -46,6 +47,7 @@
     relay_target target;
     std::uint32_t own_requests = 0; ///< Requests of this daemon on the target.
     double other_requests = 0.0;    ///< Estimated requests of other daemons on the target.
+    mac_key gateway_key{};          ///< If the target is a gateway: for the mark of the request.
 
     /// All requests on the target, not counting the one to be sent.
     [[nodiscard]] double total() const noexcept { return this->own_requests + this->other_requests; }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -60,7 +60,8 @@
     {
         this->relay.retry_settings = this->values.retries;
         this->relay.is_cut = [this](const std::string& service) { return this->paths.is_cut(service); };
-        this->relay.relaying_gateways = [this] { return this->peers->connected(); };
+        this->relay.name = this->values.name;
+        this->relay.relaying_gateways = [this] { return this->peers->relaying(); };
         const path_check check = [this](const listed_host& suspect, on_path_checked done) {
             this->paths.check(suspect, std::move(done));
         };
@@ -82,6 +83,7 @@
     void start(gateway_peers& others)
     {
         this->peers = &others;
+        this->peers->set_relay_key(this->relay.relay_key);
         this->peers->set_load_listener(
             [this](std::uint64_t sender, const load_update& news) { this->loads.merge(sender, news); });
         this->peers->set_loss_listener(
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -21,6 +21,12 @@
     return settings;
 }
 
+/// Whether it is a gateway that takes callers' requests and isn't stopping.
+bool takes_callers(const member_view& view)
+{
+    return !view.heartbeat.stopping && !view.identity.http_address.empty();
+}
+
 } // namespace
 
 gateway_peers::gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
@@ -61,6 +67,10 @@
     for (const auto& identity : message.identities) {
         this->introduce(identity);
     }
+    if (message.relay_key && !message.identities.empty()) {
+        const auto& sender = message.identities.front();
+        this->peer_keys.on_key(sender.name, sender.incarnation, *message.relay_key);
+    }
     for (const auto& beat : message.beats) {
         this->members.merge_heartbeat(beat, now);
     }
@@ -99,6 +109,7 @@
     peer_message message;
     message.identities = this->members.identities_to_send();
     message.beats = this->members.heartbeats_to_send(now);
+    message.relay_key = this->relay_key;
     message.loads = std::move(load_reports);
     message.loads.targets.resize(std::min(message.loads.targets.size(), loads_per_message));
     auto& limits = message.loads.limits;
@@ -221,12 +232,26 @@
 
 std::vector<member_identity> gateway_peers::serving() const
 {
-    return this->serving_if([](const member_view& /*any*/) { return true; });
+    std::vector<member_identity> found;
+    for (const auto& view : this->members.alive(this->clock.now())) {
+        if (takes_callers(view)) {
+            found.push_back(view.identity);
+        }
+    }
+    return found;
 }
 
-std::vector<member_identity> gateway_peers::connected() const
+std::vector<relaying_gateway> gateway_peers::relaying() const
 {
-    return this->serving_if([](const member_view& view) { return !view.heartbeat.is_cut_off; });
+    std::vector<relaying_gateway> found;
+    for (const auto& view : this->members.alive(this->clock.now())) {
+        const auto key = this->peer_keys.find(view.identity.name, view.heartbeat.incarnation);
+        if (key && view.understands(peer_feature::authenticated_relaying) && !view.heartbeat.is_cut_off &&
+            takes_callers(view)) {
+            found.push_back({view.identity, *key});
+        }
+    }
+    return found;
 }
 
 std::size_t gateway_peers::count() const
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -4,6 +4,8 @@
 #include "coriander/membership.hpp"
 #include "coriander/relay/permit_message.hpp"
 #include "coriander/table_delta.hpp"
+#include "gateway/relay_keys.hpp"
+#include "gateway/relaying_gateway.hpp"
 #include "gateway/sent_manifests.hpp"
 #include "peer/peer_link.hpp"
 
@@ -109,8 +111,11 @@
 
     /// All other live gateways that take callers' requests and aren't stopping.
     [[nodiscard]] std::vector<member_identity> serving() const;
-    /// Those of them that reach the hosts of all services.
-    [[nodiscard]] std::vector<member_identity> connected() const;
+    /// Those of them that reach the hosts of all services and recognize the mark of a request that is passed
+    /// on to them.
+    [[nodiscard]] std::vector<relaying_gateway> relaying() const;
+    /// Sets the key of this gateway, which it sends to its peers.
+    void set_relay_key(const mac_key& key) { this->relay_key = key; }
     /// The number of live gateways, including this one.
     [[nodiscard]] std::size_t count() const;
     /// Sorted names of the gateways that can control replicas: this one, and all others that are alive, reach
@@ -120,19 +125,6 @@
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
 
 private:
-    /// The serving gateways that satisfy a predicate on their `member_view`.
-    template <typename Predicate>
-    [[nodiscard]] std::vector<member_identity> serving_if(Predicate is_wanted) const
-    {
-        std::vector<member_identity> found;
-        for (const auto& view : this->members.alive(this->clock.now())) {
-            if (!view.heartbeat.stopping && !view.identity.http_address.empty() && is_wanted(view)) {
-                found.push_back(view.identity);
-            }
-        }
-        return found;
-    }
-
     /// Approximate size of a reader group; keeps what a reader sends constant for any number of daemons.
     static constexpr std::size_t reader_group_size = 64;
 
@@ -155,6 +147,8 @@
     std::uint64_t manifest_version = 0;
     time_ms manifest_received_at; ///< When this daemon received that version.
     sent_manifests sent;
+    std::optional<mac_key> relay_key; ///< Of this gateway.
+    relay_keys peer_keys;
     monotonic_clock clock;
     membership members;
     std::mt19937 random;
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coriander/clock.hpp"
-#include "coriander/membership.hpp"
+#include "coriander/message_mac.hpp"
 #include "coriander/relay/admission_forecast.hpp"
 #include "coriander/relay/answer_trials.hpp"
 #include "coriander/relay/crash_quarantine.hpp"
@@ -9,8 +9,10 @@
 #include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/route_table.hpp"
 #include "coriander/relay/target_statements.hpp"
+#include "gateway/forged_marks.hpp"
 #include "gateway/path_check.hpp"
 #include "gateway/relay_dialect.hpp"
+#include "gateway/relaying_gateway.hpp"
 #include "gateway/service_state.hpp"
 #include "net/caller_connection.hpp"
 #include "net/channel_pool.hpp"
@@ -72,9 +74,12 @@
     /// Whether this daemon has no path to the hosts of the service.
     std::function<bool(const std::string& service)> is_cut = [](const std::string&) { return false; };
     /// The gateways that can take requests from this one while it has no path to a service's hosts.
-    std::function<std::vector<member_identity>()> relaying_gateways = [] {
-        return std::vector<member_identity>{};
+    std::function<std::vector<relaying_gateway>()> relaying_gateways = [] {
+        return std::vector<relaying_gateway>{};
     };
+    std::string name;                   ///< Of this daemon.
+    mac_key relay_key = draw_mac_key(); ///< For marks of requests that are passed on to this daemon.
+    forged_marks forged;
     std::size_t daemons = 1;           ///< Number of daemons that take callers' requests, including this one.
     std::set<relay_session*> sessions; ///< Of all open requests.
     std::size_t buffered_bytes = 0;    ///< Of responses that are forwarded only once complete.
--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -96,6 +96,11 @@
                                           {"incarnation", choice.target.incarnation}});
 }
 
+void log_rejected_marks(std::string_view request, std::size_t count)
+{
+    log_event(event::relay_mark_rejected, {{"request", request}, {"count", count}});
+}
+
 void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
                 std::optional<std::uint64_t> after_event)
 {
--- a/src/gateway/relay_events.hpp
+++ b/src/gateway/relay_events.hpp
@@ -57,6 +57,8 @@
                  const refusal_report& report);
 void log_quarantined(const relay_request& request, unsigned attempts_sent, time_ms retry_after);
 void log_permit(const relay_request& request, const target_choice& choice, permit_decision decision);
+/// Logs that requests had a mark that no gateway made for them: `count` of them up to the one named.
+void log_rejected_marks(std::string_view request, std::size_t count);
 /// Logs that a request is not sent to the selected target, which may not get it any more.
 void log_redirect(const relay_request& request, const target_choice& choice);
 void log_choice(const relay_request& request, const target_choice& choice, unsigned attempt,
--- a/src/gateway/relay_request.cpp
+++ b/src/gateway/relay_request.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace coriander {
 namespace {
@@ -104,7 +105,6 @@
 {
     const auto& head = request.raw.head;
     request.attempt_id = head.header(dialect.attempt_id);
-    request.is_relayed = !head.header(dialect.relayed).empty();
     if (!request.routes) {
         return local_reply::no_manifest;
     }
@@ -144,10 +144,11 @@
     return headers;
 }
 
-std::vector<http_header> relayed_headers(const relay_request& request, const relay_dialect& dialect)
+std::vector<http_header> relayed_headers(const relay_request& request, const relay_dialect& dialect,
+                                         std::string mark)
 {
     auto headers = passed_headers(request, dialect);
-    headers.push_back({dialect.relayed, "1"});
+    headers.push_back({dialect.relayed, std::move(mark)});
     return headers;
 }
 
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -50,17 +50,18 @@
     time_ms deadline;                        ///< The caller's or the route's limit, whichever comes first.
 };
 
-/// Decodes `request.raw` and finds its route and customer. `draw`, in [0, 1), selects among the services of a
-/// traffic split. Returns why the request can't be relayed, or `none`.
+/// Decodes `request.raw` except for its mark, and finds its route and customer. `draw`, in [0, 1), selects
+/// among the services of a traffic split. Returns why the request can't be relayed, or `none`.
 [[nodiscard]] local_reply decode_request(relay_request& request, const relay_dialect& dialect, double draw);
 
 /// The headers forwarded to a target, without those specific to an attempt.
 [[nodiscard]] std::vector<http_header> forwarded_headers(const relay_request& request,
                                                          const relay_dialect& dialect);
 
-/// The headers with which the request is passed on to another gateway, without those specific to an attempt.
+/// The headers with which the request is passed on to another gateway, without those specific to an attempt
+/// except for the `mark`.
 [[nodiscard]] std::vector<http_header> relayed_headers(const relay_request& request,
-                                                       const relay_dialect& dialect);
+                                                       const relay_dialect& dialect, std::string mark);
 
 /// The headers of a local reply. A reply to another gateway that can't be helped here says so, so that it
 /// tries the next one. A 503, which guarantees that the request has not run, gets a Retry-After header if
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -34,6 +34,7 @@
 {
     this->self = this->shared_from_this();
     this->context.sessions.insert(this);
+    this->check_mark();
     const auto problem = decode_request(this->request, this->context.dialect, this->context.draw());
     if (problem != local_reply::none) {
         this->send_local_reply(problem, short_retry_delay);
@@ -268,10 +269,11 @@
 {
     const auto& dialect = this->context.dialect;
     const bool is_relayed = choice.target.is_gateway;
-    auto headers =
-        is_relayed ? relayed_headers(this->request, dialect) : forwarded_headers(this->request, dialect);
     const auto left = this->request.deadline - this->context.clock.now();
-    headers.push_back({dialect.deadline_ms, std::to_string(std::max<std::int64_t>(1, left.count()))});
+    const auto deadline_ms = std::to_string(std::max<std::int64_t>(1, left.count()));
+    auto headers = is_relayed ? relayed_headers(this->request, dialect, this->mark_for(choice, deadline_ms))
+                              : forwarded_headers(this->request, dialect);
+    headers.push_back({dialect.deadline_ms, deadline_ms});
     if (!is_relayed) {
         headers.push_back({dialect.expected_host, choice.target.host});
     }
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -92,6 +92,11 @@
         void on_exchange_end(exchange_end how) override { this->end = how; }
     };
 
+    /// Finds out whether a gateway has passed the request on. A mark that no gateway has made changes
+    /// nothing.
+    void check_mark();
+    /// The mark with which the request is passed on to the chosen gateway.
+    [[nodiscard]] std::string mark_for(const target_choice& choice, std::string_view deadline_ms) const;
     /// Whether the process may exit while the request runs, which can't be repeated elsewhere then.
     [[nodiscard]] bool may_outlast_process() const;
     void admit();
--- a/src/gateway/relay_session_gateway.cpp
+++ b/src/gateway/relay_session_gateway.cpp
@@ -1,4 +1,5 @@
 #include "gateway/relay_events.hpp"
+#include "gateway/relay_mark.hpp"
 #include "gateway/relay_session.hpp"
 #include "gateway/target_answer.hpp"
 
@@ -7,6 +8,31 @@
 // Requests that are passed on to another gateway, while this one can't reach the service's hosts.
 namespace coriander {
 
+void relay_session::check_mark()
+{
+    const auto& head = this->request.raw.head;
+    const auto& dialect = this->context.dialect;
+    const auto mark = head.header(dialect.relayed);
+    if (mark.empty()) {
+        return;
+    }
+    this->request.is_relayed = is_valid_relay_mark(this->context.relay_key, mark,
+                                                   marked_request_of(head, dialect, this->context.name));
+    if (!this->request.is_relayed) {
+        this->context.counters.add("coriander_rejected_marks_total");
+        if (const auto count = this->context.forged.add(this->context.clock.now())) {
+            log_rejected_marks(head.header(dialect.attempt_id), *count);
+        }
+    }
+}
+
+std::string relay_session::mark_for(const target_choice& choice, std::string_view deadline_ms) const
+{
+    auto covered = marked_request_of(this->request.raw.head, this->context.dialect, choice.target.id);
+    covered.deadline_ms = deadline_ms;
+    return make_relay_mark(choice.gateway_key, this->context.name, covered);
+}
+
 bool relay_session::relay_or_refuse()
 {
     if (const auto gateway = this->choose_gateway({})) {
@@ -27,7 +53,7 @@
         return std::nullopt; // Otherwise gateways that are cut off could pass it on to each other.
     }
     std::vector<target_choice> candidates;
-    for (const auto& gateway : this->context.relaying_gateways()) {
+    for (const auto& [gateway, key] : this->context.relaying_gateways()) {
         if (std::find(excluded.begin(), excluded.end(), gateway.name) != excluded.end()) {
             continue;
         }
@@ -37,6 +63,7 @@
         choice.target.failure_domain = gateway.failure_domain;
         choice.target.model = this->request.model;
         choice.target.is_gateway = true;
+        choice.gateway_key = key;
         candidates.push_back(std::move(choice));
     }
     if (candidates.empty()) {
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t table_reachable_flag = 2;
 constexpr std::uint32_t cut_off_flag = 4;
 constexpr std::uint32_t known_flags = stopping_flag | table_reachable_flag | cut_off_flag;
+constexpr std::size_t key_half_size = mac_key_size / 2;
+constexpr std::size_t bits_per_byte = 8;
 
 std::string text_of(const flatbuffers::String* text)
 {
@@ -58,6 +60,32 @@
     return {statement.host, clamped_age(statement.pause_left), statement.is_leaving};
 }
 
+/// The part of a key that begins at the byte `first`, the same on all machines.
+std::uint64_t half_of(const mac_key& key, std::size_t first)
+{
+    std::uint64_t half = 0;
+    for (std::size_t i = 0; i < key_half_size; ++i) {
+        half |= static_cast<std::uint64_t>(key.at(first + i)) << (i * bits_per_byte);
+    }
+    return half;
+}
+
+wire::RelayKey wire_relay_key(const mac_key& key)
+{
+    return {half_of(key, 0), half_of(key, key_half_size)};
+}
+
+mac_key read_relay_key(const wire::RelayKey& sent)
+{
+    constexpr std::uint64_t byte_mask = 0xFF;
+    mac_key key{};
+    for (std::size_t i = 0; i < key_half_size; ++i) {
+        key.at(i) = static_cast<std::uint8_t>(sent.low() >> (i * bits_per_byte) & byte_mask);
+        key.at(key_half_size + i) = static_cast<std::uint8_t>(sent.high() >> (i * bits_per_byte) & byte_mask);
+    }
+    return key;
+}
+
 /// Converts each item to its form on the wire.
 template <typename Wire, typename Item, typename Convert>
 std::vector<Wire> converted(const std::vector<Item>& items, Convert convert)
@@ -123,12 +151,13 @@
             converted<wire::PermitAnswer>(message.permits.answers, wire_permit_answer);
         const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
         const auto kept = this->write_kept_requests(message.kept);
+        const auto relay_key = wire_relay_key(message.relay_key.value_or(mac_key{}));
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
-        this->builder.Finish(
-            wire::CreatePeerMessageDirect(this->builder, &identities, &beats, &strikes, &demands, config,
-                                          news, &loads, &model_demands, &lost_hosts, &suspects, &cleared,
-                                          &limits, &permit_requests, &permit_answers, &statements, &kept));
+        this->builder.Finish(wire::CreatePeerMessageDirect(
+            this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
+            &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers, &statements, &kept,
+            message.relay_key ? &relay_key : nullptr));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -346,6 +375,9 @@
     read_kept_requests(root, message);
     read_crashes(root, message);
     read_permits(root, message);
+    if (const auto* key = root.relay_key()) {
+        message.relay_key = read_relay_key(*key);
+    }
     return message;
 }
 
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -4,6 +4,7 @@
 #include "coriander/error.hpp"
 #include "coriander/lost_host.hpp"
 #include "coriander/membership.hpp"
+#include "coriander/message_mac.hpp"
 #include "coriander/relay/crash_report.hpp"
 #include "coriander/relay/load_update.hpp"
 #include "coriander/relay/permit_message.hpp"
@@ -38,6 +39,8 @@
     crash_update crashes;
     permit_message permits;
     std::vector<kept_requests> kept; ///< On replicas whose owner is the recipient.
+    /// For marks of requests that are passed on to the sender; see `relay_keys`.
+    std::optional<mac_key> relay_key;
 };
 
 /// Serializes a message.
--- a/test/gateway/relay_through_gateway_test.cpp
+++ b/test/gateway/relay_through_gateway_test.cpp
@@ -1,3 +1,5 @@
+#include "gateway/relay_mark.hpp"
+
 #include "support/relay_fixture.hpp"
 
 #include <catch2/catch.hpp>
@@ -17,15 +19,38 @@
         this->set_targets({});
         this->context.is_cut = [this](const std::string&) { return this->is_cut; };
         this->context.relaying_gateways = [this] {
-            return std::vector<member_identity>{this->identity("first", this->first),
-                                                this->identity("second", this->second)};
+            return std::vector<relaying_gateway>{{this->identity("first", this->first), key_of("first")},
+                                                 {this->identity("second", this->second), key_of("second")}};
         };
+        this->context.name = "edge-1";
     }
 
     static member_identity identity(const std::string& name, const scripted_server& server)
     {
         return {name, 1, server.address(), {}, {}, {}, {}, {}};
     }
+    static mac_key key_of(const std::string& gateway) { return gateway == "first" ? mac_key{1} : mac_key{2}; }
+    /// The header of the fixture's request when another gateway passes it on to this one.
+    [[nodiscard]] std::string valid_mark() const
+    {
+        return "Coriander-Relayed: " +
+               make_relay_mark(this->context.relay_key, "edge-2",
+                               {"edge-1", "POST", "/a?b=c", "desk.example", "a1", "60000"}) +
+               "\r\n";
+    }
+    /// Whether the only request sent has a mark that the gateway that got it recognizes.
+    [[nodiscard]] bool is_marked() const
+    {
+        const std::string name = this->first.requests().empty() ? "second" : "first";
+        const auto sent = this->request_sent();
+        const auto value = [&](const std::string& header) {
+            const auto begin = sent.find(header + ": ") + header.size() + 2;
+            return sent.substr(begin, sent.find('\r', begin) - begin);
+        };
+        const auto deadline_ms = value("Coriander-Deadline-Ms");
+        return is_valid_relay_mark(key_of(name), value("Coriander-Relayed"),
+                                   {name, "POST", "/a?b=c", "desk.example", "a1", deadline_ms});
+    }
     [[nodiscard]] std::string request_sent() const
     {
         REQUIRE(this->requests_sent() == 1);
@@ -52,7 +77,7 @@
     CHECK(contains(sent, "POST /a?b=c HTTP/1.1\r\n"));
     CHECK(contains(sent, "Host: desk.example\r\n"));
     CHECK(contains(sent, "Authorization: Bearer key\r\n"));
-    CHECK(contains(sent, "Coriander-Relayed: 1\r\n"));
+    CHECK(relay.is_marked());
     CHECK(contains(sent, "Coriander-Deadline-Ms: "));
     CHECK_FALSE(contains(sent, "Coriander-Customer"));
     CHECK_FALSE(contains(sent, "Coriander-Host"));
@@ -103,7 +128,7 @@
 TEST_CASE("relay through gateway: if all gateways seem to be cut off, a request is still sent to a target")
 {
     auto relay = relay_to_both(repetition::idempotent, ok_response);
-    relay.context.relaying_gateways = [] { return std::vector<member_identity>{}; };
+    relay.context.relaying_gateways = [] { return std::vector<relaying_gateway>{}; };
     relay.set_targets({relay_fixture::target("first", relay.first)});
     CHECK(relay.exchange() == exchange_end::complete);
     CHECK(relay.caller->head.status == 200);
@@ -113,7 +138,7 @@
 TEST_CASE("relay through gateway: a request that another gateway has passed on is not passed on again")
 {
     auto relay = relay_to_both(repetition::idempotent, ok_response);
-    CHECK(relay.exchange("Coriander-Relayed: 1\r\n") == exchange_end::complete);
+    CHECK(relay.exchange(relay.valid_mark()) == exchange_end::complete);
     CHECK(relay.caller->head.status == 503);
     CHECK(relay.caller->head.header("Coriander-Not-Run") == "1");
     CHECK(relay.requests_sent() == 0);
@@ -125,7 +150,7 @@
     auto relay = relay_to_both(repetition::idempotent, ok_response);
     relay.is_cut = false;
     relay.set_targets({relay_fixture::target("first", relay.first)});
-    CHECK(relay.exchange("Coriander-Relayed: 1\r\n") == exchange_end::complete);
+    CHECK(relay.exchange(relay.valid_mark()) == exchange_end::complete);
     CHECK(relay.caller->head.status == 200);
     CHECK_FALSE(contains(relay.request_sent(), "Coriander-Relayed"));
 }
@@ -137,7 +162,7 @@
     relay.is_cut = false;
     relay.set_targets({relay_fixture::target("first", relay.first)});
     relay.context.relayed_requests = relay_context::max_relayed_requests;
-    CHECK(relay.exchange("Coriander-Relayed: 1\r\n") == exchange_end::complete);
+    CHECK(relay.exchange(relay.valid_mark()) == exchange_end::complete);
     CHECK(relay.caller->head.status == 503);
     CHECK(relay.caller->head.header("Coriander-Not-Run") == "1");
     CHECK(relay.exchange() == exchange_end::complete);
@@ -201,7 +226,7 @@
     };
     CHECK(relay.exchange() == exchange_end::complete);
     CHECK(relay.caller->head.status == 200);
-    CHECK(contains(relay.request_sent(), "Coriander-Relayed: 1\r\n"));
+    CHECK(relay.is_marked());
 }
 
 TEST_CASE("relay through gateway: when the caller leaves, the connection to the other gateway is closed")
--- a/testing/platform/standin_fleet_main.cpp
+++ b/testing/platform/standin_fleet_main.cpp
@@ -207,6 +207,7 @@
                 {"replicas", replicas},
                 {"bookings_run_twice", duplicate_bookings},
                 {"joined_while_open", this->fleet.joined_while_open},
+                {"marks_received", this->fleet.marks_received},
                 {"most_arrivals", this->fleet.most_arrivals},
                 {"late_arrivals", late_arrivals},
                 {"early_arrivals", early_arrivals},
--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -307,6 +307,10 @@
 void standin_host::serve_request(const std::shared_ptr<caller_connection>& caller,
                                  const incoming_request& request)
 {
+    this->fleet.marks_received +=
+        std::any_of(request.head.headers.begin(), request.head.headers.end(), [](const http_header& header) {
+            return equal_ignoring_case(header.name, "Coriander-Relayed");
+        });
     const std::string attempt{request.head.header("Attempt-Id")};
     std::vector<http_header> headers{{"Attempt-Id", attempt}, {"Server-Stamp", this->id}};
     if (this->rate_limit > 0.0) {
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -43,6 +43,7 @@
     unsigned crashing_arrivals = 0; ///< Such requests that reached a host.
     unsigned crashes = 0;           ///< Hosts that they crashed.
     std::size_t most_arrivals = 0;  ///< At a host in a time window, a while after it stated a rate limit.
+    unsigned marks_received = 0;    ///< Requests with the header that only gateways send to each other.
     unsigned joined_while_open = 0; ///< Joins of hosts whose previous leader still accepted requests.
 };
 
