Merge: marks of relayed requests

The feature relayed_requests now means that the mark is made with the receiver's key: a feature without the mark has never landed, so that one number is enough. gateway_peers_test gets a case more: a gateway that has started again and has not sent its new key.

--- a/include/coriander/peer_feature.hpp
+++ b/include/coriander/peer_feature.hpp
@@ -9,7 +9,9 @@
 /// The optional parts of the peers' protocol. The value is the feature's bit in messages and its number in
 /// rows; it is never changed, and not used again once the feature is removed (docs/UPGRADES.md).
 enum class peer_feature : std::uint8_t {
-    relayed_requests = 0, ///< Takes requests passed on by a gateway that can't reach the hosts.
+    /// Takes requests passed on by a gateway that can't reach the hosts, with a mark made with its own key
+    /// (docs/RELAYED-REQUESTS.md).
+    relayed_requests = 0,
 };
 
 /// A set of features. Keeps those that this build doesn't know.
--- a/test/gateway/gateway_peers_test.cpp
+++ b/test/gateway/gateway_peers_test.cpp
@@ -15,11 +15,14 @@
 public:
     /// The peer sends its identity and a heartbeat.
     void report(const std::string& name, feature_set features, const std::string& build = "0.1.0+old",
-                std::uint64_t incarnation = 1)
+                std::uint64_t incarnation = 1, bool has_key = true)
     {
         peer_message message;
         message.identities = {identity_of(name, features, build, incarnation)};
         message.beats = {{member_id(name), incarnation, ++this->beats, 0, false, true}};
+        if (has_key) {
+            message.relay_key = mac_key{1};
+        }
         this->from.send("127.0.0.1:" + std::to_string(this->peers.port()), message);
         const auto is_known = [&] {
             const auto known = this->peers.serving();
@@ -30,11 +33,11 @@
         REQUIRE(this->loop.run_until(is_known));
     }
 
-    [[nodiscard]] std::vector<std::string> connected() const
+    [[nodiscard]] std::vector<std::string> relaying() const
     {
         std::vector<std::string> names;
-        for (const auto& one : this->peers.connected()) {
-            names.push_back(one.name);
+        for (const auto& one : this->peers.relaying()) {
+            names.push_back(one.identity.name);
         }
         return names;
     }
@@ -62,18 +65,23 @@
 {
     reported_peers fleet;
     fleet.report("older", {});
-    CHECK(fleet.connected().empty());
+    CHECK(fleet.relaying().empty());
     fleet.report("newer", gateway_features);
-    CHECK(fleet.connected() == std::vector<std::string>{"newer"});
+    CHECK(fleet.relaying() == std::vector<std::string>{"newer"});
+    SECTION("it starts again and has not sent its new key yet")
+    {
+        fleet.report("newer", gateway_features, "0.1.0+new", 2, false);
+        CHECK(fleet.relaying().empty());
+    }
     SECTION("it is rolled back")
     {
         fleet.report("newer", {}, "0.1.0+old", 2);
-        CHECK(fleet.connected().empty());
+        CHECK(fleet.relaying().empty());
     }
     SECTION("a later build has further features")
     {
         fleet.report("latest", feature_set::from_bits(~0ULL));
-        CHECK(fleet.connected().size() == 2);
+        CHECK(fleet.relaying().size() == 2);
     }
 }
 
