Gateways log and list the builds and features of their peers

Nothing showed an operator which builds run side by side. E5006 (peer_build) names the first gateway of each build and set of features, and each gateway that changes; the gauge coriander_gateways counts them, and /gateways beside /metrics lists each live gateway, which 'corianderctl gateways IP:PORT' prints. The rows of the gateways are in the users' platform's store, which corianderctl doesn't read; a gateway knows them and its peers.

--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -1,6 +1,7 @@
 // corianderctl: the command-line tool for operators.
 
 #include "coriander/digest.hpp"
+#include "ctl/gateway_list.hpp"
 #include "ctl/operator_session.hpp"
 #include "runtime/command_line.hpp"
 
@@ -36,6 +37,8 @@
   list replicas        print the replicas and their hosts
   list hosts           print the hosts
   list entry-hosts     print the entry hosts and the configuration in force on each
+  gateways IP:PORT     print build, features and state of the gateways, as the one with this metrics address
+                       knows them
   drain HOST           move all replicas off a host and place no others there
   start HOST           allow a drained host to be used again
   explain TEXT         print the logged decisions that contain TEXT (a request, replica, host or customer)
@@ -141,6 +144,9 @@
         std::cout << sha256_hex(line.argument) << "\n";
         return exit_code::ok;
     }
+    if (line.command == "gateways" && !line.argument.empty()) {
+        return list_gateways(line.argument);
+    }
     return run_on_platform(line);
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -82,6 +82,7 @@
     void start(gateway_peers& others)
     {
         this->peers = &others;
+        this->pages.set_report_source([this] { return this->peers->reports(); });
         this->peers->set_load_listener(
             [this](std::uint64_t sender, const load_update& news) { this->loads.merge(sender, news); });
         this->peers->set_loss_listener(
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -35,10 +35,22 @@
 void gateway_peers::introduce(const member_identity& identity)
 {
     if (identity.name != this->members.self().name) {
+        this->note_build(identity);
         this->members.add_identity(identity, this->clock.now());
     }
 }
 
+void gateway_peers::note_build(const member_identity& reported)
+{
+    if (const auto change = this->builds.note(reported)) {
+        log_event(event::peer_build, {{"peer", change->gateway.name},
+                                      {"build", shown_build(change->gateway.build)},
+                                      {"features", names_of(change->gateway.features)},
+                                      {"build_before", change->build_before},
+                                      {"own_build", this->members.self().build}});
+    }
+}
+
 /// A daemon that has just started knows of no crashes, and must not send requests that caused some.
 void gateway_peers::send_known_crashes(const member_identity& sender)
 {
@@ -57,9 +69,10 @@
     const auto now = this->clock.now();
     if (!message.identities.empty()) {
         this->send_known_crashes(message.identities.front());
+        this->introduce(message.identities.front());
     }
     for (const auto& identity : message.identities) {
-        this->introduce(identity);
+        this->members.add_identity(identity, now);
     }
     for (const auto& beat : message.beats) {
         this->members.merge_heartbeat(beat, now);
@@ -231,6 +244,22 @@
     });
 }
 
+std::vector<gateway_report> gateway_peers::reports() const
+{
+    const auto& self = this->members.self();
+    const auto& own = this->members.own_heartbeat();
+    std::vector<gateway_report> found{
+        {self.name, shown_build(self.build), names_of(self.features), own.stopping, own.is_cut_off}};
+    for (const auto& view : this->members.alive(this->clock.now())) {
+        // The identity may be that of the process before, which says nothing about this one.
+        const bool is_known = view.identity.incarnation == view.heartbeat.incarnation;
+        found.push_back({view.identity.name, shown_build(is_known ? view.identity.build : ""),
+                         is_known ? names_of(view.identity.features) : "unknown", view.heartbeat.stopping,
+                         view.heartbeat.is_cut_off});
+    }
+    return found;
+}
+
 std::size_t gateway_peers::count() const
 {
     return this->members.alive(this->clock.now()).size() + 1;
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -4,6 +4,8 @@
 #include "coriander/membership.hpp"
 #include "coriander/relay/permit_message.hpp"
 #include "coriander/table_delta.hpp"
+#include "gateway/gateway_report.hpp"
+#include "gateway/peer_builds.hpp"
 #include "gateway/sent_manifests.hpp"
 #include "peer/peer_link.hpp"
 
@@ -57,7 +59,7 @@
     gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                   std::vector<std::string> seeds, manifest_handler manifest, news_handler news);
 
-    /// Adds a gateway found in the table or through another peer.
+    /// Adds a gateway found in the table.
     void introduce(const member_identity& identity);
 
     /// Sets the receiver of peers' load reports.
@@ -111,6 +113,8 @@
     [[nodiscard]] std::vector<member_identity> serving() const;
     /// Those of them that reach the hosts of all services, and take requests that another gateway passes on.
     [[nodiscard]] std::vector<member_identity> connected() const;
+    /// This gateway, and all others that are alive, with their builds and features.
+    [[nodiscard]] std::vector<gateway_report> reports() const;
     /// The number of live gateways, including this one.
     [[nodiscard]] std::size_t count() const;
     /// Sorted names of the gateways that can control replicas: this one, and all others that are alive, reach
@@ -139,6 +143,7 @@
     static constexpr std::size_t reader_group_size = 64;
 
     void receive(const peer_message& message);
+    void note_build(const member_identity& reported);
     void send_to(std::span<const std::string> names, const peer_message& message);
     void send_known_crashes(const member_identity& sender);
     [[nodiscard]] static std::size_t group_of(const std::string& name, std::size_t daemons);
@@ -157,6 +162,7 @@
     std::uint64_t manifest_version = 0;
     time_ms manifest_received_at; ///< When this daemon received that version.
     sent_manifests sent;
+    peer_builds builds;
     monotonic_clock clock;
     membership members;
     std::mt19937 random;
--- a/src/gateway/page_server.cpp
+++ b/src/gateway/page_server.cpp
@@ -36,8 +36,12 @@
                                    static_cast<double>(stated.leaving));
         this->context.counters.set("coriander_statements_in_force", "says=\"pause\"",
                                    static_cast<double>(stated.pauses));
+        count_builds(this->reports(), this->context.counters);
         caller.send(ok, {{"Content-Type", "text/plain"}}, this->context.counters.text());
     }
+    else if (path == this->pages.gateways_path) {
+        caller.send(ok, {{"Content-Type", "text/plain"}}, text_of(this->reports()));
+    }
     else {
         caller.send(not_found, {}, {});
     }
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -88,6 +88,16 @@
     this->series->gauges[{name, labels}] = value;
 }
 
+void metrics::replace(const std::string& name, const std::map<std::string, int>& values)
+{
+    const std::scoped_lock lock{this->mutex};
+    auto& gauges = this->series->gauges;
+    std::erase_if(gauges, [&](const auto& item) { return item.first.name == name; });
+    for (const auto& [labels, value] : values) {
+        gauges[{name, labels}] = value;
+    }
+}
+
 void metrics::observe(const std::string& name, const std::string& labels, double seconds)
 {
     const std::scoped_lock lock{this->mutex};
--- a/src/runtime/metrics.hpp
+++ b/src/runtime/metrics.hpp
@@ -22,6 +22,9 @@
     /// Sets a gauge.
     void set(const std::string& name, const std::string& labels, double value);
 
+    /// Sets a gauge for each of these labels, and removes those of other labels.
+    void replace(const std::string& name, const std::map<std::string, int>& values);
+
     /// Adds a duration, in seconds, to a latency histogram.
     void observe(const std::string& name, const std::string& labels, double seconds);
 
--- a/test/gateway/gateway_peers_test.cpp
+++ b/test/gateway/gateway_peers_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_peers.hpp"
 
+#include "runtime/metrics.hpp"
 #include "support/event_loop.hpp"
 
 #include <catch2/catch.hpp>
@@ -77,4 +78,22 @@
     }
 }
 
+TEST_CASE("gateway peers: the list and the metrics show the build and features of each gateway")
+{
+    reported_peers fleet;
+    fleet.report("newer", {peer_feature::relayed_requests}, "0.1.0+new");
+    fleet.report("older", {}, "");
+    const auto text = text_of(fleet.peers.reports());
+    CHECK(text.starts_with("GATEWAY\tBUILD\tFEATURES\tSTATE\nown\t0.1.0+new\t"));
+    CHECK(text.find("newer\t0.1.0+new\trelayed_requests\tserving\n") != std::string::npos);
+    CHECK(text.find("older\tunknown\tnone\tserving\n") != std::string::npos);
+    metrics counters;
+    count_builds(fleet.peers.reports(), counters);
+    CHECK(counters.text().find("coriander_gateways{build=\"unknown\",features=\"none\"} 1\n") !=
+          std::string::npos);
+    fleet.report("older", gateway_features, "0.1.0+new", 2);
+    count_builds(fleet.peers.reports(), counters);
+    CHECK(counters.text().find("unknown") == std::string::npos);
+}
+
 } // namespace coriander
