Replicas: an owner waits for requests of gateways whose build doesn't report them

The owner of a dissolving replica took the absence of reports for 'no gateway keeps requests there', and ordered the hosts to leave after 250 ms. A gateway of an older build sends no reports: its requests on hosts that were sound but silent were cut.

Gateways that report them have the feature kept_request_reports. While any live one lacks it, the absence says nothing, and the owner waits as long as a sound host may be silent. The test shows both: with the check always true, as before, orders to leave are sent within 1 s; with a gateway that doesn't report they aren't, and are sent once the host has been silent for too long.

--- a/include/coriander/peer_feature.hpp
+++ b/include/coriander/peer_feature.hpp
@@ -9,7 +9,8 @@
 /// The optional parts of the peers' protocol. The value is the feature's bit in messages and its number in
 /// rows; it is never changed, and not used again once the feature is removed (docs/UPGRADES.md).
 enum class peer_feature : std::uint8_t {
-    relayed_requests = 0, ///< Takes requests passed on by a gateway that can't reach the hosts.
+    relayed_requests = 0,     ///< Takes requests passed on by a gateway that can't reach the hosts.
+    kept_request_reports = 1, ///< Reports the requests that it keeps on dissolving replicas.
 };
 
 /// A set of features. Keeps those that this build doesn't know.
@@ -57,7 +58,8 @@
 };
 
 /// The features that this build of the gateway understands.
-inline constexpr feature_set gateway_features{peer_feature::relayed_requests};
+inline constexpr feature_set gateway_features{peer_feature::relayed_requests,
+                                              peer_feature::kept_request_reports};
 
 /// The features' names, joined by "+"; those unknown to this build by number, and "none" for an empty set.
 [[nodiscard]] std::string names_of(feature_set features);
--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -32,14 +32,16 @@
 
     std::map<std::string, time_ms> kept_until; ///< Until when reports of kept requests count, by replica.
 
-    /// Notes which dissolving replicas have no requests that a daemon keeps there.
-    void update_kept(const domain_record& record, const controller_settings& settings, time_ms now)
+    /// Notes which dissolving replicas have no requests that a daemon keeps there. The absence of reports
+    /// says so only if all daemons report.
+    void update_kept(const domain_record& record, const controller_settings& settings, bool do_all_report,
+                     time_ms now)
     {
         for (const auto& replica : record.replicas) {
             const auto since = this->timing.dissolving_since(replica.name);
             const auto kept = this->kept_until.find(replica.name);
             const bool is_kept = kept != this->kept_until.end() && now < kept->second;
-            if (since && now - *since >= settings.kept_report_wait && !is_kept) {
+            if (do_all_report && since && now - *since >= settings.kept_report_wait && !is_kept) {
                 this->timing.on_idle(replica.name);
             }
         }
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -67,6 +67,10 @@
         this->ended_hosts.set_path_check(check);
     }
 
+    /// Sets the check of whether all live daemons report the requests that they keep on dissolving replicas;
+    /// an older build doesn't. Without it, they do.
+    void set_report_check(std::function<bool()> check) { this->do_all_report = std::move(check); }
+
     /// Records that a daemon keeps requests on a dissolving replica.
     void on_kept_requests(const kept_requests& report, time_ms now)
     {
@@ -121,7 +125,7 @@
             work.next_warming_at = now + this->settings.warming_interval;
         }
         if (current.record.owner == this->self) { // Only the owner gets the reports.
-            work.update_kept(current.record, this->settings, now);
+            work.update_kept(current.record, this->settings, this->do_all_report(), now);
         }
         const auto view = this->view_of(current.record, hosts, work, now);
         auto decision = plan_domain(view);
@@ -360,6 +364,7 @@
     std::string self;
     controller_settings settings;
     std::function<void()> progress_listener = [] {};
+    std::function<bool()> do_all_report = [] { return true; };
     std::vector<load_assignment> loads; ///< Loads to start now, of the service that `tick` is processing.
     std::map<domain_key, domain_work> work;
     order_sender<Io> orders{this->io, this->view, this->work, this->settings,
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -90,6 +90,8 @@
         this->peers->set_permit_listener([this](const std::string& sender, const permit_message& message) {
             this->permits.receive(sender, message);
         });
+        this->control.set_report_check(
+            [this] { return this->peers->all_understand(peer_feature::kept_request_reports); });
         this->peers->set_kept_listener([this](const kept_requests& report) {
             this->control.on_kept_requests(report, this->relay.clock.now());
         });
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -260,6 +260,13 @@
     return found;
 }
 
+bool gateway_peers::all_understand(peer_feature feature) const
+{
+    const auto others = this->members.alive(this->clock.now());
+    return std::all_of(others.begin(), others.end(),
+                       [&](const member_view& view) { return view.understands(feature); });
+}
+
 std::size_t gateway_peers::count() const
 {
     return this->members.alive(this->clock.now()).size() + 1;
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -115,6 +115,8 @@
     [[nodiscard]] std::vector<member_identity> connected() const;
     /// This gateway, and all others that are alive, with their builds and features.
     [[nodiscard]] std::vector<gateway_report> reports() const;
+    /// Whether all other live gateways understand the feature, also those that are stopping.
+    [[nodiscard]] bool all_understand(peer_feature feature) const;
     /// The number of live gateways, including this one.
     [[nodiscard]] std::size_t count() const;
     /// Sorted names of the gateways that can control replicas: this one, and all others that are alive, reach
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -230,6 +230,30 @@
     CHECK(leave_orders() >= 3);
 }
 
+TEST_CASE("fleet controller: orders to leave do not cut streams of a daemon whose build doesn't report them")
+{
+    fleet_fixture fleet{2};
+    fleet.run(8_s);
+    const auto replica = fleet.record().replicas.front();
+    const auto do_all_report = GENERATE(true, false);
+    CAPTURE(do_all_report);
+    fleet.owner().control.set_report_check([do_all_report] { return do_all_report; });
+    fleet.world.running[replica.hosts.front().id] = 3;
+    const auto silent = replica.hosts.back().id;
+    fleet.world.unreachable = {silent};
+    fleet.owner().view.mark_silent(silent, fleet.now);
+    const auto leave_orders = [&] {
+        return std::count_if(fleet.world.orders.begin(), fleet.world.orders.end(),
+                             [&](const host_order& one) {
+                                 return one.kind == order_kind::leave && one.replica == replica.name;
+                             });
+    };
+    fleet.run(1_s);
+    CHECK((leave_orders() > 0) == do_all_report);
+    fleet.run(1_s); // The host has been silent for longer than a sound one may be.
+    CHECK(leave_orders() >= 3);
+}
+
 TEST_CASE(
     "fleet controller: a host's stale report does not dissolve a healthy replica that it has since joined")
 {
--- a/test/gateway/gateway_peers_test.cpp
+++ b/test/gateway/gateway_peers_test.cpp
@@ -78,6 +78,17 @@
     }
 }
 
+TEST_CASE("gateway peers: the absence of a report counts only if all gateways would send one")
+{
+    reported_peers fleet;
+    const auto do_all_report = [&] { return fleet.peers.all_understand(peer_feature::kept_request_reports); };
+    CHECK(do_all_report());
+    fleet.report("newer", gateway_features);
+    CHECK(do_all_report());
+    fleet.report("older", {peer_feature::relayed_requests});
+    CHECK_FALSE(do_all_report());
+}
+
 TEST_CASE("gateway peers: the list and the metrics show the build and features of each gateway")
 {
     reported_peers fleet;
--- a/test/peer_feature_test.cpp
+++ b/test/peer_feature_test.cpp
@@ -61,7 +61,7 @@
 {
     CHECK(names_of({}) == "none");
     CHECK(names_of({known}) == "relayed_requests");
-    CHECK(names_of(feature_set::from_bits(1 | (1ULL << 63U))) == "relayed_requests+63");
+    CHECK(names_of(feature_set::from_bits(3 | (1ULL << 63U))) == "relayed_requests+kept_request_reports+63");
 }
 
 TEST_CASE("peer feature: an identity keeps its features and build in a message")
