--- a/include/coriander/peer_feature.hpp
+++ b/include/coriander/peer_feature.hpp
@@ -12,6 +12,7 @@
     /// Takes requests passed on by a gateway that can't reach the hosts, with a mark made with its own key
     /// (docs/RELAYED-REQUESTS.md).
     relayed_requests = 0,
+    kept_request_reports = 1, ///< Reports the requests that it keeps on dissolving replicas.
 };
 
 /// A set of features. Keeps those that this build doesn't know.
@@ -59,7 +60,8 @@
 };
 
 /// The features that this build of the gateway understands.
-inline constexpr feature_set gateway_features{peer_feature::relayed_requests};
+inline constexpr feature_set gateway_features{peer_feature::relayed_requests,
+                                              peer_feature::kept_request_reports};
 
 /// The features' names, joined by "+"; those unknown to this build by number, and "none" for an empty set.
 [[nodiscard]] std::string names_of(feature_set features);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -84,6 +84,7 @@
     {
         this->peers = &others;
         this->peers->set_relay_key(this->relay.relay_key);
+        this->pages.set_report_source([this] { return this->peers->reports(); });
         this->peers->set_load_listener(
             [this](std::uint64_t sender, const load_update& news) { this->loads.merge(sender, news); });
         this->peers->set_loss_listener(
@@ -91,6 +92,8 @@
         this->peers->set_permit_listener([this](const std::string& sender, const permit_message& message) {
             this->permits.receive(sender, message);
         });
+        this->control.set_report_check(
+            [this] { return this->peers->all_understand(peer_feature::kept_request_reports); });
         this->peers->set_kept_listener([this](const kept_requests& report) {
             this->control.on_kept_requests(report, this->relay.clock.now());
         });
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -4,6 +4,8 @@
 #include "coriander/membership.hpp"
 #include "coriander/relay/permit_message.hpp"
 #include "coriander/table_delta.hpp"
+#include "gateway/gateway_report.hpp"
+#include "gateway/peer_builds.hpp"
 #include "gateway/relay_keys.hpp"
 #include "gateway/relaying_gateway.hpp"
 #include "gateway/sent_manifests.hpp"
@@ -59,7 +61,7 @@
     gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                   std::vector<std::string> seeds, manifest_handler manifest, news_handler news);
 
-    /// Adds a gateway found in the table or through another peer.
+    /// Adds a gateway found in the table.
     void introduce(const member_identity& identity);
 
     /// Sets the receiver of peers' load reports.
@@ -116,6 +118,10 @@
     [[nodiscard]] std::vector<relaying_gateway> relaying() const;
     /// Sets the key of this gateway, which it sends to its peers.
     void set_relay_key(const mac_key& key) { this->relay_key = key; }
+    /// This gateway, and all others that are alive, with their builds and features.
+    [[nodiscard]] std::vector<gateway_report> reports() const;
+    /// Whether all other live gateways understand the feature, also those that are stopping.
+    [[nodiscard]] bool all_understand(peer_feature feature) const;
     /// The number of live gateways, including this one.
     [[nodiscard]] std::size_t count() const;
     /// Sorted names of the gateways that can control replicas: this one, and all others that are alive, reach
@@ -131,6 +137,7 @@
     static constexpr std::size_t reader_group_size = 64;
 
     void receive(const peer_message& message);
+    void note_build(const member_identity& reported);
     void send_to(std::span<const std::string> names, const peer_message& message);
     void send_known_crashes(const member_identity& sender);
     [[nodiscard]] static std::size_t group_of(const std::string& name, std::size_t daemons);
@@ -151,6 +158,7 @@
     sent_manifests sent;
     std::optional<mac_key> relay_key; ///< Of this gateway.
     relay_keys peer_keys;
+    peer_builds builds;
     monotonic_clock clock;
     membership members;
     std::mt19937 random;
