--- a/testing/platform/relay_caller_main.cpp
+++ b/testing/platform/relay_caller_main.cpp
@@ -3,6 +3,8 @@
 #include "coriander/relay/event_framer.hpp"
 #include "net/channel_pool.hpp"
 #include "net/http_call_runner.hpp"
+#include "platform/attempt_recorder.hpp"
+#include "platform/entry_host_resolver.hpp"
 #include "runtime/command_line.hpp"
 
 #include <asio/io_context.hpp>
@@ -13,6 +15,7 @@
 #include <csignal>
 #include <iostream>
 #include <random>
+#include <set>
 #include <sstream>
 
 DEFINE_string(directories, "", "addresses of gateways that list the entry hosts, comma-separated");
@@ -21,12 +24,18 @@
 DEFINE_string(crashing_part, "", "prompt part that some requests contain beside parts that others have too");
 DEFINE_double(crashing_share, 0.0, "share of the streams that contain it");
 DEFINE_int32(seed, 1, "seed of the random mix of requests");
+DEFINE_string(record, "", "file to which a line for each attempt is appended; empty for none");
 
 namespace {
 
 using namespace coriander;
+using standin::attempt_record;
+using standin::attempt_recorder;
+using standin::entry_host_resolver;
 
 constexpr time_ms request_timeout = 8_s;
+/// Four fifths of the gateways' idle timeout, as the platform's callers do.
+constexpr time_ms max_idle_time = 12_s;
 constexpr unsigned max_attempts = 4;
 
 /// Outcomes of all requests.
@@ -37,50 +46,38 @@
     unsigned open = 0;
 };
 
-/// Keeps the list of entry hosts.
-class entry_host_resolver {
-public:
-    entry_host_resolver(http_call_runner& calls, std::vector<std::string> directories)
-        : calls{calls}, directories{std::move(directories)}
+/// What all requests share.
+struct caller_state {
+    explicit caller_state(asio::io_context& loop, std::vector<std::string> directories)
+        : calls{loop}, resolver{this->calls, std::move(directories)}, channels{loop, channel_settings()}
     {
     }
 
-    void resolve(std::size_t next = 0)
+    static pool_settings channel_settings()
     {
-        if (next == this->directories.size()) {
-            return; // No directory answered: keeps the known addresses.
-        }
-        loop_call call;
-        call.address = this->directories[next];
-        call.target = "/resolve?name=desk.example&region=r&zone=z";
-        this->calls.start(call, [this, next](const http_result& answer) {
-            const auto parsed = parse_object(answer.body);
-            const auto found =
-                parsed ? parsed->value("addresses", std::vector<std::string>{}) : std::vector<std::string>{};
-            if (answer.ok() && !found.empty()) {
-                this->addresses = found;
-            }
-            else {
-                this->resolve(next + 1);
-            }
-        });
+        pool_settings settings;
+        settings.connect_timeout = 1_s;
+        settings.max_idle_time = max_idle_time;
+        settings.max_idle_per_server = 64; // More than are in use at once.
+        return settings;
     }
 
-    std::vector<std::string> addresses;
-
-private:
-    http_call_runner& calls;
-    std::vector<std::string> directories;
+    http_call_runner calls;
+    entry_host_resolver resolver;
+    channel_pool channels;
+    attempt_recorder recorder{FLAGS_record};
+    totals results;
+    std::mt19937 random{static_cast<std::uint32_t>(FLAGS_seed)};
 };
 
 /// A request with all its attempts. Refused or failed attempts are retried, but a booking whose outcome is
 /// unknown is not.
 class caller_request : public response_receiver, public std::enable_shared_from_this<caller_request> {
 public:
-    caller_request(asio::io_context& loop, const entry_host_resolver& resolver, totals& results,
-                   std::mt19937& random, std::string kind, std::string name)
-        : loop{loop}, resolver{resolver}, results{results}, random{random}, timer{loop},
-          kind{std::move(kind)}, name{std::move(name)}
+    caller_request(asio::io_context& loop, caller_state& state, std::string kind, std::string name)
+        : resolver{state.resolver}, channels{state.channels}, recorder{state.recorder},
+          results{state.results}, random{state.random}, timer{loop}, kind{std::move(kind)}, name{std::move(
+                                                                                                name)}
     {
         if (this->kind == "chat") {
             this->is_crashing = std::uniform_real_distribution<double>{}(this->random) < FLAGS_crashing_share;
@@ -93,7 +90,7 @@
     {
         this->self = this->shared_from_this();
         if (this->resolver.addresses.empty() || this->attempt_count == max_attempts) {
-            this->finish(this->attempt_count == max_attempts ? "gave_up" : "no_entry_host");
+            this->give_up(this->attempt_count == max_attempts ? "gave_up" : "no_entry_host");
             return;
         }
         ++this->attempt_count;
@@ -101,9 +98,19 @@
         this->body.clear();
         this->sent_at = this->clock.now();
         this->attempt = this->kind + "-" + this->name + "-" + std::to_string(this->attempt_count);
-        const auto& address = this->resolver.addresses[this->random() % this->resolver.addresses.size()];
-        this->channel = std::make_shared<http_channel>(this->loop);
-        this->channel->connect(parse_endpoint(address), 1_s);
+        const auto address = this->choose_address();
+        bool is_reused = false;
+        const bool is_retry = this->attempt_count > 1;
+        this->channel = this->channels.acquire(address, is_retry, &is_reused);
+        this->record = {};
+        this->record.id = this->attempt;
+        this->record.request = this->name;
+        this->record.kind = this->kind;
+        this->record.model = this->model;
+        this->record.gateway = address;
+        this->record.is_reused = is_reused;
+        this->record.sent_at = wall_clock_now();
+        this->record.deadline = request_timeout;
         std::vector<http_header> headers{{"Host", "desk.example"},
                                          {"Attempt-Id", this->attempt},
                                          {"Deadline-Ms", std::to_string(request_timeout.count())},
@@ -117,12 +124,17 @@
         this->timer.async_wait([weak = this->weak_from_this()](const asio::error_code& cancelled) {
             if (const auto request = weak.lock(); request && !cancelled) {
                 request->channel->close();
-                request->finish("no_answer");
+                request->record_end("no_answer");
+                request->give_up("no_answer");
             }
         });
     }
 
-    void on_response_head(message_head received) override { this->head = std::move(received); }
+    void on_response_head(message_head received) override
+    {
+        this->record.first_byte_at = wall_clock_now();
+        this->head = std::move(received);
+    }
     void on_response_body(std::string_view bytes) override { this->body += bytes; }
 
     void on_exchange_end(exchange_end how) override
@@ -130,6 +142,9 @@
         const auto guard = this->shared_from_this();
         this->timer.cancel();
         constexpr int refused = 503;
+        if (how == exchange_end::complete) {
+            this->channels.release(this->record.gateway, this->channel);
+        }
         if (this->is_crashing && how != exchange_end::not_sent) {
             this->finish("crashed_target");
             return;
@@ -138,21 +153,23 @@
             this->check_response();
         }
         else if (how == exchange_end::not_sent) {
+            this->record_end("not_sent");
+            this->failed.insert(this->record.gateway);
             this->send_after(50_ms);
         }
         else if (how == exchange_end::complete && this->head.status == refused) {
             this->results.refusal_ms.push_back((this->clock.now() - this->sent_at).count());
             ++this->results.outcomes["refusals"];
+            this->record_end("refused");
             const std::string wait{this->head.header("Retry-After")};
             this->send_after(
                 time_ms{wait.empty() ? 200 : static_cast<std::int64_t>(std::stod(wait) * 1000.0)});
         }
-        else if (this->kind != "book") {
-            ++this->results.outcomes[how == exchange_end::complete ? "errors" : "cut"];
-            this->send_after(50_ms);
-        }
         else {
-            this->finish("unknown");
+            this->record_end(how == exchange_end::complete    ? "error"
+                             : how == exchange_end::malformed ? "malformed"
+                                                              : "cut");
+            this->retry_or_stop(how);
         }
     }
 
@@ -167,6 +184,45 @@
                ":10";
     }
 
+    /// A random entry host, if possible one that has not failed this request.
+    std::string choose_address()
+    {
+        auto addresses = this->resolver.addresses;
+        std::erase_if(addresses, [this](const std::string& one) { return this->failed.contains(one); });
+        const auto& from = addresses.empty() ? this->resolver.addresses : addresses;
+        return from[this->random() % from.size()];
+    }
+
+    /// After an end that does not say whether the request has run.
+    void retry_or_stop(exchange_end how)
+    {
+        if (this->kind == "book") {
+            this->finish("unknown");
+            return;
+        }
+        ++this->results.outcomes[how == exchange_end::complete ? "errors" : "cut"];
+        this->failed.insert(this->record.gateway);
+        this->send_after(50_ms);
+    }
+
+    void record_end(const char* end)
+    {
+        this->record.end = end;
+        this->record.status = this->head.status;
+        this->record.retry_after = std::string{this->head.header("Retry-After")};
+        event_framer framer;
+        framer.feed(this->body, [this](std::string_view, std::optional<std::uint64_t> number) {
+            this->record.events += number ? 1 : 0;
+        });
+        this->recorder.write(this->record);
+    }
+
+    void give_up(const char* outcome)
+    {
+        this->recorder.write_given_up(this->name, this->kind);
+        this->finish(outcome);
+    }
+
     void send_after(time_ms delay)
     {
         this->timer.expires_after(std::chrono::milliseconds{delay.count()});
@@ -200,6 +256,7 @@
         if (!is_correct) {
             this->results.wrong.push_back(this->attempt + " got " + this->body);
         }
+        this->record_end(is_correct ? "complete" : "wrong");
         this->finish(is_correct ? "whole" : "wrong");
     }
 
@@ -211,8 +268,9 @@
         this->self.reset();
     }
 
-    asio::io_context& loop;
     const entry_host_resolver& resolver;
+    channel_pool& channels;
+    attempt_recorder& recorder;
     totals& results;
     std::mt19937& random;
     asio::steady_timer timer;
@@ -223,6 +281,8 @@
     std::string parts;
     bool is_crashing = false;
     std::string attempt;
+    attempt_record record;
+    std::set<std::string> failed; ///< Addresses of entry hosts.
     std::shared_ptr<http_channel> channel;
     std::shared_ptr<caller_request> self;
     message_head head;
@@ -235,16 +295,18 @@
 class open_loop {
 public:
     explicit open_loop(asio::io_context& loop)
-        : loop{loop}, calls{loop}, resolver{this->calls, split(FLAGS_directories)}, timer{loop},
-          resolve_timer{loop}, random{static_cast<std::uint32_t>(FLAGS_seed)},
-          remaining{static_cast<unsigned>(FLAGS_rate * FLAGS_seconds)}
+        : loop{loop}, state{loop, split(FLAGS_directories)}, timer{loop},
+          resolve_timer{loop}, remaining{static_cast<unsigned>(FLAGS_rate * FLAGS_seconds)}
     {
         this->refresh();
         this->schedule();
     }
 
-    [[nodiscard]] bool is_done() const noexcept { return this->remaining == 0 && this->results.open == 0; }
-    [[nodiscard]] const totals& result() const noexcept { return this->results; }
+    [[nodiscard]] bool is_done() const noexcept
+    {
+        return this->remaining == 0 && this->state.results.open == 0;
+    }
+    [[nodiscard]] const totals& result() const noexcept { return this->state.results; }
 
 private:
     static std::vector<std::string> split(const std::string& text)
@@ -259,7 +321,8 @@
 
     void refresh()
     {
-        this->resolver.resolve();
+        this->state.resolver.resolve();
+        this->state.channels.close_expired();
         this->resolve_timer.expires_after(std::chrono::milliseconds{500});
         this->resolve_timer.async_wait([this](const asio::error_code& cancelled) {
             if (!cancelled && !this->is_done()) {
@@ -276,10 +339,10 @@
                 return;
             }
             --this->remaining;
-            ++this->results.open;
+            ++this->state.results.open;
             constexpr const char* kinds[] = {"chat", "chat", "chat", "book", "look"};
-            const auto* kind = kinds[this->random() % std::size(kinds)];
-            std::make_shared<caller_request>(this->loop, this->resolver, this->results, this->random, kind,
+            const auto* kind = kinds[this->state.random() % std::size(kinds)];
+            std::make_shared<caller_request>(this->loop, this->state, kind,
                                              this->run_id + "-" + std::to_string(this->remaining))
                 ->send();
             this->schedule();
@@ -287,14 +350,11 @@
     }
 
     asio::io_context& loop;
-    http_call_runner calls;
-    entry_host_resolver resolver;
+    caller_state state;
     asio::steady_timer timer;
     asio::steady_timer resolve_timer;
-    std::mt19937 random;
     /// Distinguishes this run's requests from those of other runs against the same stand-ins.
     std::string run_id = std::to_string(wall_clock_now().count());
-    totals results;
     unsigned remaining;
 };
 
