--- a/testing/platform/standin_fleet_main.cpp
+++ b/testing/platform/standin_fleet_main.cpp
@@ -8,11 +8,16 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
 DEFINE_int32(domains, 2, "number of fabric domains of the engine service");
 DEFINE_int32(hosts, 7, "number of hosts in each domain");
 DEFINE_int32(plain_hosts, 2, "number of hosts of the plain service");
+DEFINE_string(faults, "", "file to which a line for each silence that has ended is appended; empty for none");
+DEFINE_string(
+    joins, "",
+    "file to which a line for each host that joins or leaves a replica is appended; empty for none");
 
 namespace {
 
@@ -68,6 +73,15 @@
     explicit standin_fleet(asio::io_context& loop) : loop{loop}, store{loop}
     {
         this->store.put("op", "config", to_text(make_manifest(1)));
+        if (!FLAGS_faults.empty()) {
+            this->faults.open(FLAGS_faults, std::ios::app);
+        }
+        if (!FLAGS_joins.empty()) {
+            this->joins.open(FLAGS_joins, std::ios::app);
+            this->fleet.record = [this](const json_object& join) {
+                this->joins << to_text(join) << std::endl;
+            };
+        }
         for (int d = 0; d < FLAGS_domains; ++d) {
             for (int i = 0; i < FLAGS_hosts; ++i) {
                 this->add_host("assistant", "d" + std::to_string(d),
@@ -109,6 +123,7 @@
 
     /// `POST /fault` with `{"host":ID,"do":"dark"|"restart"|"drain"|"pause"|"wake"|"leave"}`,
     /// where "leave" is stated in responses only,
+    /// `{"host":ID,"silent_ms":LENGTH}`, which is logged when the host answers again,
     /// `{"store":"sound"|"busy"|"silent"}`, `{"lose_answers":N}`, `{"forget_history":true}`,
     /// `{"manifest":VERSION,"route":ADDED_PREFIX}`, `{"restore_ms":AGE_OF_THE_COPY}`, `{"crashing_part":ID}`,
     /// `{"limit":PER_SECOND,"domains":PREFIXES}`, which sets the rate limit of the hosts whose ids begin
@@ -122,7 +137,11 @@
         }
         const auto command = parse_object(request.body).value_or(json_object::object());
         const auto host = this->fleet.hosts.find(text_member(command, "host"));
-        if (host != this->fleet.hosts.end()) {
+        const time_ms silence{integer_member(command, "silent_ms")};
+        if (host != this->fleet.hosts.end() && silence > time_ms{}) {
+            this->silence(*host->second, silence);
+        }
+        else if (host != this->fleet.hosts.end()) {
             const auto action = text_member(command, "do");
             action == "dark"      ? host->second->crash()
             : action == "restart" ? host->second->restart()
@@ -165,6 +184,21 @@
         caller.send(200, {}, {});
     }
 
+    void silence(standin_host& host, time_ms length)
+    {
+        host.pause();
+        const auto timer =
+            std::make_shared<asio::steady_timer>(this->loop, std::chrono::milliseconds{length.count()});
+        timer->async_wait([this, timer, &host, start = wall_clock_now()](const asio::error_code&) {
+            host.resume();
+            this->faults << to_text({{"kind", "host_silent"},
+                                     {"whom", host.name()},
+                                     {"start", start.count()},
+                                     {"end", wall_clock_now().count()}})
+                         << std::endl;
+        });
+    }
+
     void set_rate_limit(double per_second, const std::vector<std::string>& prefixes)
     {
         this->fleet.most_arrivals = 0;
@@ -217,6 +251,8 @@
 
     asio::io_context& loop;
     standin_store store;
+    std::ofstream faults;
+    std::ofstream joins;
     fleet_state fleet;
     std::vector<std::unique_ptr<standin_host>> hosts;
     std::shared_ptr<http_listener> store_listener;
--- a/testing/platform/standin_host.cpp
+++ b/testing/platform/standin_host.cpp
@@ -266,6 +266,7 @@
     }
     if (op == "leave") {
         this->end_membership();
+        this->record_membership();
         return accepted_status;
     }
     if (this->membership->state == "open") {
@@ -304,6 +305,7 @@
     const auto replica = joined.replica;
     const auto generation = joined.generation;
     this->membership = std::move(joined);
+    this->record_membership();
     this->run_after(is_staged ? this->fleet.settings.staged_join_time : this->fleet.settings.load_time,
                     [this, replica, generation] {
                         if (this->is_member(replica, generation)) {
--- a/testing/platform/standin_host.hpp
+++ b/testing/platform/standin_host.hpp
@@ -45,6 +45,8 @@
     std::size_t most_arrivals = 0;  ///< At a host in a time window, a while after it stated a rate limit.
     unsigned joined_while_open = 0; ///< Joins of hosts whose previous leader still accepted requests.
     std::function<time_ms()> now = [clock = monotonic_clock{}] { return clock.now(); };
+    /// Called when a host joins or leaves a replica.
+    std::function<void(const json_object&)> record = [](const json_object&) {};
 };
 
 /// A host of an engine, or, without a fabric domain, a target of a plain service. Not thread-safe: used on
@@ -114,6 +116,7 @@
     void advance_streams();
     void note_stall();
     void end_membership();
+    void record_membership() const;
     void close_connections();
     void write_entry();
     [[nodiscard]] json_object encode_state() const;
--- a/testing/platform/standin_host_streams.cpp
+++ b/testing/platform/standin_host_streams.cpp
@@ -49,6 +49,16 @@
     }
 }
 
+void standin_host::record_membership() const
+{
+    const auto now_in = this->membership.value_or(replica_membership{});
+    this->fleet.record({{"at", wall_clock_now().count()},
+                        {"host", this->id},
+                        {"replica", now_in.replica},
+                        {"model", now_in.model},
+                        {"members", now_in.members}});
+}
+
 void standin_host::serve_request(const std::shared_ptr<caller_connection>& caller,
                                  const incoming_request& request)
 {
