--- a/scripts/soak_verdict.py
+++ b/scripts/soak_verdict.py
@@ -140,7 +140,7 @@
         need = math.ceil(self.evidence.rate * 0.6 / 2 * STREAM_TIME / SLOTS)
         lost = {replica for its_model, replica, fault in self.struck
                 if its_model == model and fault.overlaps(time, time, REFORM_TIME)}
-        return len(self.at_rest.get(model, set()) - lost) < need if model else self.are_plain_hosts_gone(time)
+        return len(self.at_rest.get(model, set())) - len(lost) < need if model else self.are_plain_hosts_gone(time)
 
     def are_plain_hosts_gone(self, time):
         lost = {fault.whom for fault in self.harms if fault.whom.startswith("p") and fault.overlaps(time, time)}
