Orders to leave wait for attempts that are held, too

Callers saw streams cut and 502 while sound hosts were silent for a second: a request that had moved from a stalled replica keeps the attempt there open, to go back to it. But holding it takes the request out of the replica's open requests, so nothing was reported to the owner of the domain, which took the dissolving replica for empty after a quarter of a second and ordered its hosts to leave.

Held attempts are counted by target now, and a dissolving replica with one is reported as kept, like one with requests. The count ends when the request goes back, is answered elsewhere, or ends.

--- a/src/gateway/kept_request_reports.hpp
+++ b/src/gateway/kept_request_reports.hpp
@@ -37,7 +37,8 @@
             const auto& record = this->view.domain(key).record;
             for (const auto& replica : record.replicas) {
                 const bool is_kept = replica.phase == replica_phase::dissolving &&
-                                     state->second.sessions.contains(replica.name);
+                                     (state->second.sessions.contains(replica.name) ||
+                                      state->second.held.contains(replica.name));
                 if (is_kept && this->is_due(replica.name, now)) {
                     this->send(record.owner, {key.row_key(), replica.name});
                 }
@@ -55,7 +56,9 @@
     [[nodiscard]] static bool has_unlisted_target(const service_state& state)
     {
         return std::any_of(state.sessions.begin(), state.sessions.end(),
-                           [&](const auto& item) { return !state.board.is_listed(item.first); });
+                           [&](const auto& item) { return !state.board.is_listed(item.first); }) ||
+               std::any_of(state.held.begin(), state.held.end(),
+                           [&](const std::string& target) { return !state.board.is_listed(target); });
     }
 
     [[nodiscard]] bool is_due(const std::string& replica, time_ms now)
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -142,6 +142,8 @@
     void hold_attempt(const char* reason);
     /// Closes the held attempt, if there is one.
     void drop_held();
+    /// Ends the count of a held attempt at its target.
+    void forget_held(const std::string& target);
     /// Continues with the held attempt. Precondition: there is one, and the current one has ended.
     void go_back();
     void leave_target(const std::string& id);
--- a/src/gateway/relay_session_move.cpp
+++ b/src/gateway/relay_session_move.cpp
@@ -122,6 +122,7 @@
     this->leave_target(id);
     // The target's silence says nothing while it isn't read.
     this->state->board.on_ended(id, this->current.has_begun, true, this->context.clock.now());
+    this->state->held.insert(id);
     this->held = std::make_unique<held_attempt>();
     this->held->partial = this->stream.suspend_attempt();
     this->held->left = std::exchange(this->current, attempt{});
@@ -129,6 +130,14 @@
     this->held->left.channel->pause_reading();
 }
 
+void relay_session::forget_held(const std::string& target)
+{
+    const auto counted = this->state->held.find(target);
+    if (counted != this->state->held.end()) {
+        this->state->held.erase(counted);
+    }
+}
+
 void relay_session::drop_held()
 {
     if (!this->held) {
@@ -136,6 +145,7 @@
     }
     const auto dropped = std::move(this->held);
     const auto& left = dropped->left;
+    this->forget_held(left.choice.target.id);
     left.channel->close();
     this->context.buffered_bytes -= left.body.size();
     this->context.trials.on_broken_off(left.trial, this->context.clock.now());
@@ -148,6 +158,7 @@
     this->release_buffer();
     this->current = std::move(resumed->left);
     const auto& target = this->current.choice.target.id;
+    this->forget_held(target);
     this->state->sessions[target].insert(this);
     this->state->board.on_sent(target, this->context.clock.now());
     if (this->current.has_begun) {
--- a/src/gateway/service_state.hpp
+++ b/src/gateway/service_state.hpp
@@ -57,6 +57,8 @@
     retry_window retries;
     std::map<std::string, model_meter> meters;                ///< By model.
     std::map<std::string, std::set<relay_session*>> sessions; ///< In flight, by target.
+    std::multiset<std::string>
+        held; ///< Targets of attempts to which requests in flight elsewhere may go back.
 };
 
 } // namespace coriander
--- a/test/gateway/kept_request_reports_test.cpp
+++ b/test/gateway/kept_request_reports_test.cpp
@@ -52,6 +52,16 @@
     CHECK(daemon.sent.size() == 2);
 }
 
+TEST_CASE("kept request reports: an attempt that is held on a dissolving replica counts like a request there")
+{
+    daemon_with_request daemon;
+    auto& state = daemon.context.service("assistant");
+    state.sessions.clear();
+    state.held.insert("d-1");
+    daemon.reports.check("assistant", 1000_ms);
+    CHECK(daemon.sent == std::vector<std::string>{"edge-7 assistant/d d-1"});
+}
+
 TEST_CASE("kept request reports: nothing is reported of replicas that are open or have no requests")
 {
     daemon_with_request daemon;
--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -134,6 +134,26 @@
     CHECK(request.relay.context.open_requests() == 0);
 }
 
+TEST_CASE("relay session: a target is not taken for empty while a request that moved may come back to it")
+{
+    moving_request request{repetition::resumable, begun, respond_with(not_run_response)};
+    request.session()->fail_over();
+    CHECK(request.state().held.count("first") == 1);
+    REQUIRE(request.relay.loop.run_until([&] { return request.state().sessions.count("first") == 1; }));
+    CHECK(request.state().held.empty());
+    request.go_on(chunk_of_event(2) + last_chunk);
+    CHECK(*request.relay.caller->end == exchange_end::complete);
+}
+
+TEST_CASE("relay session: a target is no longer held once the request that moved has been answered elsewhere")
+{
+    moving_request request{repetition::resumable, begun,
+                           respond_with(stream_head + chunk_of_event(2) + last_chunk)};
+    request.session()->fail_over();
+    REQUIRE(request.relay.loop.run_until([&] { return request.relay.caller->end.has_value(); }));
+    CHECK(request.state().held.empty());
+}
+
 TEST_CASE(
     "relay session: a stream that moved goes on with the first event that its old target had not completed")
 {
