--- a/test/gateway/relay_through_gateway_test.cpp
+++ b/test/gateway/relay_through_gateway_test.cpp
@@ -70,6 +70,20 @@
     CHECK(relay.requests_sent() == 1);
 }
 
+TEST_CASE("relay through gateway: what a target states in a response that another gateway passed on is not "
+          "recorded for that gateway")
+{
+    const auto* const response =
+        GENERATE("HTTP/1.1 200 OK\r\nCoriander-Attempt: a1\r\nCoriander-Signature: s\r\n"
+                 "Coriander-Leaving: 1\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 503 X\r\nCoriander-Attempt: a1\r\nCoriander-Signature: s\r\n"
+                 "Coriander-Leaving: 1\r\nRetry-After: 5\r\nContent-Length: 0\r\n\r\n");
+    auto relay = relay_to_both(repetition::idempotent, response);
+    CHECK(relay.exchange() == exchange_end::complete);
+    CHECK(relay.caller->head.header("Coriander-Leaving") == "1");
+    CHECK(relay.context.statements.size() == 0);
+}
+
 TEST_CASE("relay through gateway: a refused request does not count as one that has run without a crash")
 {
     auto relay = relay_to_both(repetition::idempotent,
