Statements: a gateway that has stood still does not start pauses anew that are over

What callers would see: a target that wanted no requests for a while, and takes them again, gets none from any gateway for as long once more; if all targets of a service had stated it, callers are refused meanwhile.

Cause: a wait that peers pass on counts from the receipt of the message. A frozen gateway reads what waited in its sockets when it goes on, and passes it on as a longer wait, which the others believe.

--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -4,6 +4,7 @@
 #include "coriander/relay/relay_manifest.hpp"
 #include "coriander/replicas/replica_demand.hpp"
 #include "gateway/relay_context.hpp"
+#include "gateway/standstill_watch.hpp"
 #include "gateway/statement_intake.hpp"
 
 #include <algorithm>
@@ -21,12 +22,18 @@
     /// `context` must outlive the exchange.
     explicit load_exchange(relay_context& context) : context{context} {}
 
+    /// Records that the daemon runs. A wait that a message states counts from its receipt, so that messages
+    /// which waited while the daemon stood still would start pauses anew, here and at those it passes them on
+    /// to.
+    void on_activity(time_ms now) { this->activity.on_activity(now); }
+
     /// Merges the report of the daemon with the id `sender`.
     void merge(std::uint64_t sender, const load_update& news)
     {
         const auto now = this->context.clock.now();
+        this->on_activity(now);
         this->context.demand.on_report(sender, news.demands, now);
-        merge_statements(this->context, news.statements);
+        this->merge_statements_of(news, now);
         for (auto& [name, state] : this->context.services) {
             for (const auto& one : news.targets) {
                 state.board.on_peer_report(one, now);
@@ -39,10 +46,11 @@
 
     /// The demand measured by this daemon, and the most recent target loads, newest first and at most `limit`
     /// per service.
-    [[nodiscard]] load_update snapshot(std::size_t limit) const
+    [[nodiscard]] load_update snapshot(std::size_t limit)
     {
         load_update news;
         const auto now = this->context.clock.now();
+        this->on_activity(now);
         news.statements = this->context.statements.report(max_statements, now);
         for (const auto& [name, state] : this->context.services) {
             const auto reports = state.board.reports(limit, now);
@@ -75,10 +83,24 @@
     }
 
 private:
+    void merge_statements_of(const load_update& news, time_ms now)
+    {
+        if (!this->activity.has_just_resumed(now)) {
+            merge_statements(this->context, news.statements);
+            return;
+        }
+        auto lasting = news.statements;
+        for (auto& one : lasting) {
+            one.pause_left = {};
+        }
+        merge_statements(this->context, lasting);
+    }
+
     /// Statements of hosts per message, at 16 bytes each.
     static constexpr std::size_t max_statements = 16;
 
     relay_context& context;
+    standstill_watch activity;
 };
 
 } // namespace coriander
--- a/test/gateway/load_exchange_test.cpp
+++ b/test/gateway/load_exchange_test.cpp
@@ -55,4 +55,23 @@
     CHECK_FALSE(third.may_send("a"));
 }
 
+TEST_CASE("load exchange: a message that waited while the daemon stood still does not start a pause anew")
+{
+    exchange_fixture one;
+    exchange_fixture other;
+    message_head head;
+    head.status = 503;
+    head.headers = {{"Retry-After", "100"}};
+    record_statements(one.context, exchange_fixture::target("a"), head);
+    head.headers = {{"Coriander-Leaving", "1"}};
+    record_statements(one.context, exchange_fixture::target("b"), head);
+    other.exchange.on_activity(other.context.clock.now() - 60_s);
+    other.exchange.merge(1, one.exchange.snapshot(8));
+    CHECK(other.may_send("a"));
+    CHECK_FALSE(other.may_send("b")); // Leaving has no end.
+    exchange_fixture third;
+    third.exchange.merge(2, other.exchange.snapshot(8));
+    CHECK(third.may_send("a"));
+}
+
 } // namespace coriander
