e2e: a gateway that stands still while hosts state that they leave; statements: what shows each point

leaving_test, new part: while one of three gateways is stopped (SIGSTOP, 5 s), three more hosts state that they leave; after SIGCONT at most its first request reaches each. It now counts all statements of that gateway.

--- a/test/e2e/leaving_test.sh
+++ b/test/e2e/leaving_test.sh
@@ -48,6 +48,21 @@
 expect_promises
 expect "only the first request of the restarted gateway may reach one" "$([ $(($(status late_arrivals) - before)) -le 3 ] && echo yes)" yes
 
+echo "== a gateway stands still while three more leave"
+third=$(leader 2)
+fourth=$(leader 5)
+send_signal gateway-2 STOP
+before=$(status late_arrivals)
+for host in "$third" "$fourth" p1; do leave "$host"; done
+start_calls 10 150
+sleep 5
+send_signal gateway-2 CONT
+end_calls
+expect_promises
+expect "only the first request of the gateway that goes on may reach one ($(status late_arrivals) in all, $before before)" \
+  "$([ $(($(status late_arrivals) - before)) -le 3 ] && echo yes)" yes
+expect "it knows of all six" "$(grep -c "E2018 statement_received.*says=leaving" "$RUN_DIR/gateway-2.log")" 6
+
 echo "== a new start of the plain host may be used"
 wish '{"host":"p0","do":"restart"}'
 before=$(status runs)
