--- a/test/e2e/mixed_builds_test.sh
+++ b/test/e2e/mixed_builds_test.sh
@@ -79,7 +79,7 @@
 start_with "$OLD_GATEWAY" 1
 start_with "$NEW_GATEWAY" 2
 for n in 1 2; do
-  wait_until 10 eval "! kill -0 ${PID_OF[gateway-$n]}"
+  expect "gateway $n ends at its start" "$(wait_until 10 eval "! kill -0 ${PID_OF[gateway-$n]}" && echo yes)" yes
   expect "gateway $n refuses them by name" "$(grep -c "added_later" "$RUN_DIR/gateway-$n.log")" "[1-9]*"
 done
 
