The only replica of a model is held while its silent host may be sound

Cause: three unanswered probes, 280 ms after a host fell silent, made its replica a lost one, also where no other replica of its model could serve. It was dissolved, its hosts formed a new one, and the next silence dissolved that.

Now such a replica is held until its silent hosts answer or are lost for good (process ended, restarted, silent for 1.5 s). Requests that can be repeated and have more time left than that wait there; others are refused at once. Spare hosts form another replica meanwhile. With another replica of the model, all is as before. The same for a target that is suspended as stalled during the probes: it was no target for all requests, also as the only one.

Evidence: new cases in domain_planner_test, fleet_view_test, target_pool_test, fleet_controller_test and relay_session_test; they use what is new here, so that the code before has no run of them.

Tests changed: "orders to leave do not cut streams" needs a second replica of the model (12 hosts), since the only one is held; its checks stay.

--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -31,6 +31,7 @@
     double time_factor = 1.0;      ///< Relative processing time of the model; smaller is faster.
     std::uint64_t incarnation = 0; ///< Of the host.
     bool is_gateway = false;       ///< Another gateway, which sends the request to a target of its own.
+    bool is_held = false; ///< The only replica of its model; a host of it is silent but may be sound.
 };
 
 /// Why a target is temporarily out of rotation.
@@ -46,6 +47,7 @@
     relay_target target;
     std::uint32_t own_requests = 0; ///< Requests of this daemon on the target.
     double other_requests = 0.0;    ///< Estimated requests of other daemons on the target.
+    bool is_silent = false;         ///< The request waits there until the target goes on or is lost.
 
     /// All requests on the target, not counting the one to be sent.
     [[nodiscard]] double total() const noexcept { return this->own_requests + this->other_requests; }
@@ -58,6 +60,8 @@
     std::span<const std::string> tried; ///< Targets that were already tried; never selected again.
     std::size_t daemon_count = 1;       ///< Daemons that send to the same targets, including this one.
     bool excludes_limited = false;      ///< Whether targets with a rate limit are left out.
+    /// Whether a silent target may be selected if there is no other one.
+    bool includes_silent = false;
 };
 
 /// The targets of one service, with their load and health as seen by this daemon. Not thread-safe.
@@ -187,10 +191,16 @@
     /// Expected requests of other daemons on a target without a recent report: the mean over the targets that
     /// have one. If none has, assumes that all daemons send as much as this one.
     [[nodiscard]] double expected_other_requests(const target_criteria& criteria, time_ms now) const;
+    /// The best of the targets that satisfy the predicate and may get the request.
+    template <typename Predicate>
+    [[nodiscard]] std::optional<target_choice> choose_if(const target_criteria& criteria, double noise,
+                                                         time_ms now, Predicate is_eligible) const;
     /// Estimated requests of other daemons on the target: as reported, moving to `expected` as the report
     /// ages.
     [[nodiscard]] static double other_requests_on(const target_state& target, double expected, time_ms now);
     [[nodiscard]] static bool is_usable(const target_state& target, std::string_view model, time_ms now);
+    /// Whether the target is usable but for a silence of which it is not known whether it lasts.
+    [[nodiscard]] static bool is_silent(const target_state& target, std::string_view model, time_ms now);
     [[nodiscard]] static bool is_limited(const target_state& target, time_ms now);
     /// Records a rate limit as of `stated_at`; zero if the target stated none.
     static void set_limit(target_state& target, double per_second, time_ms stated_at);
--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -40,6 +40,12 @@
     std::uint64_t incarnation = 0; ///< The incarnation that fell silent.
     time_ms since{};               ///< When the first request that it left unanswered was sent.
     bool has_ended = false;        ///< Its process is proved to have ended.
+
+    /// Whether a sound host may be silent for as long as this one has been.
+    [[nodiscard]] bool may_be_sound(time_ms now) const noexcept
+    {
+        return !this->has_ended && now - this->since < max_sound_silence;
+    }
 };
 
 /// Known state of one fabric domain.
@@ -56,11 +62,15 @@
     time_ms now{};
     /// Whether this daemon owns the domain and so requests the status of hosts of dissolving replicas.
     bool is_owner = true;
+    /// Names of open replicas that are kept while their silent hosts may be sound; null if there are none.
+    const std::set<std::string>* held = nullptr;
 
     /// The host of the domain with this id, or null if it is not listed.
     [[nodiscard]] const listed_host* find_host(std::string_view id) const;
     /// Whether this incarnation of the host is silent.
     [[nodiscard]] bool is_unresponsive(const std::string& id, std::uint64_t incarnation) const;
+    /// Whether this member of the replica is silent, and the replica is held until it answers or is lost.
+    [[nodiscard]] bool is_awaited(const replica_entry& replica, const replica_host& member) const;
 };
 
 /// Reason for a change of a domain's record, for log lines.
@@ -77,11 +87,13 @@
     bool has_loss = false; ///< A replica lost a host; the change should be committed immediately.
     std::vector<host_order> orders;
     std::vector<host_order> load_orders; ///< Orders for loads in progress; ignored by `needs_action`.
-    /// Hosts of open replicas for which the host list, but not the host itself, shows a different state. They
-    /// should be queried.
+    /// Hosts of open replicas that should be queried: the host list, but not the host itself, shows a
+    /// different state, or the host is silent and its replica is held.
     std::vector<std::string> unconfirmed_hosts;
     /// Dissolving replicas whose hosts are not ordered to leave yet, since their requests may go on.
     std::vector<std::string> waiting_replicas;
+    /// Open replicas that are kept although a host is silent.
+    std::vector<std::string> held_replicas;
     std::vector<domain_reason> reasons; ///< One per change.
 
     /// Whether the record changes or there are orders other than for loads.
--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -29,6 +29,7 @@
     replica_timing timing;
     std::string logged_free_hosts;           ///< Models held by the free hosts, as logged last.
     std::vector<std::string> logged_waiting; ///< Dissolving replicas that wait, as logged last.
+    std::vector<std::string> logged_held;    ///< Replicas that are held, as logged last.
 
     std::map<std::string, time_ms> kept_until; ///< Until when reports of kept requests count, by replica.
 
--- a/src/gateway/ended_host_check.hpp
+++ b/src/gateway/ended_host_check.hpp
@@ -36,9 +36,9 @@
         for (const auto& replica : record.replicas) {
             for (const auto& member : replica.hosts) {
                 const auto found = this->view.silent().find(member.id);
-                const bool is_undecided =
-                    found != this->view.silent().end() && found->second.incarnation == member.incarnation &&
-                    !found->second.has_ended && now - found->second.since < max_sound_silence;
+                const bool is_undecided = found != this->view.silent().end() &&
+                                          found->second.incarnation == member.incarnation &&
+                                          found->second.may_be_sound(now);
                 if (is_undecided && this->checking.insert(member.id).second) {
                     this->check_host(member);
                 }
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -26,6 +26,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -83,6 +84,7 @@
         this->view.expire_reports(now);
         auto plan = this->planner.plan(service, now);
         this->loads = std::move(plan.loads);
+        this->held = this->view.held_replicas(service.name, now);
         for (const auto& key : this->view.domains_of(service.name)) {
             is_busy = this->tick_domain(service, key, plan.replicas, now) || is_busy;
         }
@@ -101,7 +103,8 @@
                 &work.timing.finished(),
                 &work.staging.overdue(),
                 now,
-                record.owner == this->self};
+                record.owner == this->self,
+                &this->held};
     }
 
     /// Returns whether the domain has work in progress.
@@ -125,7 +128,8 @@
         }
         const auto view = this->view_of(current.record, hosts, work, now);
         auto decision = plan_domain(view);
-        log_waiting_replicas(key, work.logged_waiting, decision.waiting_replicas);
+        log_replicas(event::leave_delayed, key, work.logged_waiting, decision.waiting_replicas);
+        log_replicas(event::replica_held, key, work.logged_held, decision.held_replicas);
         if (current.is_lost && !decision.is_changed) {
             decision.is_changed = true;
             decision.reasons.push_back({"write the record again that the restored table has lost"});
@@ -157,7 +161,8 @@
         if (is_owner && (is_unfinished || !decision.unconfirmed_hosts.empty())) {
             this->request_statuses(key, current.record, decision.unconfirmed_hosts, work, now);
         }
-        return is_unfinished || !work.due_signature.empty() || work.is_committing;
+        const bool is_waiting = work.is_committing || !decision.held_replicas.empty();
+        return is_unfinished || is_waiting || !work.due_signature.empty();
     }
 
     /// Whether hosts belong to replicas that are newer than the record, which a daemon that knows a newer one
@@ -361,6 +366,7 @@
     controller_settings settings;
     std::function<void()> progress_listener = [] {};
     std::vector<load_assignment> loads; ///< Loads to start now, of the service that `tick` is processing.
+    std::set<std::string> held;         ///< Replicas that are held, of the same service.
     std::map<domain_key, domain_work> work;
     order_sender<Io> orders{this->io, this->view, this->work, this->settings,
                             [this] { this->progress_listener(); }};
--- a/src/gateway/fleet_events.cpp
+++ b/src/gateway/fleet_events.cpp
@@ -61,18 +61,18 @@
     log_event(event::host_ended, {{"host", host}});
 }
 
-void log_waiting_replicas(const domain_key& key, std::vector<std::string>& logged,
-                          const std::vector<std::string>& waiting)
+void log_replicas(event kind, const domain_key& key, std::vector<std::string>& logged,
+                  const std::vector<std::string>& replicas)
 {
-    if (logged == waiting) {
+    if (logged == replicas) {
         return;
     }
-    logged = waiting;
+    logged = replicas;
     std::string names;
-    for (const auto& name : waiting) {
+    for (const auto& name : replicas) {
         names += (names.empty() ? "" : ",") + name;
     }
-    log_event(event::leave_delayed, {{"domain", key.row_key()}, {"replicas", names}});
+    log_event(kind, {{"domain", key.row_key()}, {"replicas", names}});
 }
 
 void log_outdated_record(const domain_key& key, const versioned_domain& domain, bool is_outdated)
--- a/src/gateway/fleet_events.hpp
+++ b/src/gateway/fleet_events.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coriander/event.hpp"
 #include "coriander/replicas/domain_planner.hpp"
 #include "coriander/replicas/listed_host.hpp"
 #include "gateway/controller_io.hpp"
@@ -22,10 +23,9 @@
                      time_ms now);
 /// Logs that a silent host refuses connections.
 void log_ended_host(const std::string& host);
-/// Logs the dissolving replicas whose hosts are not ordered to leave yet if they differ from `logged`, and
-/// updates it.
-void log_waiting_replicas(const domain_key& key, std::vector<std::string>& logged,
-                          const std::vector<std::string>& waiting);
+/// Logs the domain's replicas to which the event applies if they differ from `logged`, and updates it.
+void log_replicas(event kind, const domain_key& key, std::vector<std::string>& logged,
+                  const std::vector<std::string>& replicas);
 void log_order(const host_order& order, order_answer answer);
 /// Logs that the domain's record is older than what its hosts report, or is no longer treated so.
 void log_outdated_record(const domain_key& key, const versioned_domain& domain, bool is_outdated);
--- a/src/gateway/fleet_planner.cpp
+++ b/src/gateway/fleet_planner.cpp
@@ -41,10 +41,13 @@
     }
     input.needed = &wanted;
     input.only_staged = !this->are_cheap;
+    const auto held = this->view.held_replicas(service.name, now);
     for (const auto& key : this->view.domains_of(service.name)) {
         const auto& record = this->view.domain(key).record;
         for (const auto& replica : record.replicas) {
-            this->existing[replica.model] += is_forming_or_open(replica) ? 1 : 0;
+            // Spare hosts replace a held replica at once, in case its silent host is lost.
+            const bool counts = is_forming_or_open(replica) && !held.contains(replica.name);
+            this->existing[replica.model] += counts ? 1 : 0;
         }
         input.may_mix = input.may_mix && this->is_settled(key, now);
         input.domains.push_back(this->supply_of(key, record));
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -259,6 +259,7 @@
 {
     if (this->is_silent(id)) {
         this->silent_hosts.at(id).has_ended = true;
+        ++this->changes;
     }
 }
 
@@ -344,14 +345,53 @@
 {
     return replica.phase == replica_phase::open &&
            std::all_of(replica.hosts.begin(), replica.hosts.end(), [&](const replica_host& member) {
-               const auto* host = this->find_host(member.id);
-               return host != nullptr && host->incarnation == member.incarnation && !host->is_leaving &&
-                      !member.is_lost && !this->is_silent(member.id) &&
-                      !(has_part(*host, replica) && host->part->phase == host_phase::broken);
+               return this->is_in_place(replica, member) && !this->is_silent(member.id);
            });
 }
 
-std::vector<relay_target> fleet_view::targets_of(const relay_service& service) const
+bool fleet_view::may_go_on(const replica_entry& replica, time_ms now) const
+{
+    return replica.phase == replica_phase::open &&
+           std::all_of(replica.hosts.begin(), replica.hosts.end(), [&](const replica_host& member) {
+               return this->is_in_place(replica, member) &&
+                      (!this->is_silent(member.id) || this->silent_hosts.at(member.id).may_be_sound(now));
+           });
+}
+
+bool fleet_view::is_in_place(const replica_entry& replica, const replica_host& member) const
+{
+    const auto* host = this->find_host(member.id);
+    return host != nullptr && host->incarnation == member.incarnation && !host->is_leaving &&
+           !member.is_lost && !(has_part(*host, replica) && host->part->phase == host_phase::broken);
+}
+
+std::set<std::string> fleet_view::held_replicas(const std::string& service, time_ms now) const
+{
+    std::set<std::string> held;
+    if (this->silent_hosts.empty()) {
+        return held;
+    }
+    std::set<std::string> served_models;
+    std::vector<const replica_entry*> candidates;
+    for (const auto& [key, domain] : this->records) {
+        for (const auto& replica : domain.record.replicas) {
+            if (key.service == service && this->may_serve(replica)) {
+                served_models.insert(replica.model);
+            }
+            else if (key.service == service && this->may_go_on(replica, now)) {
+                candidates.push_back(&replica);
+            }
+        }
+    }
+    for (const auto* replica : candidates) {
+        if (!served_models.contains(replica->model)) {
+            held.insert(replica->name);
+        }
+    }
+    return held;
+}
+
+std::vector<relay_target> fleet_view::targets_of(const relay_service& service, time_ms now) const
 {
     std::vector<relay_target> targets;
     if (!service.engine) {
@@ -370,9 +410,11 @@
         }
         return targets;
     }
+    const auto held = this->held_replicas(service.name, now);
     for (const auto& [key, domain] : this->records) {
         for (const auto& replica : domain.record.replicas) {
-            if (key.service != service.name || !this->may_serve(replica)) {
+            const bool is_held = held.contains(replica.name);
+            if (key.service != service.name || (!is_held && !this->may_serve(replica))) {
                 continue;
             }
             const auto* leader = this->find_host(replica.hosts.front().id);
@@ -380,7 +422,7 @@
             const double factor = model == nullptr ? 1.0 : model->time_factor;
             targets.push_back({replica.name, leader->id, leader->address, leader->failure_domain,
                                replica.model, replica.generation, service.engine->slots, factor,
-                               leader->incarnation});
+                               leader->incarnation, false, is_held});
         }
     }
     return targets;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -124,8 +124,11 @@
     /// When a new or restarted host last appeared in the domain.
     [[nodiscard]] time_ms last_arrival(const domain_key& key) const;
 
-    /// The targets of a service that may get new work.
-    [[nodiscard]] std::vector<relay_target> targets_of(const relay_service& service) const;
+    /// The targets of a service that may get new work, and its held replicas.
+    [[nodiscard]] std::vector<relay_target> targets_of(const relay_service& service, time_ms now) const;
+    /// Names of the service's replicas that are held: they lack nothing but answers of hosts that may be
+    /// sound, and no other replica of their model can serve.
+    [[nodiscard]] std::set<std::string> held_replicas(const std::string& service, time_ms now) const;
     /// The service's replica with this name, or null.
     [[nodiscard]] const replica_entry* find_replica(const std::string& service,
                                                     const std::string& name) const;
@@ -141,6 +144,10 @@
     };
 
     [[nodiscard]] bool may_serve(const replica_entry& replica) const;
+    /// Whether an open replica could serve if its silent hosts answered, and these may be sound.
+    [[nodiscard]] bool may_go_on(const replica_entry& replica, time_ms now) const;
+    /// Whether the member still belongs to the open replica, as far as is known.
+    [[nodiscard]] bool is_in_place(const replica_entry& replica, const replica_host& member) const;
     void record_report(const listed_host& host, time_ms at);
     /// Overwrites the known state of the host with its list entry, except the warm model, which the list does
     /// not contain.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -241,7 +241,8 @@
         }
         this->targets_change_count = this->fleet.change_count();
         for (const auto& [name, service] : this->relay.routes->manifest().services) {
-            this->relay.service(name).board.set_targets(this->fleet.targets_of(service));
+            this->relay.service(name).board.set_targets(
+                this->fleet.targets_of(service, this->relay.clock.now()));
             if (service.engine) {
                 this->stalls.abandon_lost_replicas(name);
             }
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -1,5 +1,6 @@
 #include "gateway/relay_session.hpp"
 
+#include "coriander/replicas/domain_planner.hpp"
 #include "gateway/relay_events.hpp"
 
 #include <algorithm>
@@ -114,7 +115,8 @@
                           meter.refused_share(now)};
     if (model != nullptr) {
         const double needed = replicas_for(*service->engine, *model, load);
-        if (needed > 0.0) {
+        const bool is_shortage_known = !best || !best->is_silent;
+        if (needed > 0.0 && is_shortage_known) {
             const double full_rate = load.requests_per_s / needed;
             input.supply = this->state->board.capacity(model->name, full_rate, now) / needed;
         }
@@ -216,7 +218,14 @@
     return end ? *end - now : time_ms{};
 }
 
-std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded)
+bool relay_session::can_wait_for_silent_target() const
+{
+    return this->request.route->kind != repetition::non_idempotent &&
+           this->request.deadline - this->context.clock.now() > max_sound_silence;
+}
+
+std::optional<target_choice> relay_session::choose_target(std::span<const std::string> excluded,
+                                                          bool includes_silent)
 {
     if (this->context.is_cut(this->request.service)) {
         auto gateway = this->choose_gateway(excluded);
@@ -226,7 +235,8 @@
     }
     const bool excludes_limited = this->denied_permits >= max_denied_permits;
     return this->state->board.choose({this->target_model(), this->context.failure_domain, excluded,
-                                      this->context.daemons, excludes_limited},
+                                      this->context.daemons, excludes_limited,
+                                      includes_silent && this->can_wait_for_silent_target()},
                                      this->context.draw(), this->context.clock.now());
 }
 
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -124,8 +124,13 @@
     [[nodiscard]] bool relay_or_refuse();
     [[nodiscard]] std::optional<target_choice> choose_gateway(std::span<const std::string> excluded);
     void on_gateway_head(message_head head);
-    /// The best target that is not in `excluded`, a list of target ids.
-    [[nodiscard]] std::optional<target_choice> choose_target(std::span<const std::string> excluded);
+    /// The best target that is not in `excluded`, a list of target ids. With `includes_silent`, a silent one
+    /// if there is no other and the request can wait there.
+    [[nodiscard]] std::optional<target_choice> choose_target(std::span<const std::string> excluded,
+                                                             bool includes_silent = true);
+    /// Whether the request may be sent to a target that may be lost: it can be repeated elsewhere, and enough
+    /// time is left to find out.
+    [[nodiscard]] bool can_wait_for_silent_target() const;
     void record_load(const message_head& head);
     void buffer_body(std::string_view bytes);
     void release_buffer();
--- a/src/gateway/relay_session_move.cpp
+++ b/src/gateway/relay_session_move.cpp
@@ -21,7 +21,7 @@
     const auto now = this->context.clock.now();
     auto others = this->tried_targets;
     others.push_back(this->current.choice.target.id);
-    const auto next = this->choose_target(others);
+    const auto next = this->choose_target(others, false);
     if (!next) {
         this->log_stay("no_target");
         return;
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -18,6 +18,10 @@
             target = target_state{};
             target.own_requests = own;
         }
+        if (target.info.is_held && !info.is_held && target.reason == suspension::stalled) {
+            target.reason = suspension::none; // Its silent hosts have answered.
+            target.suspended_until = {};
+        }
         target.info = info;
         target.key = stable_hash(info.id, info.generation);
         target.host = key_of_host(info.host, info.incarnation, info.address);
@@ -30,10 +34,18 @@
 
 bool target_pool::is_usable(const target_state& target, std::string_view model, time_ms now)
 {
-    return target.is_serving && !target.is_leaving && target.info.model == model &&
+    return target.is_serving && !target.is_leaving && !target.info.is_held && target.info.model == model &&
            now >= std::max(target.suspended_until, target.paused_until);
 }
 
+bool target_pool::is_silent(const target_state& target, std::string_view model, time_ms now)
+{
+    const bool is_suspended = now < target.suspended_until;
+    return target.is_serving && !target.is_leaving && target.info.model == model &&
+           now >= target.paused_until && (target.info.is_held || is_suspended) &&
+           (!is_suspended || target.reason == suspension::stalled);
+}
+
 void target_pool::observe(const target_statements& known)
 {
     this->statements = &known;
@@ -121,6 +133,20 @@
 
 std::optional<target_choice> target_pool::choose(const target_criteria& criteria, double noise,
                                                  time_ms now) const
+{
+    auto choice = this->choose_if(criteria, noise, now, is_usable);
+    if (!choice && criteria.includes_silent) {
+        choice = this->choose_if(criteria, noise, now, is_silent);
+        if (choice) {
+            choice->is_silent = true;
+        }
+    }
+    return choice;
+}
+
+template <typename Predicate>
+std::optional<target_choice> target_pool::choose_if(const target_criteria& criteria, double noise,
+                                                    time_ms now, Predicate is_eligible) const
 {
     const target_state* best = nullptr;
     double best_score = 0.0;
@@ -133,7 +159,7 @@
             std::find(criteria.tried.begin(), criteria.tried.end(), id) != criteria.tried.end();
         const bool has_no_permit =
             now < target.deferred_until || (criteria.excludes_limited && is_limited(target, now));
-        if (was_tried || has_no_permit || !is_usable(target, criteria.model, now)) {
+        if (was_tried || has_no_permit || !is_eligible(target, criteria.model, now)) {
             continue;
         }
         constexpr std::uint64_t noise_steps = 1024;
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -27,8 +27,9 @@
     std::optional<domain_reason> reason;
     for (auto& member : replica.hosts) {
         const auto* host = view.find_host(member.id);
-        const bool is_unavailable = view.is_unresponsive(member.id, member.incarnation) ||
-                                    (host != nullptr && host->incarnation != member.incarnation);
+        const bool is_silent =
+            view.is_unresponsive(member.id, member.incarnation) && !view.is_awaited(replica, member);
+        const bool is_unavailable = is_silent || (host != nullptr && host->incarnation != member.incarnation);
         if (!member.is_lost && is_unavailable) {
             member.is_lost = true;
             if (!reason) {
@@ -162,6 +163,22 @@
     }
 }
 
+/// Lists the silent hosts of a replica that is held as hosts to query. Returns whether there are any.
+bool plan_held(const replica_entry& replica, const domain_view& view, domain_decision& decision)
+{
+    bool is_held = false;
+    for (const auto& member : replica.hosts) {
+        if (view.is_awaited(replica, member)) {
+            decision.unconfirmed_hosts.push_back(member.id);
+            is_held = true;
+        }
+    }
+    if (is_held) {
+        decision.held_replicas.push_back(replica.name);
+    }
+    return is_held;
+}
+
 void plan_open(replica_entry& replica, const domain_view& view, domain_decision& decision)
 {
     const auto fault = open_replica_fault(replica, view, decision.unconfirmed_hosts);
@@ -302,7 +319,9 @@
             plan_warming(replica, view, decision);
         }
         else if (replica.phase == replica_phase::open || replica.phase == replica_phase::retiring) {
-            plan_open(replica, view, decision);
+            if (!plan_held(replica, view, decision)) {
+                plan_open(replica, view, decision);
+            }
         }
         else if (plan_dissolving(replica, view, decision)) {
             decision.is_changed = true;
--- a/src/replicas/domain_view.cpp
+++ b/src/replicas/domain_view.cpp
@@ -17,4 +17,11 @@
     return found != this->silent->end() && found->second.incarnation == incarnation;
 }
 
+bool domain_view::is_awaited(const replica_entry& replica, const replica_host& member) const
+{
+    return this->held != nullptr && this->held->contains(replica.name) &&
+           this->is_unresponsive(member.id, member.incarnation) &&
+           this->silent->at(member.id).may_be_sound(this->now);
+}
+
 } // namespace coriander
--- a/src/replicas/leave_decision.cpp
+++ b/src/replicas/leave_decision.cpp
@@ -12,8 +12,7 @@
         return false;
     }
     if (view.is_unresponsive(member.id, member.incarnation)) {
-        const auto& silence = view.silent->at(member.id);
-        return !silence.has_ended && view.now - silence.since < max_sound_silence;
+        return view.silent->at(member.id).may_be_sound(view.now);
     }
     return host->is_self_reported || !view.is_owner;
 }
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -173,9 +173,10 @@
 TEST_CASE(
     "fleet controller: orders to leave do not cut streams when a host is silent for a second and goes on")
 {
-    fleet_fixture fleet{2};
+    fleet_fixture fleet{2, 12};
     fleet.run(8_s);
     const auto replica = fleet.record().replicas.front();
+    REQUIRE(fleet.open_replicas(replica.model) >= 2); // The only one of its model would be held.
     const auto leave_orders = [&] {
         return std::count_if(fleet.world.orders.begin(), fleet.world.orders.end(),
                              [&](const host_order& one) {
@@ -230,6 +231,48 @@
     CHECK(leave_orders() >= 3);
 }
 
+TEST_CASE("fleet controller: the only replica of a model outlives a second of silence of one of its hosts")
+{
+    fleet_fixture fleet{2};
+    fleet.run(8_s);
+    const auto replica = fleet.record().replicas.front();
+    REQUIRE(fleet.open_replicas(replica.model) == 1);
+    const auto silent = GENERATE(std::size_t{0}, std::size_t{2});
+    const auto& host = replica.hosts[silent].id;
+    const auto orders = fleet.world.orders.size();
+    fleet.world.unreachable = {host};
+    fleet.owner().view.mark_silent(host, fleet.now);
+    fleet.run(800_ms);
+    const auto current_phase = [&] {
+        for (const auto& one : fleet.record().replicas) {
+            if (one.name == replica.name) {
+                return one.phase;
+            }
+        }
+        return replica_phase::dissolving;
+    };
+    CHECK(current_phase() == replica_phase::open);
+    SECTION("the host goes on")
+    {
+        fleet.world.unreachable.clear();
+        fleet.run(5_s);
+        CHECK_FALSE(fleet.owner().view.is_silent(host));
+        CHECK(current_phase() == replica_phase::open);
+        CHECK(fleet.world.orders.size() == orders);
+    }
+    SECTION("the host stays silent")
+    {
+        fleet.run(900_ms);
+        CHECK(current_phase() == replica_phase::dissolving);
+    }
+    SECTION("the host's process has ended")
+    {
+        fleet.world.ended = {host};
+        fleet.run(400_ms);
+        CHECK(current_phase() == replica_phase::dissolving);
+    }
+}
+
 TEST_CASE(
     "fleet controller: a host's stale report does not dissolve a healthy replica that it has since joined")
 {
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+#include <string>
+
 namespace coriander {
 namespace {
 
@@ -19,7 +22,10 @@
         }
         this->view.set_domain({"assistant", "d"}, {"edge", 1, {replica}, {}}, {0, 10});
     }
-    [[nodiscard]] std::size_t targets() const { return this->view.targets_of(samples::assistant()).size(); }
+    [[nodiscard]] std::size_t targets() const
+    {
+        return this->view.targets_of(samples::assistant(), start).size();
+    }
 
     std::vector<listed_host> hosts = samples::free_hosts_of("d", 4, "large");
     fleet_view view;
@@ -38,7 +44,7 @@
 TEST_CASE("fleet view: an open replica with all its hosts is a target, addressed by its leader")
 {
     const view_fixture fleet;
-    const auto targets = fleet.view.targets_of(samples::assistant());
+    const auto targets = fleet.view.targets_of(samples::assistant(), start);
     REQUIRE(targets.size() == 1);
     CHECK(targets[0].id == "d-1");
     CHECK(targets[0].host == "d-h0");
@@ -76,6 +82,42 @@
     CHECK(fleet.targets() == 0);
 }
 
+TEST_CASE("fleet view: the only replica of a model stays a target while its silent host may be sound")
+{
+    view_fixture fleet;
+    fleet.view.mark_silent("d-h3", start);
+    const auto targets = fleet.view.targets_of(samples::assistant(), start + 1_s);
+    REQUIRE(targets.size() == 1);
+    CHECK(targets[0].is_held);
+    CHECK(fleet.view.held_replicas("assistant", start + 1_s) == std::set<std::string>{"d-1"});
+    SECTION("the host is silent for longer than a sound one may be")
+    {
+        CHECK(fleet.view.targets_of(samples::assistant(), start + max_sound_silence).empty());
+    }
+    SECTION("the host's process has ended")
+    {
+        fleet.view.mark_ended("d-h3");
+        CHECK(fleet.targets() == 0);
+    }
+    SECTION("the host answers")
+    {
+        fleet.view.clear_silent("d-h3");
+        CHECK_FALSE(fleet.view.targets_of(samples::assistant(), start + 1_s)[0].is_held);
+    }
+    SECTION("another replica of the model serves")
+    {
+        auto others = samples::free_hosts_of("e", 4, "large");
+        const auto replica = samples::replica_of(others, "e-1", 1, replica_phase::open);
+        for (const auto& host : others) {
+            fleet.view.set_host(host, start);
+        }
+        fleet.view.set_domain({"assistant", "e"}, {"edge", 1, {replica}, {}}, {0, 11});
+        const auto serving = fleet.view.targets_of(samples::assistant(), start + 1_s);
+        REQUIRE(serving.size() == 1);
+        CHECK(serving[0].id == "e-1");
+    }
+}
+
 TEST_CASE("fleet view: a host whose earlier replica broke does not take a healthy one out of service")
 {
     view_fixture fleet;
@@ -262,7 +304,7 @@
     }
     relay_service desk;
     desk.name = "desk";
-    CHECK(view.targets_of(desk).size() == 2);
+    CHECK(view.targets_of(desk, start).size() == 2);
 }
 
 TEST_CASE("fleet view: a host that stated that it leaves is leaving whatever the list shows afterwards")
@@ -280,7 +322,7 @@
     statements.on_leaving(key_of_host(member.id, member.incarnation, member.address), start);
     view.apply_statements();
     CHECK(view.change_count() != before);
-    CHECK(view.targets_of(samples::assistant()).empty()); // The whole replica.
+    CHECK(view.targets_of(samples::assistant(), start).empty()); // The whole replica.
     SECTION("the list still shows it as ready")
     {
         view.set_host(member, start + 1_s);
@@ -317,7 +359,7 @@
         view.set_host(member, start + 2_s);
     }
     CHECK(view.find_host(member.id)->is_leaving);
-    CHECK(view.targets_of(samples::assistant()).empty());
+    CHECK(view.targets_of(samples::assistant(), start).empty());
 }
 
 TEST_CASE("fleet view: row keys consist of service and domain")
--- a/test/gateway/relay_session_test.cpp
+++ b/test/gateway/relay_session_test.cpp
@@ -230,6 +230,30 @@
     CHECK(relay.requests_sent() == 0);
 }
 
+TEST_CASE("relay session: only a request that can be repeated waits for the only replica while it is silent")
+{
+    const auto kind = GENERATE(repetition::idempotent, repetition::non_idempotent);
+    relay_fixture relay{kind, respond_with(ok_response), respond_with(ok_response)};
+    auto held = relay_fixture::target("first", relay.first);
+    held.is_held = true;
+    relay.set_targets({held});
+    SECTION("time is left to find out whether the silence lasts")
+    {
+        CHECK(relay.exchange() == exchange_end::complete);
+        CHECK(relay.caller->head.status == (kind == repetition::idempotent ? 200 : 503));
+        CHECK(relay.requests_sent() == (kind == repetition::idempotent ? 1 : 0));
+    }
+    SECTION("too little time is left")
+    {
+        relay.caller->send(
+            "POST /a HTTP/1.1\r\nHost: desk.example\r\nCoriander-Attempt: a1\r\n"
+            "Authorization: Bearer key\r\nCoriander-Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
+        CHECK(relay.caller->head.status == 503);
+        CHECK(relay.requests_sent() == 0);
+    }
+}
+
 TEST_CASE("relay session: retries stop when the shared retry budget is exhausted")
 {
     relay_fixture relay{repetition::idempotent, respond_and_close(""), respond_with(ok_response)};
--- a/test/relay/target_pool_test.cpp
+++ b/test/relay/target_pool_test.cpp
@@ -50,6 +50,38 @@
     CHECK_FALSE(pool.choose({"other", "gent", {}, 1}, 0.5, start));
 }
 
+TEST_CASE("target pool: a silent target is chosen only without another one, by requests that can wait there")
+{
+    auto held = target_named("a");
+    held.is_held = true;
+    auto pool = pool_with({held, target_named("b")});
+    target_criteria criteria{"m", "gent", {}, 1};
+    CHECK(pool.choose(criteria, 0.5, start)->target.id == "b");
+    pool.suspend("b", suspension::failing, start + 1_s);
+    CHECK_FALSE(pool.choose(criteria, 0.5, start));
+    criteria.includes_silent = true;
+    const auto choice = pool.choose(criteria, 0.5, start);
+    REQUIRE(choice);
+    CHECK(choice->target.id == "a");
+    CHECK(choice->is_silent);
+    pool.suspend("a", suspension::stalled, start + 1_s);
+    CHECK(pool.choose(criteria, 0.5, start));
+    pool.suspend("a", suspension::declined, start + 1_s);
+    CHECK_FALSE(pool.choose(criteria, 0.5, start));
+}
+
+TEST_CASE("target pool: a held target whose host answers again is not avoided any longer")
+{
+    auto target = target_named("a");
+    target.is_held = true;
+    auto pool = pool_with({target});
+    pool.suspend("a", suspension::stalled, start + 1500_ms);
+    CHECK(chosen(pool, start) == "none");
+    target.is_held = false;
+    pool.set_targets(std::vector{target});
+    CHECK(chosen(pool, start) == "a");
+}
+
 TEST_CASE("target pool: other daemons' requests are derived from the load that a target reports")
 {
     auto pool = pool_with({target_named("a"), target_named("b")});
--- a/test/replicas/domain_planner_test.cpp
+++ b/test/replicas/domain_planner_test.cpp
@@ -123,6 +123,38 @@
     CHECK(decision.next.replicas[0].hosts[2].is_lost);
 }
 
+TEST_CASE("domain planner: a held replica is not dissolved while its silent host may be sound")
+{
+    domain_fixture domain;
+    domain.held = {"d-5"};
+    domain.silent["d-h2"] = {102, domain.now - 300_ms};
+    const auto held = domain.decide();
+    CHECK_FALSE(held.needs_action());
+    CHECK(held.held_replicas == names{"d-5"});
+    CHECK(held.unconfirmed_hosts == names{"d-h2"});
+    SECTION("the host is silent for longer than a sound one may be")
+    {
+        domain.silent["d-h2"].since = domain.now - max_sound_silence;
+    }
+    SECTION("the host's process has ended")
+    {
+        domain.silent["d-h2"].has_ended = true;
+    }
+    SECTION("the host has restarted")
+    {
+        domain.hosts[2].incarnation = 999;
+    }
+    SECTION("another replica of the model serves")
+    {
+        domain.held.clear();
+    }
+    const auto decision = domain.decide();
+    CHECK(decision.has_loss);
+    REQUIRE(decision.next.replicas.size() == 1);
+    CHECK(decision.next.replicas[0].phase == replica_phase::dissolving);
+    CHECK(decision.held_replicas.empty());
+}
+
 TEST_CASE("domain planner: streams are not cut when a host's entry is removed while the host still serves")
 {
     domain_fixture domain;
--- a/test/support/domain_fixture.hpp
+++ b/test/support/domain_fixture.hpp
@@ -23,8 +23,8 @@
 
     [[nodiscard]] domain_view view() const
     {
-        return {&this->record,  this->hosts, &this->silent, &this->finished,
-                &this->overdue, this->now,   this->is_owner};
+        return {&this->record,  this->hosts, &this->silent,  &this->finished,
+                &this->overdue, this->now,   this->is_owner, &this->held};
     }
     [[nodiscard]] domain_decision decide() const { return plan_domain(this->view()); }
 
@@ -47,6 +47,7 @@
     bool is_owner = true;
     std::set<std::string> finished;
     std::set<std::string> overdue;
+    std::set<std::string> held;
 };
 
 } // namespace coriander
--- a/test/support/fleet_fixture.hpp
+++ b/test/support/fleet_fixture.hpp
@@ -135,12 +135,13 @@
         const auto found = this->world.rows.find("assistant/d");
         return found == this->world.rows.end() ? domain_record{} : found->second.record;
     }
-    [[nodiscard]] std::size_t open_replicas() const
+    [[nodiscard]] std::size_t open_replicas(const std::string& model = {}) const
     {
         const auto replicas = this->record().replicas;
         return static_cast<std::size_t>(
-            std::count_if(replicas.begin(), replicas.end(),
-                          [](const replica_entry& one) { return one.phase == replica_phase::open; }));
+            std::count_if(replicas.begin(), replicas.end(), [&](const replica_entry& one) {
+                return one.phase == replica_phase::open && (model.empty() || one.model == model);
+            }));
     }
     daemon& owner()
     {
