--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -70,7 +70,7 @@
 
     /// Sets the check of whether all live daemons report the requests that they keep on dissolving replicas;
     /// an older build doesn't. Without it, they do.
-    void set_report_check(std::function<bool()> check) { this->do_all_report = std::move(check); }
+    void set_report_check(const std::function<bool()>& check) { this->do_all_report = check; }
 
     /// Records that a daemon keeps requests on a dissolving replica.
     void on_kept_requests(const kept_requests& report, time_ms now)
--- a/test/platform/standin_host_test.cpp
+++ b/test/platform/standin_host_test.cpp
@@ -45,7 +45,7 @@
         return response;
     }
 
-    int order(const std::string& id, json_object text)
+    int order(const std::string& id, const json_object& text)
     {
         const auto response = this->send(id, "/order", to_text(text));
         REQUIRE(this->loop.run_until([&] { return response->end.has_value(); }));
