--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -28,17 +28,17 @@
     void on_activity(time_ms now) { this->activity.on_activity(now); }
 
     /// Merges the report of the daemon with the id `sender`.
-    void merge(std::uint64_t sender, const load_update& news)
+    void merge(std::uint64_t sender, const load_update& update)
     {
         const auto now = this->context.clock.now();
         this->on_activity(now);
-        this->context.demand.on_report(sender, news.demands, now);
-        this->merge_statements_of(news, now);
+        this->context.demand.on_report(sender, update.demands, now);
+        this->merge_statements_of(update, now);
         for (auto& [name, state] : this->context.services) {
-            for (const auto& one : news.targets) {
+            for (const auto& one : update.targets) {
                 state.board.on_peer_report(one, now);
             }
-            for (const auto& limit : news.limits) {
+            for (const auto& limit : update.limits) {
                 state.board.on_peer_rate_limit(limit, now);
             }
         }
@@ -48,26 +48,26 @@
     /// per service.
     [[nodiscard]] load_update snapshot(std::size_t limit)
     {
-        load_update news;
+        load_update update;
         const auto now = this->context.clock.now();
         this->on_activity(now);
-        news.statements = this->context.statements.report(max_statements, now);
+        update.statements = this->context.statements.report(max_statements, now);
         for (const auto& [name, state] : this->context.services) {
             const auto reports = state.board.reports(limit, now);
-            news.targets.insert(news.targets.end(), reports.begin(), reports.end());
+            update.targets.insert(update.targets.end(), reports.begin(), reports.end());
             const auto limits = state.board.rate_limits(now);
-            news.limits.insert(news.limits.end(), limits.begin(), limits.end());
+            update.limits.insert(update.limits.end(), limits.begin(), limits.end());
             const auto* service = this->context.routes ? this->context.routes->find_service(name) : nullptr;
             for (const auto& [model, meter] : state.meters) {
                 // Callers may name any model; only declared ones are reported.
                 if (service != nullptr && (model.empty() || find_model(*service, model) != nullptr)) {
-                    news.demands.push_back({model_key(name, model), meter.load(now)});
+                    update.demands.push_back({model_key(name, model), meter.load(now)});
                 }
             }
         }
-        std::sort(news.targets.begin(), news.targets.end(),
+        std::sort(update.targets.begin(), update.targets.end(),
                   [](const auto& a, const auto& b) { return a.age < b.age; });
-        return news;
+        return update;
     }
 
     /// The number of replicas that each model of a service needs for the demand of all daemons. `hosts` is
@@ -83,13 +83,13 @@
     }
 
 private:
-    void merge_statements_of(const load_update& news, time_ms now)
+    void merge_statements_of(const load_update& update, time_ms now)
     {
         if (!this->activity.has_just_resumed(now)) {
-            merge_statements(this->context, news.statements);
+            merge_statements(this->context, update.statements);
             return;
         }
-        auto lasting = news.statements;
+        auto lasting = update.statements;
         for (auto& one : lasting) {
             one.pause_left = {};
         }
