--- a/scripts/soak_verdict.py
+++ b/scripts/soak_verdict.py
@@ -125,6 +125,8 @@
 
     def excuse(self, attempt):
         """Why an attempt may have been cut or end unknown; None if nothing excuses it."""
+        if attempt.end == "malformed":  # Bytes that are no answer: only a target that broke off can have sent them.
+            return self.target_excuse(attempt)
         found = self.gateway_excuse(attempt, ("gateway_killed", "gateway_frozen")) or self.target_excuse(attempt)
         if found or attempt.end == "no_answer":
             return found
