Targets: requests wait for a silent target only while its hosts are probed or it is held

A probe has a reason of its own, and a shorter suspension doesn't replace the reason of a longer one. Two new cases in target_pool_test; the case of silent targets suspends as declined for longer than as stalled now, since a shorter suspension has no effect.

--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -38,6 +38,7 @@
 /// Why a target is temporarily out of rotation.
 enum class suspension {
     none,
+    probed,   ///< No stream of the target makes progress; its hosts are being probed.
     stalled,  ///< No stream of the target made progress.
     failing,  ///< Several attempts in a row failed.
     declined, ///< It declined a request.
@@ -126,7 +127,7 @@
     /// Excludes the target from selection until `until`, when a permit may be available.
     void defer(const std::string& id, time_ms until);
 
-    /// Takes the target out of rotation until `until`.
+    /// Takes the target out of rotation until `until`; no effect if it is out of rotation for longer anyway.
     void suspend(const std::string& id, suspension reason, time_ms until);
     /// Puts the target back into rotation.
     void restore(const std::string& id);
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -154,7 +154,7 @@
     {
         const auto now = this->context.clock.now();
         this->context.service(pending->service)
-            .board.suspend(pending->target.id, suspension::stalled, now + this->settings.inquiry.timeout);
+            .board.suspend(pending->target.id, suspension::probed, now + this->settings.inquiry.timeout);
         const auto hosts = pending->probes.unanswered_hosts();
         for (const auto& member : pending->members) {
             if (std::find(hosts.begin(), hosts.end(), member.id) != hosts.end()) {
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -18,7 +18,8 @@
             target = target_state{};
             target.own_requests = own;
         }
-        if (target.info.is_held && !info.is_held && target.reason == suspension::stalled) {
+        const bool is_silence = target.reason == suspension::probed || target.reason == suspension::stalled;
+        if (target.info.is_held && !info.is_held && is_silence) {
             target.reason = suspension::none; // Its silent hosts have answered.
             target.suspended_until = {};
         }
@@ -41,9 +42,10 @@
 bool target_pool::is_silent(const target_state& target, std::string_view model, time_ms now)
 {
     const bool is_suspended = now < target.suspended_until;
+    const bool is_probed = is_suspended && target.reason == suspension::probed;
+    const bool is_held = target.info.is_held && (!is_suspended || target.reason == suspension::stalled);
     return target.is_serving && !target.is_leaving && target.info.model == model &&
-           now >= target.paused_until && (target.info.is_held || is_suspended) &&
-           (!is_suspended || target.reason == suspension::stalled);
+           now >= target.paused_until && (is_probed || is_held);
 }
 
 void target_pool::observe(const target_statements& known)
@@ -355,7 +357,7 @@
 void target_pool::suspend(const std::string& id, suspension reason, time_ms until)
 {
     if (auto* target = this->find(id)) {
-        target->reason = reason;
+        target->reason = until > target->suspended_until ? reason : target->reason;
         target->suspended_until = std::max(target->suspended_until, until);
     }
 }
--- a/test/relay/target_pool_test.cpp
+++ b/test/relay/target_pool_test.cpp
@@ -66,7 +66,28 @@
     CHECK(choice->is_silent);
     pool.suspend("a", suspension::stalled, start + 1_s);
     CHECK(pool.choose(criteria, 0.5, start));
+    pool.suspend("a", suspension::declined, start + 2_s);
+    CHECK_FALSE(pool.choose(criteria, 0.5, start));
+}
+
+TEST_CASE("target pool: a target that stalled is silent only while its hosts are probed, unless it is held")
+{
+    auto pool = pool_with({target_named("a")});
+    target_criteria criteria{"m", "gent", {}, 1};
+    criteria.includes_silent = true;
+    pool.suspend("a", suspension::probed, start + 40_ms);
+    CHECK(pool.choose(criteria, 0.5, start)->is_silent);
+    pool.suspend("a", suspension::stalled, start + 1_s);
+    CHECK_FALSE(pool.choose(criteria, 0.5, start));
+}
+
+TEST_CASE("target pool: a probe does not turn a longer suspension into a silence to wait for")
+{
+    auto pool = pool_with({target_named("a")});
+    target_criteria criteria{"m", "gent", {}, 1};
+    criteria.includes_silent = true;
     pool.suspend("a", suspension::declined, start + 1_s);
+    pool.suspend("a", suspension::probed, start + 40_ms);
     CHECK_FALSE(pool.choose(criteria, 0.5, start));
 }
 
