Held replicas: the list of targets changes when a silence lasts too long

Found by review: nothing noticed that a hold was over while the store could not be reached, so that requests went on waiting at a lost replica until their deadline. The view counts a silence that is too long for a sound host as a change. fleet_view_test checks it.

--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -40,6 +40,7 @@
     std::uint64_t incarnation = 0; ///< The incarnation that fell silent.
     time_ms since{};               ///< When the first request that it left unanswered was sent.
     bool has_ended = false;        ///< Its process is proved to have ended.
+    bool is_overdue = false;       ///< Silent for longer than a sound host may be, as noticed by the view.
 
     /// Whether a sound host may be silent for as long as this one has been.
     [[nodiscard]] bool may_be_sound(time_ms now) const noexcept
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -173,6 +173,12 @@
 
 void fleet_view::expire_reports(time_ms now)
 {
+    for (auto& [id, silence] : this->silent_hosts) {
+        if (!silence.is_overdue && !silence.may_be_sound(now)) {
+            silence.is_overdue = true;
+            ++this->changes;
+        }
+    }
     std::erase_if(this->fresh_reports, [&](const auto& item) {
         const auto& [id, report] = item;
         if (now - this->report_times.at(id) < max_list_lag) {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -74,8 +74,8 @@
     /// Applies a host's own report, requested at `requested_at`. For a while it takes precedence over the
     /// list, which lags behind. A report requested earlier than the last one is ignored.
     void update_host(const std::string& id, const host_status& status, time_ms requested_at);
-    /// Replaces reports that are too old to take precedence by what the list has shown since. Call before
-    /// decisions.
+    /// Replaces reports that are too old to take precedence by what the list has shown since, and ends the
+    /// holding of replicas whose hosts are silent for too long. Call before decisions.
     void expire_reports(time_ms now);
 
     /// Notes that the host has executed the order to leave the replica.
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -92,6 +92,9 @@
     CHECK(fleet.view.held_replicas("assistant", start + 1_s) == std::set<std::string>{"d-1"});
     SECTION("the host is silent for longer than a sound one may be")
     {
+        const auto before = fleet.view.change_count();
+        fleet.view.expire_reports(start + max_sound_silence);
+        CHECK(fleet.view.change_count() != before);
         CHECK(fleet.view.targets_of(samples::assistant(), start + max_sound_silence).empty());
     }
     SECTION("the host's process has ended")
