Replicas: a daemon's old evidence against a host does not dissolve a replica at once

Now one that rests on a silence that is too long for a sound host waits like other work for the owner, unless that is gone; by then the daemon has probed again. The owner itself acts at once, as before. New case in fleet_controller_test.

--- a/include/coriander/replicas/domain_planner.hpp
+++ b/include/coriander/replicas/domain_planner.hpp
@@ -86,6 +86,8 @@
     domain_record next;
     bool is_changed = false;
     bool has_loss = false; ///< A replica lost a host; the change should be committed immediately.
+    /// The loss rests on a silence that began long ago; the host may have answered the owner since.
+    bool is_old_loss = false;
     std::vector<host_order> orders;
     std::vector<host_order> load_orders; ///< Orders for loads in progress; ignored by `needs_action`.
     /// Hosts of open replicas that should be queried: the host list, but not the host itself, shows a
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -233,7 +233,8 @@
             std::find(daemons.begin(), daemons.end(), current.record.owner) != daemons.end();
         auto delay = this->settings.rank_delay * this->rank_of(key);
         if (is_owner_alive) {
-            delay = delay + (decision.has_loss ? this->settings.loss_delay
+            const bool is_new_loss = decision.has_loss && !decision.is_old_loss;
+            delay = delay + (is_new_loss       ? this->settings.loss_delay
                              : current.is_lost ? this->settings.absent_owner_delay
                                                : this->settings.takeover_delay);
         }
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -41,6 +41,20 @@
     return reason;
 }
 
+/// Whether nothing but a silence that is too long for a sound host speaks against the replica's lost hosts.
+bool rests_on_old_silence(const replica_entry& replica, const domain_view& view)
+{
+    return std::all_of(replica.hosts.begin(), replica.hosts.end(), [&](const replica_host& member) {
+        if (!member.is_lost) {
+            return true;
+        }
+        const auto* host = view.find_host(member.id);
+        const bool is_same = host != nullptr && host->incarnation == member.incarnation;
+        return is_same && view.is_unresponsive(member.id, member.incarnation) &&
+               !view.silent->at(member.id).has_ended && !view.silent->at(member.id).may_be_sound(view.now);
+    });
+}
+
 /// Why an open replica is no longer usable; empty if it is usable. Hosts for which only the host list shows a
 /// fault are added to `unconfirmed_hosts` instead.
 std::optional<domain_reason> open_replica_fault(const replica_entry& replica, const domain_view& view,
@@ -309,6 +323,7 @@
         if (loss) {
             decision.is_changed = true;
             decision.has_loss = true;
+            decision.is_old_loss = rests_on_old_silence(replica, view);
             replica.phase = replica_phase::dissolving;
             decision.reasons.push_back(*loss);
         }
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -298,6 +298,25 @@
     }
 }
 
+TEST_CASE(
+    "fleet controller: a daemon's old evidence does not dissolve a replica whose host answered the owner")
+{
+    fleet_fixture fleet{2};
+    fleet.run(8_s);
+    const auto replica = fleet.record().replicas.front();
+    const auto& host = replica.hosts.back().id;
+    for (auto& one : fleet.daemons) {
+        if (one.get() != &fleet.owner()) {
+            one->view.mark_silent(host, fleet.now - max_sound_silence);
+        }
+    }
+    fleet.run(1_s);
+    const auto current = fleet.record().replicas;
+    CHECK(std::any_of(current.begin(), current.end(), [&](const replica_entry& one) {
+        return one.name == replica.name && one.phase == replica_phase::open;
+    }));
+}
+
 TEST_CASE(
     "fleet controller: a host's stale report does not dissolve a healthy replica that it has since joined")
 {
