Control: held replicas are found once in a round, and peers' features are looked at only where they decide

Read again, no change of behaviour: the planner and the controller each went through all replicas for the held ones, with the same view and time; the plan has them now. Whether all gateways report kept requests was asked for each owned domain in every round, which copies the list of live peers; it is asked last now, for a dissolving replica without reports only. The comment of the gateways' table names the command that prints it.

All tests: 636 passed, 0 failed, 0 skipped; format, and lint of the files that include the change, clean.

--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -9,6 +9,7 @@
 #include "gateway/order_history.hpp"
 #include "gateway/replica_timing.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -35,14 +36,15 @@
 
     /// Notes which dissolving replicas have no requests that a daemon keeps there. The absence of reports
     /// says so only if all daemons report.
-    void update_kept(const domain_record& record, const controller_settings& settings, bool do_all_report,
-                     time_ms now)
+    void update_kept(const domain_record& record, const controller_settings& settings,
+                     const std::function<bool()>& do_all_report, time_ms now)
     {
         for (const auto& replica : record.replicas) {
             const auto since = this->timing.dissolving_since(replica.name);
             const auto kept = this->kept_until.find(replica.name);
             const bool is_kept = kept != this->kept_until.end() && now < kept->second;
-            if (do_all_report && since && now - *since >= settings.kept_report_wait && !is_kept) {
+            const bool is_due = since && now - *since >= settings.kept_report_wait;
+            if (is_due && !is_kept && do_all_report()) {
                 this->timing.on_idle(replica.name);
             }
         }
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -88,7 +88,7 @@
         this->view.expire_reports(now);
         auto plan = this->planner.plan(service, now);
         this->loads = std::move(plan.loads);
-        this->held = this->view.held_replicas(service.name, now);
+        this->held = std::move(plan.held);
         for (const auto& key : this->view.domains_of(service.name)) {
             is_busy = this->tick_domain(service, key, plan.replicas, now) || is_busy;
         }
@@ -128,7 +128,7 @@
             work.next_warming_at = now + this->settings.warming_interval;
         }
         if (current.record.owner == this->self) { // Only the owner gets the reports.
-            work.update_kept(current.record, this->settings, this->do_all_report(), now);
+            work.update_kept(current.record, this->settings, this->do_all_report, now);
         }
         const auto view = this->view_of(current.record, hosts, work, now);
         auto decision = plan_domain(view);
--- a/src/gateway/fleet_planner.cpp
+++ b/src/gateway/fleet_planner.cpp
@@ -18,7 +18,8 @@
 
 fleet_plan fleet_planner::plan(const relay_service& service, time_ms now)
 {
-    auto input = this->input_of(service, now);
+    auto held = this->view.held_replicas(service.name, now);
+    auto input = this->input_of(service, held, now);
     auto replicas = plan_formation(input);
     // Waiting domains, where more hosts may appear, are dropped only after planning: daemons that disagree on
     // which domains wait must still make the same plan.
@@ -27,10 +28,11 @@
     };
     std::erase_if(replicas, [&](const auto& item) { return is_waiting(item.first); });
     std::erase_if(input.domains, [&](const domain_capacity& supply) { return is_waiting(supply.domain); });
-    return {std::move(replicas), this->due_loads(service, input)};
+    return {std::move(replicas), this->due_loads(service, input), std::move(held)};
 }
 
-formation_input fleet_planner::input_of(const relay_service& service, time_ms now)
+formation_input fleet_planner::input_of(const relay_service& service, const std::set<std::string>& held,
+                                        time_ms now)
 {
     this->existing.clear();
     formation_input input;
@@ -41,7 +43,6 @@
     }
     input.needed = &wanted;
     input.only_staged = !this->are_cheap;
-    const auto held = this->view.held_replicas(service.name, now);
     for (const auto& key : this->view.domains_of(service.name)) {
         const auto& record = this->view.domain(key).record;
         for (const auto& replica : record.replicas) {
--- a/src/gateway/fleet_planner.hpp
+++ b/src/gateway/fleet_planner.hpp
@@ -8,6 +8,7 @@
 #include "gateway/fleet_view.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -18,6 +19,7 @@
 struct fleet_plan {
     formation replicas;
     std::vector<load_assignment> loads; ///< To start now.
+    std::set<std::string> held; ///< Replicas that are held (see `fleet_view`), so not counted as existing.
 };
 
 /// Plans replicas and loads for the whole fleet, regardless of which daemons own the domains. Daemons with
@@ -40,7 +42,8 @@
     [[nodiscard]] fleet_plan plan(const relay_service& service, time_ms now);
 
 private:
-    [[nodiscard]] formation_input input_of(const relay_service& service, time_ms now);
+    [[nodiscard]] formation_input input_of(const relay_service& service, const std::set<std::string>& held,
+                                           time_ms now);
     /// Whether replicas may be formed in the domain: more hosts may follow one that has just appeared.
     [[nodiscard]] bool is_settled(const domain_key& key, time_ms now) const;
     [[nodiscard]] domain_capacity supply_of(const domain_key& key, const domain_record& record) const;
--- a/src/gateway/gateway_report.hpp
+++ b/src/gateway/gateway_report.hpp
@@ -16,7 +16,7 @@
     bool is_cut_off = false;
 };
 
-/// A table with a line for each gateway, as `corianderctl list gateways` prints it.
+/// A table with a line for each gateway, as `corianderctl gateways` prints it.
 [[nodiscard]] std::string text_of(std::span<const gateway_report> reports);
 
 /// Sets the gauge that counts the gateways of each build and set of features.
