Fleet view: hosts by domain, and lists that are made anew only after a change

Cause: on each change of any host, every gateway copied all hosts of all domains several times (15 domains x 1,095 hosts, each found by a scan of all), planned every domain, and hashed all statements' hosts.

Change: the view keeps an index by domain with shared lists, replicas that may serve and a counter of changes; the planner keeps what each domain offers; a domain of another daemon in which nothing changed is left alone.

--- a/include/coriander/relay/target_statements.hpp
+++ b/include/coriander/relay/target_statements.hpp
@@ -34,6 +34,9 @@
     /// Whether the host has stated that it leaves.
     [[nodiscard]] bool is_leaving(host_key host) const;
 
+    /// Increases whenever a host is newly known to leave.
+    [[nodiscard]] std::uint64_t leaving_changes() const noexcept { return this->leaving_count; }
+
     /// Records that the host wants no requests for `wait` from `now` on. A longer wait that it has stated
     /// before stays. `noise`, in [0, 1), says how long after its end this daemon sends requests again: the
     /// daemons return one after the other. Returns whether the end changes.
@@ -81,6 +84,7 @@
     known_host& entry_of(host_key host, time_ms now);
 
     std::unordered_map<host_key, known_host> hosts;
+    std::uint64_t leaving_count = 0; ///< Hosts that were noted as leaving, those forgotten since included.
 };
 
 } // namespace coriander
--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -9,8 +9,10 @@
 #include "gateway/order_history.hpp"
 #include "gateway/replica_timing.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,9 @@
 /// A controller's state for one domain.
 struct domain_work {
     bool is_committing = false;
+    /// The view's counter of changes at which nothing was to be done in another daemon's domain, so that
+    /// there is nothing until the next change.
+    std::optional<std::uint64_t> idle_at;
     bool is_outdated = false; ///< Waits for a newer record, as logged last.
     time_ms next_commit_at;
     time_ms next_warming_at;
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -98,7 +98,7 @@
 private:
     static constexpr time_ms idle_interval{500};
 
-    domain_view view_of(const domain_record& record, const std::vector<listed_host>& hosts,
+    domain_view view_of(const domain_record& record, std::span<const listed_host> hosts,
                         const domain_work& work, time_ms now) const
     {
         return {&record,
@@ -117,6 +117,11 @@
     {
         auto& work = this->work[key];
         const auto& current = this->view.domain(key);
+        const auto changes = this->view.change_count(key);
+        if (work.idle_at == changes && !planned.contains(key.domain)) {
+            return false;
+        }
+        work.idle_at.reset();
         if (this->awaits_newer_record(key, work, now)) {
             return true;
         }
@@ -130,7 +135,7 @@
         if (current.record.owner == this->self) { // Only the owner gets the reports.
             work.update_kept(current.record, this->settings, this->do_all_report, now);
         }
-        const auto view = this->view_of(current.record, hosts, work, now);
+        const auto view = this->view_of(current.record, *hosts, work, now);
         auto decision = plan_domain(view);
         log_replicas(event::leave_delayed, key, work.logged_waiting, decision.waiting_replicas);
         log_replicas(event::replica_held, key, work.logged_held, decision.held_replicas);
@@ -166,7 +171,12 @@
             this->request_statuses(key, current.record, decision.unconfirmed_hosts, work, now);
         }
         const bool is_waiting = work.is_committing || !decision.held_replicas.empty();
-        return is_unfinished || is_waiting || !work.due_signature.empty();
+        const bool is_busy = is_unfinished || is_waiting || !work.due_signature.empty();
+        const bool has_other_owner = !is_owner && !current.record.owner.empty();
+        if (has_other_owner && !is_busy && current.record.loads.empty()) {
+            work.idle_at = changes;
+        }
+        return is_busy;
     }
 
     /// Whether hosts belong to replicas that are newer than the record, which a daemon that knows a newer one
--- a/src/gateway/fleet_events.cpp
+++ b/src/gateway/fleet_events.cpp
@@ -38,7 +38,7 @@
                {"row_version", version.number},
                {"era", version.era},
                {"owner", view.domain(key).record.owner},
-               {"hosts", view.hosts_of(key).size()},
+               {"hosts", view.hosts_of(key)->size()},
                {"silent", view.silent().size()},
                {"host_state", has_host ? state_text(view.find_host(reason.host)) : std::string{}},
                {"word_age", has_host ? age_text(view.last_report_at(reason.host), now) : std::string{}},
--- a/src/gateway/fleet_planner.cpp
+++ b/src/gateway/fleet_planner.cpp
@@ -51,7 +51,7 @@
             this->existing[replica.model] += counts ? 1 : 0;
         }
         input.may_mix = input.may_mix && this->is_settled(key, now);
-        input.domains.push_back(this->supply_of(key, record));
+        input.domains.push_back(this->supply_of(key).capacity);
     }
     input.existing = &this->existing;
     return input;
@@ -62,18 +62,26 @@
     return !this->are_cheap || now - this->view.last_arrival(key) >= this->settings.arrival_quiet_period;
 }
 
-domain_capacity fleet_planner::supply_of(const domain_key& key, const domain_record& record) const
+const fleet_planner::domain_supply& fleet_planner::supply_of(const domain_key& key)
 {
+    const auto changes = this->view.change_count(key);
+    auto [entry, is_new] = this->supplies.try_emplace(key);
+    auto& supply = entry->second;
+    if (!is_new && supply.changes == changes) {
+        return supply;
+    }
+    const auto& record = this->view.domain(key).record;
     const auto hosts = this->view.hosts_of(key);
-    domain_capacity supply{
-        key.domain, 0, {}, {}, hosts.empty() ? std::string{} : hosts.front().failure_domain};
+    supply = {changes,
+              {key.domain, 0, {}, {}, hosts->empty() ? std::string{} : hosts->front().failure_domain},
+              this->spares_of(key, record)};
     for (const auto& replica : record.replicas) {
-        supply.running[replica.model] += is_forming_or_open(replica) ? 1 : 0;
+        supply.capacity.running[replica.model] += is_forming_or_open(replica) ? 1 : 0;
     }
-    for (const auto* host : free_hosts(this->view_of(record, hosts))) {
-        ++supply.free;
+    for (const auto* host : free_hosts(this->view_of(record, *hosts))) {
+        ++supply.capacity.free;
         for (const auto& model : host->staged) {
-            ++supply.staged[model];
+            ++supply.capacity.staged[model];
         }
     }
     return supply;
@@ -93,7 +101,7 @@
 }
 
 std::vector<load_assignment> fleet_planner::due_loads(const relay_service& service,
-                                                      const formation_input& input) const
+                                                      const formation_input& input)
 {
     const auto allowed = this->loads_allowed(service, input);
     if (allowed == 0) {
@@ -101,9 +109,8 @@
     }
     std::vector<domain_spares> domains;
     for (const auto& supply : input.domains) {
-        const domain_key key{service.name, supply.domain};
-        const auto& record = this->view.domain(key).record;
-        domains.push_back({supply.domain, this->spares_of(key, record), supply.running});
+        domains.push_back(
+            {supply.domain, this->supply_of({service.name, supply.domain}).spares, supply.running});
     }
     auto planned = plan_loads(input, domains);
     planned.resize(std::min(planned.size(), allowed));
@@ -114,7 +121,7 @@
 {
     const auto hosts = this->view.hosts_of(key);
     std::vector<spare_host> spares;
-    for (const auto* host : free_hosts(this->view_of(record, hosts))) {
+    for (const auto* host : free_hosts(this->view_of(record, *hosts))) {
         const auto load = std::find_if(record.loads.begin(), record.loads.end(),
                                        [&](const pending_load& one) { return one.host == host->id; });
         const bool is_loading = load != record.loads.end();
--- a/src/gateway/fleet_planner.hpp
+++ b/src/gateway/fleet_planner.hpp
@@ -7,6 +7,7 @@
 #include "gateway/controller_settings.hpp"
 #include "gateway/fleet_view.hpp"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -46,11 +47,19 @@
                                            time_ms now);
     /// Whether replicas may be formed in the domain: more hosts may follow one that has just appeared.
     [[nodiscard]] bool is_settled(const domain_key& key, time_ms now) const;
-    [[nodiscard]] domain_capacity supply_of(const domain_key& key, const domain_record& record) const;
+    /// What a domain offers, as of a value of the view's counter of changes there.
+    struct domain_supply {
+        std::uint64_t changes = 0;
+        domain_capacity capacity;
+        std::vector<spare_host> spares;
+    };
+
+    /// The domain's supply; computed anew only after a change there.
+    [[nodiscard]] const domain_supply& supply_of(const domain_key& key);
     /// How many loads may start in addition to those in progress.
     [[nodiscard]] std::size_t loads_allowed(const relay_service& service, const formation_input& input) const;
     [[nodiscard]] std::vector<load_assignment> due_loads(const relay_service& service,
-                                                         const formation_input& input) const;
+                                                         const formation_input& input);
     [[nodiscard]] std::vector<spare_host> spares_of(const domain_key& key, const domain_record& record) const;
     [[nodiscard]] domain_view view_of(const domain_record& record, std::span<const listed_host> hosts) const
     {
@@ -61,6 +70,7 @@
     controller_settings settings;
     bool are_cheap = false;
     std::map<std::string, std::map<std::string, double>> needed; ///< Replicas by service and model.
+    std::map<domain_key, domain_supply> supplies;
     std::map<std::string, std::size_t> existing; ///< Replicas by model, of the service being planned.
 };
 
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -21,11 +21,15 @@
 }
 
 /// Sets the host's warm model to the replica's model if the host is ready in the replica.
-void set_warm_model_if_ready(listed_host& host, const replica_entry& replica)
+/// Returns whether that changes it.
+bool set_warm_model_if_ready(listed_host& host, const replica_entry& replica)
 {
-    if (has_part(host, replica) && host.part->phase != host_phase::joining) {
-        host.warm_model = replica.model;
+    const bool is_ready = has_part(host, replica) && host.part->phase != host_phase::joining;
+    if (!is_ready || host.warm_model == replica.model) {
+        return false;
     }
+    host.warm_model = replica.model;
+    return true;
 }
 
 } // namespace
@@ -52,9 +56,9 @@
 
 void fleet_view::set_host(const listed_host& host, time_ms now)
 {
-    ++this->changes;
     this->list_times[host.id] = now;
     this->expire_reports(now);
+    this->reindex(this->find_host(host.id), &host);
     auto [entry, is_new] = this->known.try_emplace(host.id, host);
     auto& current = entry->second;
     if (is_new || current.incarnation != host.incarnation) {
@@ -90,8 +94,14 @@
 
 void fleet_view::apply_statements()
 {
+    const auto newest = this->statements == nullptr ? 0 : this->statements->leaving_changes();
+    if (std::exchange(this->applied_statements, newest) == newest) {
+        return;
+    }
     for (auto& [id, host] : this->known) {
-        this->changes += this->apply_statement(host) ? 1 : 0;
+        if (this->apply_statement(host)) {
+            this->note_change(host);
+        }
     }
 }
 
@@ -105,7 +115,10 @@
 
 void fleet_view::remove_host(const std::string& id)
 {
-    this->changes += this->known.erase(id);
+    if (const auto found = this->known.find(id); found != this->known.end()) {
+        this->reindex(&found->second, nullptr);
+        this->known.erase(found);
+    }
     this->silent_hosts.erase(id);
     this->report_times.erase(id);
     this->fresh_reports.erase(id);
@@ -148,7 +161,7 @@
 
 void fleet_view::record_report(const listed_host& host, time_ms at)
 {
-    ++this->changes;
+    this->note_change(host);
     this->report_times[host.id] = at;
     auto& report = this->fresh_reports[host.id];
     report.latest_listed.reset();
@@ -167,7 +180,7 @@
 void fleet_view::update_warm_model(listed_host& host) const
 {
     for (const auto& replica : this->domain({host.service, host.fabric_domain}).record.replicas) {
-        set_warm_model_if_ready(host, replica);
+        (void)set_warm_model_if_ready(host, replica);
     }
 }
 
@@ -176,7 +189,7 @@
     for (auto& [id, silence] : this->silent_hosts) {
         if (!silence.is_overdue && !silence.may_be_sound(now)) {
             silence.is_overdue = true;
-            ++this->changes;
+            this->note_silence(id);
         }
     }
     std::erase_if(this->fresh_reports, [&](const auto& item) {
@@ -187,9 +200,9 @@
         auto& host = this->known.at(id);
         if (report.latest_listed) {
             this->apply_listed(host, *report.latest_listed);
-            ++this->changes;
         }
         host.is_self_reported = false;
+        this->note_change(host);
         return true;
     });
 }
@@ -200,7 +213,7 @@
     if (version <= current.version) {
         return false;
     }
-    ++this->changes;
+    this->note_change(key);
     const bool is_restored = version.era > current.version.era && record.written_in_era < version.era;
     const bool is_lost = is_restored && record.revision < current.record.revision;
     if (is_lost) {
@@ -220,8 +233,8 @@
     for (const auto& replica : current.record.replicas) {
         for (const auto& member : replica.hosts) {
             const auto host = this->known.find(member.id);
-            if (host != this->known.end()) {
-                set_warm_model_if_ready(host->second, replica);
+            if (host != this->known.end() && set_warm_model_if_ready(host->second, replica)) {
+                this->note_change(host->second);
             }
         }
     }
@@ -249,10 +262,9 @@
 bool fleet_view::is_outdated(const domain_key& key) const
 {
     const auto last_generation = this->domain(key).record.last_generation;
-    return std::any_of(this->known.begin(), this->known.end(), [&](const auto& item) {
-        const auto& [id, host] = item;
-        return host.service == key.service && host.fabric_domain == key.domain && host.part &&
-               host.part->generation > last_generation && !this->is_silent(id);
+    const auto hosts = this->hosts_of(key);
+    return std::any_of(hosts->begin(), hosts->end(), [&](const listed_host& host) {
+        return host.part && host.part->generation > last_generation && !this->is_silent(host.id);
     });
 }
 
@@ -261,7 +273,7 @@
     const auto* host = this->find_host(id);
     if (host != nullptr && !this->is_silent(id)) {
         this->silent_hosts[id] = {host->incarnation, since};
-        ++this->changes;
+        this->note_silence(id);
     }
 }
 
@@ -269,13 +281,15 @@
 {
     if (this->is_silent(id)) {
         this->silent_hosts.at(id).has_ended = true;
-        ++this->changes;
+        this->note_silence(id);
     }
 }
 
 void fleet_view::clear_silent(const std::string& id)
 {
-    this->changes += this->silent_hosts.erase(id);
+    if (this->silent_hosts.erase(id) > 0) {
+        this->note_silence(id);
+    }
 }
 
 bool fleet_view::is_silent(const std::string& id) const
@@ -314,9 +328,10 @@
 std::vector<domain_key> fleet_view::domains_of(const std::string& service) const
 {
     std::set<domain_key> keys;
-    for (const auto& [id, host] : this->known) {
-        if (host.service == service && !host.fabric_domain.empty()) {
-            keys.insert({service, host.fabric_domain});
+    for (auto next = this->index.lower_bound({service, {}});
+         next != this->index.end() && next->first.service == service; ++next) {
+        if (!next->second.ids.empty() && !next->first.domain.empty()) {
+            keys.insert(next->first);
         }
     }
     for (const auto& [key, record] : this->records) {
@@ -327,22 +342,85 @@
     return {keys.begin(), keys.end()};
 }
 
-std::vector<listed_host> fleet_view::hosts_of(const domain_key& key) const
+host_list fleet_view::hosts_of(const domain_key& key) const
 {
-    std::vector<listed_host> found;
-    for (const auto& [id, host] : this->known) {
-        if (host.service == key.service && host.fabric_domain == key.domain) {
-            found.push_back(host);
+    static const host_list none = std::make_shared<const std::vector<listed_host>>();
+    const auto found = this->index.find(key);
+    if (found == this->index.end()) {
+        return none;
+    }
+    auto& domain = found->second;
+    if (!domain.hosts) {
+        std::vector<listed_host> hosts;
+        hosts.reserve(domain.ids.size());
+        for (const auto& id : domain.ids) {
+            hosts.push_back(this->known.at(id));
         }
+        domain.hosts = std::make_shared<const std::vector<listed_host>>(std::move(hosts));
     }
-    return found;
+    return domain.hosts;
 }
 
 std::size_t fleet_view::host_count(const std::string& service) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->known.begin(), this->known.end(),
-                      [&](const auto& item) { return item.second.service == service; }));
+    std::size_t count = 0;
+    for (auto next = this->index.lower_bound({service, {}});
+         next != this->index.end() && next->first.service == service; ++next) {
+        count += next->second.ids.size();
+    }
+    return count;
+}
+
+std::uint64_t fleet_view::change_count(const domain_key& key) const
+{
+    const auto found = this->index.find(key);
+    return found == this->index.end() ? 0 : found->second.changes;
+}
+
+void fleet_view::note_change(const domain_key& key)
+{
+    auto& domain = this->index[key];
+    ++this->changes;
+    ++domain.changes;
+    domain.hosts.reset();
+    domain.serving.reset();
+}
+
+void fleet_view::note_silence(const std::string& id)
+{
+    if (const auto* host = this->find_host(id)) {
+        this->note_change(*host);
+    }
+    else {
+        ++this->changes;
+    }
+}
+
+void fleet_view::reindex(const listed_host* before, const listed_host* after)
+{
+    if (before != nullptr) {
+        this->index[{before->service, before->fabric_domain}].ids.erase(before->id);
+        this->note_change(*before);
+    }
+    if (after != nullptr) {
+        this->index[{after->service, after->fabric_domain}].ids.insert(after->id);
+        this->note_change(*after);
+    }
+}
+
+const std::vector<std::size_t>& fleet_view::serving_in(const domain_key& key,
+                                                       const domain_record& record) const
+{
+    auto& domain = this->index[key];
+    if (!domain.serving) {
+        domain.serving.emplace();
+        for (std::size_t i = 0; i < record.replicas.size(); ++i) {
+            if (this->may_serve(record.replicas[i])) {
+                domain.serving->push_back(i);
+            }
+        }
+    }
+    return *domain.serving;
 }
 
 time_ms fleet_view::last_arrival(const domain_key& key) const
@@ -382,13 +460,24 @@
         return held;
     }
     std::set<std::string> served_models;
-    std::vector<const replica_entry*> candidates;
     for (const auto& [key, domain] : this->records) {
-        for (const auto& replica : domain.record.replicas) {
-            if (key.service == service && this->may_serve(replica)) {
-                served_models.insert(replica.model);
+        if (key.service == service) {
+            for (const auto position : this->serving_in(key, domain.record)) {
+                served_models.insert(domain.record.replicas[position].model);
             }
-            else if (key.service == service && this->may_go_on(replica, now)) {
+        }
+    }
+    std::set<domain_key> silent_domains; // Only they can have candidates.
+    for (const auto& [id, silence] : this->silent_hosts) {
+        const auto* host = this->find_host(id);
+        if (host != nullptr && host->service == service) {
+            silent_domains.insert({host->service, host->fabric_domain});
+        }
+    }
+    std::vector<const replica_entry*> candidates;
+    for (const auto& key : silent_domains) {
+        for (const auto& replica : this->domain(key).record.replicas) {
+            if (!this->may_serve(replica) && this->may_go_on(replica, now)) {
                 candidates.push_back(&replica);
             }
         }
@@ -405,8 +494,13 @@
 {
     std::vector<relay_target> targets;
     if (!service.engine) {
-        for (const auto& [id, host] : this->known) {
-            if (host.service == service.name && !host.is_leaving && !this->is_silent(id)) {
+        for (auto next = this->index.lower_bound({service.name, {}});
+             next != this->index.end() && next->first.service == service.name; ++next) {
+            for (const auto& id : next->second.ids) {
+                const auto& host = this->known.at(id);
+                if (host.is_leaving || this->is_silent(id)) {
+                    continue;
+                }
                 targets.push_back({id,
                                    id,
                                    host.address,
@@ -420,19 +514,26 @@
         }
         return targets;
     }
+    const auto add = [&](const replica_entry& replica, bool is_held) {
+        const auto* leader = this->find_host(replica.hosts.front().id);
+        const auto* model = find_model(service, replica.model);
+        const double factor = model == nullptr ? 1.0 : model->time_factor;
+        targets.push_back({replica.name, leader->id, leader->address, leader->failure_domain, replica.model,
+                           replica.generation, service.engine->slots, factor, leader->incarnation, false,
+                           is_held});
+    };
     const auto held = this->held_replicas(service.name, now);
     for (const auto& [key, domain] : this->records) {
+        if (key.service != service.name) {
+            continue;
+        }
+        for (const auto position : this->serving_in(key, domain.record)) {
+            add(domain.record.replicas[position], false);
+        }
         for (const auto& replica : domain.record.replicas) {
-            const bool is_held = held.contains(replica.name);
-            if (key.service != service.name || (!is_held && !this->may_serve(replica))) {
-                continue;
+            if (!held.empty() && held.contains(replica.name)) {
+                add(replica, true);
             }
-            const auto* leader = this->find_host(replica.hosts.front().id);
-            const auto* model = find_model(service, replica.model);
-            const double factor = model == nullptr ? 1.0 : model->time_factor;
-            targets.push_back({replica.name, leader->id, leader->address, leader->failure_domain,
-                               replica.model, replica.generation, service.engine->slots, factor,
-                               leader->incarnation, false, is_held});
         }
     }
     return targets;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -55,6 +56,9 @@
     bool is_lost = false;
 };
 
+/// Hosts of a domain at one moment.
+using host_list = std::shared_ptr<const std::vector<listed_host>>;
+
 /// This daemon's view of hosts and replicas, merged from the platform's host list, the rows of the table and
 /// the status reports of the hosts. Not thread-safe.
 class fleet_view {
@@ -117,8 +121,8 @@
     [[nodiscard]] const versioned_domain& domain(const domain_key& key) const;
     /// All domains of a service that have a host or a row.
     [[nodiscard]] std::vector<domain_key> domains_of(const std::string& service) const;
-    /// Copies of the hosts of a domain.
-    [[nodiscard]] std::vector<listed_host> hosts_of(const domain_key& key) const;
+    /// The hosts of a domain, ordered by id. The list stays as it is when hosts change later.
+    [[nodiscard]] host_list hosts_of(const domain_key& key) const;
     /// The number of listed hosts of the service.
     [[nodiscard]] std::size_t host_count(const std::string& service) const;
     /// When a new or restarted host last appeared in the domain.
@@ -135,6 +139,8 @@
 
     /// A counter that differs from an earlier value if targets may have changed since.
     [[nodiscard]] std::uint64_t change_count() const noexcept { return this->changes; }
+    /// The same for the hosts and the record of one domain.
+    [[nodiscard]] std::uint64_t change_count(const domain_key& key) const;
 
 private:
     /// State of a host whose own report takes precedence over the list.
@@ -143,6 +149,24 @@
         std::optional<listed_host> latest_listed; ///< The newest list entry since the report.
     };
 
+    /// The hosts of one domain, and lists that are made anew only after a change there: a daemon looks at all
+    /// domains many times a second, and few of them change.
+    struct domain_index {
+        std::set<std::string> ids;
+        std::uint64_t changes = 0; ///< Of its hosts, their silence, and the record.
+        host_list hosts;           ///< Null after a change.
+        std::optional<std::vector<std::size_t>> serving; ///< Positions of such replicas in the record.
+    };
+
+    void note_change(const domain_key& key);
+    void note_change(const listed_host& host) { this->note_change(domain_key{host.service, host.fabric_domain}); }
+    /// Notes that the silence of a host has changed.
+    void note_silence(const std::string& id);
+    /// Keeps the index up to date when a host's entry is added, replaced or removed. Null: no entry.
+    void reindex(const listed_host* before, const listed_host* after);
+    /// Positions of the replicas in the domain's record that may serve.
+    [[nodiscard]] const std::vector<std::size_t>& serving_in(const domain_key& key,
+                                                             const domain_record& record) const;
     [[nodiscard]] bool may_serve(const replica_entry& replica) const;
     /// Whether an open replica could serve if its silent hosts answered, and these may be sound.
     [[nodiscard]] bool may_go_on(const replica_entry& replica, time_ms now) const;
@@ -158,7 +182,9 @@
     void update_warm_model(listed_host& host) const;
 
     const target_statements* statements = nullptr;
+    std::uint64_t applied_statements = 0; ///< The statements' counter when they were applied last.
     std::map<std::string, listed_host> known;
+    mutable std::map<domain_key, domain_index> index; ///< Of `known`, by service and fabric domain.
     std::map<std::string, silent_host> silent_hosts;
     std::map<domain_key, versioned_domain> records;
     std::map<domain_key, time_ms> arrivals;
--- a/src/relay/target_statements.cpp
+++ b/src/relay/target_statements.cpp
@@ -18,6 +18,7 @@
     auto& entry = this->entry_of(host, now);
     const bool is_new = !entry.is_leaving;
     entry.is_leaving = true;
+    this->leaving_count += is_new ? 1 : 0;
     return is_new;
 }
 
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -240,12 +240,31 @@
     });
 }
 
+/// Ids of all members of the record's replicas, sorted.
+std::vector<std::string_view> member_ids(const domain_record& record)
+{
+    std::vector<std::string_view> ids;
+    for (const auto& replica : record.replicas) {
+        for (const auto& member : replica.hosts) {
+            ids.push_back(member.id);
+        }
+    }
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+bool contains(const std::vector<std::string_view>& sorted_ids, const std::string& id)
+{
+    return std::binary_search(sorted_ids.begin(), sorted_ids.end(), std::string_view{id});
+}
+
 /// Orders hosts to leave replicas that are not in the record.
 void release_unrecorded_hosts(const domain_view& view, domain_decision& decision)
 {
+    const auto members = member_ids(*view.record);
     for (const auto& host : view.hosts) {
         if (host.part && !host.is_leaving && !view.is_unresponsive(host.id, host.incarnation) &&
-            !is_member(*view.record, host.id)) {
+            !contains(members, host.id)) {
             decision.orders.push_back(
                 {order_kind::leave, host.id, host.part->replica, host.part->generation, {}, {}});
         }
@@ -355,9 +374,10 @@
 std::vector<const listed_host*> free_hosts(const domain_view& view)
 {
     std::vector<const listed_host*> found;
+    const auto members = member_ids(*view.record);
     for (const auto& host : view.hosts) {
         if (!host.part && !host.is_leaving && !view.is_unresponsive(host.id, host.incarnation) &&
-            !is_member(*view.record, host.id)) {
+            !contains(members, host.id)) {
             found.push_back(&host);
         }
     }
