Control: a daemon that can't reach the table takes nothing over

Cause: a daemon that sees no other with a path to the table ranks first for every domain, and a commit without an answer was sent again after 1 s for ever.

Change: without the table nothing is taken over, and the delay counts anew when it is back, so that not all act at once; the owner's commits are repeated after 1, 2, 4, 8 s, and at once when the table is back.

--- a/src/gateway/domain_work.hpp
+++ b/src/gateway/domain_work.hpp
@@ -26,6 +26,7 @@
     std::optional<std::uint64_t> idle_at;
     bool is_outdated = false; ///< Waits for a newer record, as logged last.
     time_ms next_commit_at;
+    unsigned failed_commits = 0; ///< In a row, without an answer of the table.
     time_ms next_warming_at;
     std::string due_signature; ///< Describes the work that was due at the last check.
     time_ms due_since;
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -72,6 +72,9 @@
     /// an older build doesn't. Without it, they do.
     void set_report_check(const std::function<bool()>& check) { this->do_all_report = check; }
 
+    /// Sets the check of whether this daemon reaches the table. Without it, it does.
+    void set_table_check(const std::function<bool()>& check) { this->reaches_table = check; }
+
     /// Records that a daemon keeps requests on a dissolving replica.
     void on_kept_requests(const kept_requests& report, time_ms now)
     {
@@ -86,6 +89,7 @@
     {
         bool is_busy = false;
         this->view.expire_reports(now);
+        this->note_table_reach();
         auto plan = this->planner.plan(service, now);
         this->loads = std::move(plan.loads);
         this->held = std::move(plan.held);
@@ -97,6 +101,8 @@
 
 private:
     static constexpr time_ms idle_interval{500};
+    /// A commit that fails again and again is tried every eight times `commit_retry_delay`.
+    static constexpr unsigned max_commit_doublings = 3;
 
     domain_view view_of(const domain_record& record, std::span<const listed_host> hosts,
                         const domain_work& work, time_ms now) const
@@ -225,8 +231,21 @@
         }
     }
 
+    /// When the table can be reached again, changes that could not be committed are due at once.
+    void note_table_reach()
+    {
+        const bool reached_before = std::exchange(this->table_reached, this->reaches_table());
+        if (this->table_reached && !reached_before) {
+            for (auto& [key, work] : this->work) {
+                work.next_commit_at = {};
+                work.failed_commits = 0;
+            }
+        }
+    }
+
     /// Whether this daemon may act now. The owner acts at once; the others follow with a delay by rank, and
-    /// all daemons compute the same ranks.
+    /// all daemons compute the same ranks. A daemon that doesn't reach the table takes nothing over, and
+    /// waits anew once it does: the others have waited as long.
     bool is_my_turn(const domain_key& key, const versioned_domain& current, const domain_decision& decision,
                     domain_work& work, time_ms now)
     {
@@ -238,6 +257,10 @@
         if (current.record.owner == this->self) {
             return true;
         }
+        if (!this->table_reached) {
+            work.due_since = now;
+            return false;
+        }
         const auto daemons = this->io.daemons();
         const bool is_owner_alive =
             std::find(daemons.begin(), daemons.end(), current.record.owner) != daemons.end();
@@ -292,13 +315,18 @@
             auto& done = this->work[key];
             done.is_committing = false;
             done.due_signature.clear();
+            const bool is_answered = state == commit_state::applied || state == commit_state::conflict;
+            done.failed_commits = is_answered ? 0 : done.failed_commits + 1;
             if (state == commit_state::conflict) {
                 log_event(event::placement_lost_race, {{"domain", key.row_key()}});
             }
             else if (state != commit_state::applied) {
-                log_event(event::placement_unknown, {{"domain", key.row_key()}});
                 // This daemon cannot reach the table; one that can takes over.
-                done.next_commit_at = now + this->settings.commit_retry_delay;
+                const auto doublings = std::min(done.failed_commits - 1, max_commit_doublings);
+                const auto delay = this->settings.commit_retry_delay * (1LL << doublings);
+                done.next_commit_at = now + delay;
+                log_event(event::placement_unknown,
+                          {{"domain", key.row_key()}, {"failures", done.failed_commits}, {"retry_in", delay}});
             }
         });
     }
@@ -381,6 +409,8 @@
     controller_settings settings;
     std::function<void()> progress_listener = [] {};
     std::function<bool()> do_all_report = [] { return true; };
+    std::function<bool()> reaches_table = [] { return true; };
+    bool table_reached = true; ///< At the last tick.
     std::vector<load_assignment> loads; ///< Loads to start now, of the service that `tick` is processing.
     std::set<std::string> held;         ///< Replicas that are held, of the same service.
     std::map<domain_key, domain_work> work;
--- a/test/support/fake_controller_io.hpp
+++ b/test/support/fake_controller_io.hpp
@@ -34,6 +34,7 @@
         std::vector<std::string> ended;               ///< Hosts whose process has ended: nothing listens.
         std::vector<std::string> ignores_orders;      ///< Hosts that answer status requests but no orders.
         std::map<std::string, std::uint32_t> running; ///< Running requests by host.
+        unsigned commits = 0;      ///< Writes of rows that were sent, whatever became of them.
         unsigned double_joins = 0; ///< Joins by hosts that still belonged to another replica.
     };
 
@@ -42,6 +43,7 @@
     void commit(const domain_key& key, const domain_record& record, row_version version,
                 const std::function<void(commit_state)>& done)
     {
+        ++this->shared.commits;
         this->pending.push_back([this, key, record, version, done] {
             if (!this->reaches_table) {
                 done(commit_state::not_applied);
