Manifests: only the newest received is put in force, and doubts are not answered 404 or 401

After an outage a gateway of 0.12 cores put some 120 versions in force one after the other, 26 to 260 ms each, and answered by versions that were seconds old.

A route or key that is missing while a peer is known to be ahead, a manifest waits, or the table has just been lost is refused with 503 and Retry-After (E4005 with cause and age, 6 s at most).

Beside it: the lists of controllers and readers are kept until a live gateway changes; messages of a round stay in the failure domain for the most part; news of tables are passed on within a failure domain; calls to the store are counted by table and kind (E6008).

--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -62,6 +62,7 @@
     config_rejected = 4002,
     settings_read = 4003,
     config_told = 4004,
+    manifest_doubted = 4005,
     member_isolated = 5003,
     member_rejoined = 5004,
     peer_connection_lost = 5005,
@@ -73,6 +74,7 @@
     table_restored = 6005,
     table_reread = 6006,
     entry_rejected = 6007,
+    store_calls = 6008,
 };
 
 /// An entry of the event catalogue.
@@ -135,6 +137,7 @@
     event_entry{event::config_rejected, "config_rejected", log_level::error},
     event_entry{event::settings_read, "settings_read", log_level::info},
     event_entry{event::config_told, "config_told", log_level::info},
+    event_entry{event::manifest_doubted, "manifest_doubted", log_level::info},
     event_entry{event::member_isolated, "member_isolated", log_level::warn},
     event_entry{event::member_rejoined, "member_rejoined", log_level::info},
     event_entry{event::peer_connection_lost, "peer_connection_lost", log_level::warn},
@@ -146,6 +149,7 @@
     event_entry{event::table_restored, "table_restored", log_level::warn},
     event_entry{event::table_reread, "table_reread", log_level::info},
     event_entry{event::entry_rejected, "entry_rejected", log_level::warn},
+    event_entry{event::store_calls, "store_calls", log_level::info},
 };
 
 /// The catalogue entry of an event. Every event has one.
--- a/include/coriander/membership.hpp
+++ b/include/coriander/membership.hpp
@@ -62,6 +62,9 @@
     time_ms forget_after{600000};
     std::size_t heartbeats_per_message = 64;
     std::size_t identities_per_message = 4;
+    /// How many of the members that a round of messages goes to are of the own failure domain, if there are
+    /// so many. Messages that leave it are few, since they cost more, and enough to spread what changes.
+    std::size_t near_targets = 0;
 };
 
 /// The id of the member with this name: a stable hash.
@@ -97,13 +100,30 @@
     {
         auto candidates = this->sendable(now);
         std::shuffle(candidates.begin(), candidates.end(), random);
+        this->move_near_first(candidates, count);
         candidates.resize(std::min(count, candidates.size()));
-        return candidates;
+        std::vector<member_identity> chosen;
+        for (const auto* candidate : candidates) {
+            chosen.push_back(*candidate);
+        }
+        return chosen;
     }
 
     /// All other members whose heartbeat advanced within the window.
     [[nodiscard]] std::vector<member_view> alive(time_ms now) const;
 
+    /// Calls `visit` with the identity and the heartbeat of each of them, without copying.
+    template <typename Visitor>
+    void visit_alive(time_ms now, Visitor visit) const
+    {
+        const auto limit = this->window();
+        for (const auto& [id, member] : this->others) {
+            if (member.identity && now - member.heard_at <= limit) {
+                visit(*member.identity, member.heartbeat);
+            }
+        }
+    }
+
     /// Whether the member with this name and incarnation is alive.
     [[nodiscard]] bool is_alive(const std::string& name, std::uint64_t incarnation, time_ms now) const;
 
@@ -122,7 +142,9 @@
         std::uint32_t times_sent = 0; ///< Since the heartbeat advanced.
     };
 
-    [[nodiscard]] std::vector<member_identity> sendable(time_ms now) const;
+    /// Moves members of the own failure domain to the front, `near_targets` of the first `count`.
+    void move_near_first(std::vector<const member_identity*>& candidates, std::size_t count) const;
+    [[nodiscard]] std::vector<const member_identity*> sendable(time_ms now) const;
     [[nodiscard]] time_ms window() const noexcept;
 
     member_identity own;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -132,19 +132,38 @@
     return this->settings.alive_window * static_cast<std::int64_t>(std::max<std::size_t>(1, turns));
 }
 
-std::vector<member_identity> membership::sendable(time_ms now) const
+std::vector<const member_identity*> membership::sendable(time_ms now) const
 {
-    std::vector<member_identity> list;
+    std::vector<const member_identity*> list;
     for (const auto& [id, member] : this->others) {
         const bool may_be_alive =
             now - std::max(member.heard_at, member.first_seen) <= this->settings.forget_after;
         if (member.identity && may_be_alive) {
-            list.push_back(*member.identity);
+            list.push_back(&*member.identity);
         }
     }
     return list;
 }
 
+void membership::move_near_first(std::vector<const member_identity*>& candidates, std::size_t count) const
+{
+    if (this->settings.near_targets == 0 || candidates.size() <= count) {
+        return;
+    }
+    const auto is_near = [&](const member_identity* one) {
+        return one->failure_domain == this->own.failure_domain;
+    };
+    std::vector<const member_identity*> near;
+    std::vector<const member_identity*> others;
+    for (const auto* one : candidates) {
+        (is_near(one) && near.size() < this->settings.near_targets ? near : others).push_back(one);
+    }
+    // The rest is drawn from other failure domains as long as there are enough members.
+    std::stable_partition(others.begin(), others.end(), [&](const auto* one) { return !is_near(one); });
+    candidates = std::move(near);
+    candidates.insert(candidates.end(), others.begin(), others.end());
+}
+
 std::vector<member_view> membership::alive(time_ms now) const
 {
     std::vector<member_view> list;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -66,6 +66,7 @@
             this->paths.check(suspect, std::move(done));
         };
         this->control.set_path_check(check);
+        this->control.set_table_check([this] { return this->io.reaches_table(); });
         this->stalls.set_path_check(check);
         this->losses.set_path_check(check);
         this->crashes.set_path_check(check);
@@ -97,6 +98,13 @@
         this->peers->set_kept_listener([this](const kept_requests& report) {
             this->control.on_kept_requests(report, this->relay.clock.now());
         });
+        this->peers->set_version_listener([this](std::uint64_t version) {
+            const auto now = this->relay.clock.now();
+            this->relay.doubt.on_peer_version(version, now);
+            if (const auto lag = this->relay.doubt.behind_peers_for(this->manifest_version(), now); lag > 0_ms) {
+                this->lag_listener(lag);
+            }
+        });
         this->relay.on_statement = [this] { this->schedule_control(); };
         this->relay.request_permit = [this](const rate_limit& limit, permit_exchange::on_decision done) {
             this->permits.request(limit, std::move(done));
@@ -118,8 +126,10 @@
         this->run_housekeeping();
     }
 
-    /// Puts a manifest in force if it replaces the current one; see `replaces_manifest`.
-    void set_manifest(relay_manifest manifest, const std::string& text, manifest_source source)
+    /// Puts a manifest in force if it replaces the current one; see `replaces_manifest`. `skipped` older ones
+    /// were received since the last one, and it was received `waited` ago.
+    void set_manifest(relay_manifest manifest, const std::string& text, manifest_source source,
+                      std::size_t skipped = 0, time_ms waited = {})
     {
         const auto current = this->manifest_version();
         if (!replaces_manifest({manifest.version, text}, source, {current, this->manifest_text})) {
@@ -130,7 +140,9 @@
                                            {"routes", manifest.routes.size()},
                                            {"services", manifest.services.size()},
                                            {"customers", manifest.customers.size()},
-                                           {"source", name_of(source)}});
+                                           {"source", name_of(source)},
+                                           {"skipped", skipped},
+                                           {"waited", waited}});
         this->manifest_text = text;
         this->relay.routes = std::make_shared<const route_table>(std::move(manifest));
         this->refresh();
@@ -156,6 +168,25 @@
         return this->relay.routes ? this->relay.routes->manifest().version : 0;
     }
 
+    /// The text of the manifest in force.
+    [[nodiscard]] const std::string& manifest_in_force() const noexcept { return this->manifest_text; }
+
+    /// Sets the function that is called, again and again, while peers have a newer manifest, with how long
+    /// that has been so. Must be called before `start`.
+    void set_manifest_lag_listener(std::function<void(time_ms)> listener)
+    {
+        this->lag_listener = std::move(listener);
+    }
+
+    /// Notes whether the table of manifests can be reached.
+    void note_manifest_table(bool reaches)
+    {
+        this->relay.doubt.on_table_reach(reaches, this->relay.clock.now());
+    }
+
+    /// Notes that a manifest received at `since` waits to be put in force; nothing: none does.
+    void note_waiting_manifest(std::optional<time_ms> since) { this->relay.doubt.on_waiting(since); }
+
     /// Starts a graceful shutdown: the directory stops listing this entry host, requests in flight are
     /// finished, then the event loop stops.
     void stop()
@@ -374,6 +405,7 @@
     graceful_stop::listener_list listeners;
     graceful_stop stopping{this->loop, this->relay, this->values, this->listeners};
     std::string manifest_text;
+    std::function<void(time_ms)> lag_listener = [](time_ms) {};
     std::uint64_t targets_change_count = 0; ///< The view's change count when targets were set.
     asio::steady_timer control_timer;
     asio::steady_timer peer_timer;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_peers.hpp"
 
+#include "coriander/digest.hpp"
 #include "coriander/shard_choice.hpp"
 #include "gateway/peer_round.hpp"
 #include "gateway/should_send_manifest.hpp"
@@ -7,6 +8,7 @@
 #include "runtime/log.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace coriander {
 namespace {
@@ -18,13 +20,14 @@
 {
     membership_settings settings;
     settings.alive_window = alive_window;
+    settings.near_targets = near_peers_per_round;
     return settings;
 }
 
 /// Whether it is a gateway that takes callers' requests and isn't stopping.
-bool takes_callers(const member_view& view)
+bool takes_callers(const member_identity& identity, const member_heartbeat& heartbeat)
 {
-    return !view.heartbeat.stopping && !view.identity.http_address.empty();
+    return !heartbeat.stopping && !identity.http_address.empty();
 }
 
 } // namespace
@@ -84,9 +87,12 @@
         const auto& sender = message.identities.front();
         this->peer_keys.on_key(sender.name, sender.incarnation, *message.relay_key);
     }
+    std::uint64_t newest_version = 0;
     for (const auto& beat : message.beats) {
         this->members.merge_heartbeat(beat, now);
+        newest_version = std::max(newest_version, beat.config_number);
     }
+    this->versions(newest_version);
     if (message.config) {
         this->manifest(message.config->number, message.config->toml);
     }
@@ -134,9 +140,11 @@
     }
     message.crashes = std::move(crash_reports);
     const auto targets = this->members.choose_targets(peers_per_round, now, this->random);
-    const auto others = this->members.alive(now);
+    const auto others = this->lacks_manifest(manifest_version, now) && !manifest_text.empty()
+                            ? this->members.alive(now)
+                            : std::vector<member_view>{};
     for (const auto& view : others) {
-        if (view.heartbeat.config_number < manifest_version && !manifest_text.empty() &&
+        if (view.heartbeat.config_number < manifest_version &&
             should_send_manifest(this->members.self().name, state.reaches_table, view, others,
                                  now - this->manifest_received_at) &&
             this->sent.mark_sent_if_due(view.identity.name, manifest_version, now)) {
@@ -178,11 +186,12 @@
 void gateway_peers::send_to(std::span<const std::string> names, const peer_message& message)
 {
     std::vector<std::string> addresses;
-    for (const auto& view : this->members.alive(this->clock.now())) {
-        if (std::find(names.begin(), names.end(), view.identity.name) != names.end()) {
-            addresses.push_back(view.identity.peer_address);
-        }
-    }
+    this->members.visit_alive(
+        this->clock.now(), [&](const member_identity& identity, const member_heartbeat& /*heartbeat*/) {
+            if (std::find(names.begin(), names.end(), identity.name) != names.end()) {
+                addresses.push_back(identity.peer_address);
+            }
+        });
     this->link.send_all(std::move(addresses), message);
 }
 
@@ -212,18 +221,38 @@
     return issuer == others.end() ? std::nullopt : std::optional{issuer->peer_address};
 }
 
-std::size_t gateway_peers::group_of(const std::string& name, std::size_t daemons)
+bool gateway_peers::is_in_own_group(const std::string& name, const std::string& failure_domain) const
 {
-    return member_id(name) % ((daemons + reader_group_size - 1) / reader_group_size);
+    const auto& self = this->members.self();
+    const auto& list = this->current_controllers();
+    if (list.names.size() <= reader_group_size) {
+        return true;
+    }
+    const auto parts = (list.nearby.size() + reader_group_size - 1) / reader_group_size;
+    return failure_domain == self.failure_domain &&
+           (parts <= 1 || member_id(name) % parts == member_id(self.name) % parts);
 }
 
 bool gateway_peers::is_reader(std::string_view table) const
+{
+    auto& list = this->current_controllers();
+    const auto known = list.is_reader.find(table);
+    if (known != list.is_reader.end()) {
+        return known->second;
+    }
+    const bool is_reader = this->find_is_reader(table);
+    list.is_reader.emplace(table, is_reader);
+    return is_reader;
+}
+
+bool gateway_peers::find_is_reader(std::string_view table) const
 {
     const auto& own = this->members.self().name;
-    auto group = this->controllers();
-    const auto daemons = group.size();
-    const auto own_group = group_of(own, daemons);
-    std::erase_if(group, [&](const std::string& name) { return group_of(name, daemons) != own_group; });
+    const auto& list = this->current_controllers();
+    auto group = list.names.size() <= reader_group_size ? list.names : list.nearby;
+    const auto& failure_domain = this->members.self().failure_domain;
+    std::erase_if(group,
+                  [&](const std::string& name) { return !this->is_in_own_group(name, failure_domain); });
     const bool is_member = std::find(group.begin(), group.end(), own) != group.end();
     return is_member && shard_rank(std::string{table}, own, group) == 0;
 }
@@ -232,25 +261,35 @@
 {
     peer_message message;
     message.news = read;
-    const auto daemons = this->controllers().size();
-    const auto own = group_of(this->members.self().name, daemons);
     std::vector<std::string> addresses;
-    for (const auto& view : this->members.alive(this->clock.now())) {
-        if (group_of(view.identity.name, daemons) == own) {
-            addresses.push_back(view.identity.peer_address);
-        }
-    }
+    this->members.visit_alive(
+        this->clock.now(), [&](const member_identity& identity, const member_heartbeat& /*heartbeat*/) {
+            if (this->is_in_own_group(identity.name, identity.failure_domain)) {
+                addresses.push_back(identity.peer_address);
+            }
+        });
     this->link.send_all(std::move(addresses), message);
 }
 
+bool gateway_peers::lacks_manifest(std::uint64_t version, time_ms now) const
+{
+    bool lacks = false;
+    this->members.visit_alive(now,
+                              [&](const member_identity& /*identity*/, const member_heartbeat& heartbeat) {
+                                  lacks = lacks || heartbeat.config_number < version;
+                              });
+    return lacks;
+}
+
 std::vector<member_identity> gateway_peers::serving() const
 {
     std::vector<member_identity> found;
-    for (const auto& view : this->members.alive(this->clock.now())) {
-        if (takes_callers(view)) {
-            found.push_back(view.identity);
-        }
-    }
+    this->members.visit_alive(this->clock.now(),
+                              [&](const member_identity& identity, const member_heartbeat& heartbeat) {
+                                  if (takes_callers(identity, heartbeat)) {
+                                      found.push_back(identity);
+                                  }
+                              });
     return found;
 }
 
@@ -260,7 +299,7 @@
     for (const auto& view : this->members.alive(this->clock.now())) {
         const auto key = this->peer_keys.find(view.identity.name, view.heartbeat.incarnation);
         if (key && view.understands(peer_feature::relayed_requests) && !view.heartbeat.is_cut_off &&
-            takes_callers(view)) {
+            takes_callers(view.identity, view.heartbeat)) {
             found.push_back({view.identity, *key});
         }
     }
@@ -285,29 +324,69 @@
 
 bool gateway_peers::all_understand(peer_feature feature) const
 {
-    const auto others = this->members.alive(this->clock.now());
-    return std::all_of(others.begin(), others.end(),
-                       [&](const member_view& view) { return view.understands(feature); });
+    bool do_all = true;
+    this->members.visit_alive(
+        this->clock.now(), [&](const member_identity& identity, const member_heartbeat& heartbeat) {
+            do_all = do_all && identity.incarnation == heartbeat.incarnation && identity.features.contains(feature);
+        });
+    return do_all;
 }
 
 std::size_t gateway_peers::count() const
 {
-    return this->members.alive(this->clock.now()).size() + 1;
+    std::size_t alive = 1;
+    this->members.visit_alive(
+        this->clock.now(),
+        [&](const member_identity& /*identity*/, const member_heartbeat& /*heartbeat*/) { ++alive; });
+    return alive;
 }
 
-std::vector<std::string> gateway_peers::controllers() const
+std::uint64_t gateway_peers::controller_digest() const
 {
-    std::vector<std::string> connected;
-    std::vector<std::string> cut_off;
-    (this->members.own_heartbeat().is_cut_off ? cut_off : connected).push_back(this->members.self().name);
-    for (const auto& view : this->members.alive(this->clock.now())) {
-        if (view.heartbeat.table_reachable && !view.heartbeat.stopping) {
-            (view.heartbeat.is_cut_off ? cut_off : connected).push_back(view.identity.name);
-        }
+    std::uint64_t digest = this->members.own_heartbeat().is_cut_off ? 1 : 0;
+    this->members.visit_alive(
+        this->clock.now(), [&](const member_identity& /*identity*/, const member_heartbeat& heartbeat) {
+            const std::array<std::uint64_t, 2> state{heartbeat.id, (heartbeat.table_reachable ? 1U : 0U) |
+                                                                       (heartbeat.stopping ? 2U : 0U) |
+                                                                       (heartbeat.is_cut_off ? 4U : 0U)};
+            digest = stable_hash({reinterpret_cast<const char*>(state.data()), sizeof(state)}, digest);
+        });
+    return digest;
+}
+
+gateway_peers::controller_list& gateway_peers::current_controllers() const
+{
+    auto& list = this->known_controllers;
+    const auto digest = this->controller_digest();
+    if (!list.names.empty() && list.digest == digest) {
+        return list;
     }
-    auto& found = connected.empty() ? cut_off : connected;
-    std::sort(found.begin(), found.end());
-    return std::move(found);
+    const auto& self = this->members.self();
+    controller_list connected{digest, {}, {}, {}};
+    controller_list cut_off{digest, {}, {}, {}};
+    const auto add = [&](const member_identity& identity, bool is_cut_off) {
+        auto& chosen = is_cut_off ? cut_off : connected;
+        chosen.names.push_back(identity.name);
+        if (identity.failure_domain == self.failure_domain) {
+            chosen.nearby.push_back(identity.name);
+        }
+    };
+    add(self, this->members.own_heartbeat().is_cut_off);
+    this->members.visit_alive(this->clock.now(),
+                              [&](const member_identity& identity, const member_heartbeat& heartbeat) {
+                                  if (heartbeat.table_reachable && !heartbeat.stopping) {
+                                      add(identity, heartbeat.is_cut_off);
+                                  }
+                              });
+    list = std::move(connected.names.empty() ? cut_off : connected);
+    std::sort(list.names.begin(), list.names.end());
+    std::sort(list.nearby.begin(), list.nearby.end());
+    return list;
+}
+
+const std::vector<std::string>& gateway_peers::controllers() const
+{
+    return this->current_controllers().names;
 }
 
 } // namespace coriander
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -69,6 +69,11 @@
 
     /// Sets the receiver of hosts that peers have found lost.
     void set_loss_listener(losses_handler listener) { this->losses = std::move(listener); }
+    /// Sets the receiver of the newest manifest's version that a message names.
+    void set_version_listener(std::function<void(std::uint64_t)> listener)
+    {
+        this->versions = std::move(listener);
+    }
     /// Sets the receiver of peers' reports on crashes.
     void set_crash_listener(crashes_handler listener) { this->crashes = std::move(listener); }
     /// Sets the receiver of peers' permit requests and answers.
@@ -126,26 +131,45 @@
     [[nodiscard]] std::size_t count() const;
     /// Sorted names of the gateways that can control replicas: this one, and all others that are alive, reach
     /// the table and aren't stopping. Without those that are cut off from hosts, unless all are.
-    [[nodiscard]] std::vector<std::string> controllers() const;
+    [[nodiscard]] const std::vector<std::string>& controllers() const;
 
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
     /// The port on which peers' messages arrive.
     [[nodiscard]] std::uint16_t port() const { return this->link.port(); }
 
 private:
-    /// Approximate size of a reader group; keeps what a reader sends constant for any number of daemons.
+    /// Most daemons of a reader group; keeps what a reader sends constant for any number of daemons. With more
+    /// daemons, a group has those of one failure domain, so that news seldom leave it.
     static constexpr std::size_t reader_group_size = 64;
 
+    /// The controllers, and for which tables this gateway reads, as of a digest of what they follow from.
+    struct controller_list {
+        std::uint64_t digest = 0;
+        std::vector<std::string> names;
+        std::vector<std::string> nearby; ///< Those of them in this gateway's failure domain.
+        std::map<std::string, bool, std::less<>> is_reader; ///< By table.
+    };
+
+    /// A digest of the live gateways and of their states that decide who controls.
+    [[nodiscard]] std::uint64_t controller_digest() const;
+    /// The list, made anew if the digest has changed: it is needed many times a second, and changes seldom.
+    [[nodiscard]] controller_list& current_controllers() const;
+    [[nodiscard]] bool find_is_reader(std::string_view table) const;
+
     void receive(const peer_message& message);
+    /// Whether a live peer has an older manifest, by its last heartbeat.
+    [[nodiscard]] bool lacks_manifest(std::uint64_t version, time_ms now) const;
     void note_build(const member_identity& reported);
     void send_to(std::span<const std::string> names, const peer_message& message);
     void send_known_crashes(const member_identity& sender);
-    [[nodiscard]] static std::size_t group_of(const std::string& name, std::size_t daemons);
+    /// Whether the daemon gets its news from the same reader as this one.
+    [[nodiscard]] bool is_in_own_group(const std::string& name, const std::string& failure_domain) const;
 
     std::vector<std::string> seeds;
     manifest_handler manifest;
     news_handler news;
     loads_handler loads = [](std::uint64_t, const load_update&) {};
+    std::function<void(std::uint64_t)> versions = [](std::uint64_t) {};
     crashes_handler crashes = [](const crash_update&) {};
     std::function<crash_update()> known_crashes = [] { return crash_update{}; };
     std::map<std::string, std::uint64_t> informed_peers; ///< Incarnations of the peers heard of, by name.
@@ -161,6 +185,7 @@
     peer_builds builds;
     monotonic_clock clock;
     membership members;
+    mutable controller_list known_controllers;
     std::mt19937 random;
     peer_link link;
 };
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -10,6 +10,7 @@
 #include "coriander/relay/route_table.hpp"
 #include "coriander/relay/target_statements.hpp"
 #include "gateway/forged_marks.hpp"
+#include "gateway/manifest_doubt.hpp"
 #include "gateway/path_check.hpp"
 #include "gateway/relay_dialect.hpp"
 #include "gateway/relaying_gateway.hpp"
@@ -51,6 +52,7 @@
     channel_pool channels;
     std::mt19937 random;
     std::shared_ptr<const route_table> routes; ///< Null until the first manifest has been received.
+    manifest_doubt doubt;                      ///< Whether that manifest may be outdated.
     target_statements statements;
     std::map<std::string, service_state> services;
     retry_window_settings retry_settings;
--- a/src/gateway/relay_events.cpp
+++ b/src/gateway/relay_events.cpp
@@ -43,6 +43,16 @@
                                        {"retry_after", report.retry_after}});
 }
 
+void log_doubt(const relay_request& request, local_reply problem, std::uint64_t version,
+               manifest_doubt_cause cause, time_ms age)
+{
+    log_event(event::manifest_doubted, {{"request", request.attempt_id},
+                                        {"instead_of", name_of(problem)},
+                                        {"version", version},
+                                        {"cause", name_of(cause)},
+                                        {"age", age}});
+}
+
 void log_quarantined(const relay_request& request, unsigned attempts_sent, time_ms retry_after)
 {
     log_event(event::request_quarantined, {{"request", request.attempt_id},
--- a/src/gateway/relay_events.hpp
+++ b/src/gateway/relay_events.hpp
@@ -4,6 +4,7 @@
 #include "coriander/relay/attempt_decision.hpp"
 #include "coriander/relay/crash_quarantine.hpp"
 #include "coriander/relay/target_pool.hpp"
+#include "gateway/manifest_doubt.hpp"
 #include "gateway/relay_request.hpp"
 
 #include <cstddef>
@@ -55,6 +56,9 @@
 /// Write one log line for each decision on a request. Thread-safe.
 void log_refusal(const relay_request& request, local_reply reply, const std::optional<target_choice>& best,
                  const refusal_report& report);
+/// Logs that a request is not called wrong, since the manifest that says so may be outdated.
+void log_doubt(const relay_request& request, local_reply problem, std::uint64_t version,
+               manifest_doubt_cause cause, time_ms age);
 void log_quarantined(const relay_request& request, unsigned attempts_sent, time_ms retry_after);
 void log_permit(const relay_request& request, const target_choice& choice, permit_decision decision);
 /// Logs that requests had a mark that no gateway made for them: `count` of them up to the one named.
--- a/src/gateway/relay_request.cpp
+++ b/src/gateway/relay_request.cpp
@@ -96,7 +96,8 @@
 bool depends_on_gateway(local_reply reply) noexcept
 {
     return reply == local_reply::no_manifest || reply == local_reply::cut_off ||
-           reply == local_reply::relay_limit || reply == local_reply::stopping;
+           reply == local_reply::relay_limit || reply == local_reply::stopping ||
+           reply == local_reply::outdated;
 }
 
 } // namespace
@@ -189,7 +190,8 @@
 {
     constexpr std::array names{"none",        "no_manifest", "no_route", "unknown_key", "no_service",
                                "quarantined", "no_target",   "cut_off",  "relay_limit", "paused",
-                               "overloaded",  "stopping",    "not_sent", "unknown_end", "timed_out"};
+                               "overloaded",  "stopping",    "outdated", "not_sent",    "unknown_end",
+                               "timed_out"};
     return names[static_cast<std::size_t>(reply)];
 }
 
--- a/src/gateway/relay_request.hpp
+++ b/src/gateway/relay_request.hpp
@@ -28,6 +28,7 @@
     paused,      ///< All targets have stated that they want no requests for a while.
     overloaded,  ///< The response would come too late, or demand exceeds capacity.
     stopping,    ///< The gateway is shutting down.
+    outdated,    ///< The route or key is not in the manifest, which may be outdated.
     not_sent,    ///< All attempts failed before a target ran the request.
     unknown_end, ///< The attempt failed, but the request may have run.
     timed_out,   ///< The time limit passed.
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -36,7 +36,10 @@
     this->self = this->shared_from_this();
     this->context.sessions.insert(this);
     this->check_mark();
-    const auto problem = decode_request(this->request, this->context.dialect, this->context.draw());
+    auto problem = decode_request(this->request, this->context.dialect, this->context.draw());
+    if (problem == local_reply::no_route || problem == local_reply::unknown_key) {
+        problem = this->reply_by_doubt(problem);
+    }
     if (problem != local_reply::none) {
         this->send_local_reply(problem, short_retry_delay);
         return;
@@ -74,6 +77,18 @@
     this->admit();
 }
 
+local_reply relay_session::reply_by_doubt(local_reply problem) const
+{
+    const auto now = this->context.clock.now();
+    const auto version = this->request.routes->manifest().version;
+    const auto cause = this->context.doubt.cause(version, now);
+    if (cause == manifest_doubt_cause::none) {
+        return problem;
+    }
+    log_doubt(this->request, problem, version, cause, this->context.doubt.age(cause, now));
+    return local_reply::outdated;
+}
+
 bool relay_session::may_outlast_process() const
 {
     const auto& exits_at = this->context.exits_at;
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -168,6 +168,8 @@
     /// Whether the time left, the number of tried targets and the quarantine allow another attempt.
     [[nodiscard]] bool may_retry(const attempt_state& after, std::size_t tried);
     void execute(next_step step, const std::optional<target_choice>& next);
+    /// The reply to a request whose route or key the manifest lacks: it may be in one that is newer.
+    [[nodiscard]] local_reply reply_by_doubt(local_reply problem) const;
     void send_local_reply(local_reply reply, time_ms retry_after = {});
     void forward_response();
     void finish(const char* outcome, int status);
--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -262,4 +262,31 @@
     CHECK(table.request_count() <= 4);
 }
 
+TEST_CASE("table follower: after an outage, reads the newest rows and not each version since")
+{
+    followed_table table{{page(row("a", "1", 1), 5), "cut", page(row("a", "120", 125), 125)},
+                         {"t", 1_s, {}, {}, {}, 400_ms}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.rows["a"] == "120"; }));
+    CHECK(table.store.server.requests()[1].find("rows-feed") != std::string::npos);
+    CHECK(table.store.server.requests()[2].find("rows-get") != std::string::npos);
+}
+
+TEST_CASE("table follower: changes in quick succession are read as the rows are, not one by one")
+{
+    followed_table table{{page(row("a", "1", 1), 1), page(row("a", "2", 2), 2), page(row("a", "3", 3), 3),
+                          page(row("a", "9", 9), 9), page(row("a", "9", 9), 9), page(row("a", "10", 10), 10)},
+                         {"t", 1_s, {}, {}, {}, 400_ms}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.rows["a"] == "10"; }));
+    const auto is_feed = [&](std::size_t i) {
+        return table.store.server.requests()[i].find("rows-feed") != std::string::npos;
+    };
+    CHECK(is_feed(1));
+    CHECK(is_feed(2));
+    CHECK_FALSE(is_feed(3)); // Version 3 followed version 2 at once.
+    CHECK_FALSE(is_feed(4)); // Version 9 has come since.
+    CHECK(is_feed(5));       // Nothing has.
+}
+
 } // namespace coriander::platform
