Peers: strong gateways read and control for the others, and rows travel compressed

Change: gateways with 0.4 cores and 100 Mbit/s say so in a flag of their heartbeats; if there are four or more of them, only they read tables for others and control replicas. Rows and manifests are compressed with zlib between peers that understand it (feature packed_messages; bounds before memory is taken).

--- a/include/coriander/membership.hpp
+++ b/include/coriander/membership.hpp
@@ -34,6 +34,7 @@
     bool stopping = false;
     bool table_reachable = true;
     bool is_cut_off = false; ///< It can't reach the hosts of some service.
+    bool is_strong = false;  ///< It can work for others: read tables and control replicas.
     /// Flags that this build doesn't know; forwarded as they are.
     std::uint32_t unknown_flags = 0;
 };
@@ -80,6 +81,9 @@
     void advance_heartbeat(std::uint64_t config_number, bool stopping, bool table_reachable,
                            bool is_cut_off = false);
 
+    /// Sets whether this daemon's heartbeats say that it can work for others.
+    void set_strong(bool is_strong) { this->own_state.is_strong = is_strong; }
+
     /// Adds or updates a member that the table or a message named. Does not count as a sign of life. Features
     /// and build hold for a whole incarnation: a daemon of an older build forwards the identity without them.
     void add_identity(const member_identity& identity, time_ms now);
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -262,6 +262,10 @@
             return false;
         }
         const auto daemons = this->io.daemons();
+        if (std::find(daemons.begin(), daemons.end(), this->self) == daemons.end()) {
+            work.due_since = now; // Others control; should they all end, this daemon waits like the others.
+            return false;
+        }
         const bool is_owner_alive =
             std::find(daemons.begin(), daemons.end(), current.record.owner) != daemons.end();
         auto delay = this->settings.rank_delay * this->rank_of(key);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -85,6 +85,7 @@
     {
         this->peers = &others;
         this->peers->set_relay_key(this->relay.relay_key);
+        this->peers->set_strong(this->values.is_strong());
         this->pages.set_report_source([this] { return this->peers->reports(); });
         this->peers->set_load_listener(
             [this](std::uint64_t sender, const load_update& news) { this->loads.merge(sender, news); });
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -4,7 +4,7 @@
 #include "coriander/shard_choice.hpp"
 #include "gateway/peer_round.hpp"
 #include "gateway/should_send_manifest.hpp"
-#include "peer/peer_message.hpp"
+#include "peer/packed_message.hpp"
 #include "runtime/log.hpp"
 
 #include <algorithm>
@@ -158,7 +158,7 @@
             with_manifest.config = config_record{};
             with_manifest.config->number = manifest_version;
             with_manifest.config->toml = manifest_text;
-            this->link.send(view.identity.peer_address, with_manifest);
+            this->send_large({&view.identity, 1}, with_manifest);
         }
     }
     std::vector<std::string> addresses;
@@ -225,10 +225,10 @@
 {
     const auto& self = this->members.self();
     const auto& list = this->current_controllers();
-    if (list.names.size() <= reader_group_size) {
+    if (list.daemons <= reader_group_size) {
         return true;
     }
-    const auto parts = (list.nearby.size() + reader_group_size - 1) / reader_group_size;
+    const auto parts = (list.nearby_daemons + reader_group_size - 1) / reader_group_size;
     return failure_domain == self.failure_domain &&
            (parts <= 1 || member_id(name) % parts == member_id(self.name) % parts);
 }
@@ -249,7 +249,7 @@
 {
     const auto& own = this->members.self().name;
     const auto& list = this->current_controllers();
-    auto group = list.names.size() <= reader_group_size ? list.names : list.nearby;
+    auto group = list.daemons <= reader_group_size ? list.names : list.nearby;
     const auto& failure_domain = this->members.self().failure_domain;
     std::erase_if(group,
                   [&](const std::string& name) { return !this->is_in_own_group(name, failure_domain); });
@@ -261,14 +261,33 @@
 {
     peer_message message;
     message.news = read;
-    std::vector<std::string> addresses;
+    std::vector<member_identity> recipients;
     this->members.visit_alive(
-        this->clock.now(), [&](const member_identity& identity, const member_heartbeat& /*heartbeat*/) {
+        this->clock.now(), [&](const member_identity& identity, const member_heartbeat& heartbeat) {
             if (this->is_in_own_group(identity.name, identity.failure_domain)) {
-                addresses.push_back(identity.peer_address);
+                recipients.push_back(identity);
+                if (identity.incarnation != heartbeat.incarnation) {
+                    recipients.back().features = {}; // Of an earlier process.
+                }
             }
         });
-    this->link.send_all(std::move(addresses), message);
+    this->send_large(recipients, message);
+}
+
+void gateway_peers::send_large(std::span<const member_identity> recipients, const peer_message& message)
+{
+    std::vector<std::string> addresses;
+    std::vector<std::string> addresses_unpacked;
+    for (const auto& recipient : recipients) {
+        const bool unpacks = recipient.features.contains(peer_feature::packed_messages);
+        (unpacks ? addresses : addresses_unpacked).push_back(recipient.peer_address);
+    }
+    if (!addresses.empty()) {
+        this->link.send_all(std::move(addresses), pack_message(message));
+    }
+    if (!addresses_unpacked.empty()) {
+        this->link.send_all(std::move(addresses_unpacked), message);
+    }
 }
 
 bool gateway_peers::lacks_manifest(std::uint64_t version, time_ms now) const
@@ -348,7 +367,8 @@
         this->clock.now(), [&](const member_identity& /*identity*/, const member_heartbeat& heartbeat) {
             const std::array<std::uint64_t, 2> state{heartbeat.id, (heartbeat.table_reachable ? 1U : 0U) |
                                                                        (heartbeat.stopping ? 2U : 0U) |
-                                                                       (heartbeat.is_cut_off ? 4U : 0U)};
+                                                                       (heartbeat.is_cut_off ? 4U : 0U) |
+                                                                       (heartbeat.is_strong ? 8U : 0U)};
             digest = stable_hash({reinterpret_cast<const char*>(state.data()), sizeof(state)}, digest);
         });
     return digest;
@@ -362,23 +382,42 @@
         return list;
     }
     const auto& self = this->members.self();
-    controller_list connected{digest, {}, {}, {}};
-    controller_list cut_off{digest, {}, {}, {}};
-    const auto add = [&](const member_identity& identity, bool is_cut_off) {
-        auto& chosen = is_cut_off ? cut_off : connected;
-        chosen.names.push_back(identity.name);
-        if (identity.failure_domain == self.failure_domain) {
-            chosen.nearby.push_back(identity.name);
+    std::array<controller_list, 3> kinds; // Strong, others, cut off from hosts.
+    controller_list all;
+    const auto add = [&](const member_identity& identity, const member_heartbeat& heartbeat) {
+        const bool is_near = identity.failure_domain == self.failure_domain;
+        ++all.daemons;
+        all.nearby_daemons += is_near ? 1 : 0;
+        auto& kind = kinds.at(heartbeat.is_cut_off ? 2 : heartbeat.is_strong ? 0 : 1);
+        kind.names.push_back(identity.name);
+        if (is_near) {
+            kind.nearby.push_back(identity.name);
         }
     };
-    add(self, this->members.own_heartbeat().is_cut_off);
+    add(self, this->members.own_heartbeat());
     this->members.visit_alive(this->clock.now(),
                               [&](const member_identity& identity, const member_heartbeat& heartbeat) {
                                   if (heartbeat.table_reachable && !heartbeat.stopping) {
-                                      add(identity, heartbeat.is_cut_off);
+                                      add(identity, heartbeat);
                                   }
                               });
-    list = std::move(connected.names.empty() ? cut_off : connected);
+    auto& [strong, others, cut_off] = kinds;
+    const auto join = [](std::vector<std::string>& first, const std::vector<std::string>& second) {
+        first.insert(first.end(), second.begin(), second.end());
+    };
+    const bool are_enough = strong.names.size() >= min_strong;
+    if (are_enough) {
+        others.names.clear();
+    }
+    if (are_enough && !strong.nearby.empty()) {
+        others.nearby.clear(); // Else the failure domain has none, and one of the others reads.
+    }
+    join(strong.names, others.names);
+    join(strong.nearby, others.nearby);
+    list = std::move(strong.names.empty() ? cut_off : strong);
+    list.digest = digest;
+    list.daemons = all.daemons;
+    list.nearby_daemons = all.nearby_daemons;
     std::sort(list.names.begin(), list.names.end());
     std::sort(list.nearby.begin(), list.nearby.end());
     return list;
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -33,6 +33,7 @@
     bool is_cut_off = false; ///< It can't reach the hosts of some service.
 };
 
+
 /// Exchanges heartbeats with the other gateways, and sends the manifest to those that have an older one, so
 /// that a daemon that the store rejects stays up to date. A daemon that reads changes from a table forwards
 /// them, so that not every daemon polls the store. Soft state only. Must be used on the event loop's thread
@@ -121,6 +122,8 @@
     /// Those of them that reach the hosts of all services and recognize the mark of a request that is passed
     /// on to them.
     [[nodiscard]] std::vector<relaying_gateway> relaying() const;
+    /// Sets whether this gateway can work for others beside its callers.
+    void set_strong(bool is_strong) { this->members.set_strong(is_strong); }
     /// Sets the key of this gateway, which it sends to its peers.
     void set_relay_key(const mac_key& key) { this->relay_key = key; }
     /// This gateway, and all others that are alive, with their builds and features.
@@ -130,7 +133,8 @@
     /// The number of live gateways, including this one.
     [[nodiscard]] std::size_t count() const;
     /// Sorted names of the gateways that can control replicas: this one, and all others that are alive, reach
-    /// the table and aren't stopping. Without those that are cut off from hosts, unless all are.
+    /// the table and aren't stopping. Without those that are cut off from hosts, unless all are. If enough of
+    /// them are strong, only these.
     [[nodiscard]] const std::vector<std::string>& controllers() const;
 
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
@@ -138,6 +142,8 @@
     [[nodiscard]] std::uint16_t port() const { return this->link.port(); }
 
 private:
+    /// So many strong gateways control and read for all. With fewer, the loss of some would leave too few.
+    static constexpr std::size_t min_strong = 4;
     /// Most daemons of a reader group; keeps what a reader sends constant for any number of daemons. With more
     /// daemons, a group has those of one failure domain, so that news seldom leave it.
     static constexpr std::size_t reader_group_size = 64;
@@ -147,6 +153,8 @@
         std::uint64_t digest = 0;
         std::vector<std::string> names;
         std::vector<std::string> nearby; ///< Those of them in this gateway's failure domain.
+        std::size_t nearby_daemons = 0;  ///< All gateways in this failure domain.
+        std::size_t daemons = 0;         ///< All gateways.
         std::map<std::string, bool, std::less<>> is_reader; ///< By table.
     };
 
@@ -161,6 +169,8 @@
     [[nodiscard]] bool lacks_manifest(std::uint64_t version, time_ms now) const;
     void note_build(const member_identity& reported);
     void send_to(std::span<const std::string> names, const peer_message& message);
+    /// Sends a message with large parts, compressed to those that understand that.
+    void send_large(std::span<const member_identity> recipients, const peer_message& message);
     void send_known_crashes(const member_identity& sender);
     /// Whether the daemon gets its news from the same reader as this one.
     [[nodiscard]] bool is_in_own_group(const std::string& name, const std::string& failure_domain) const;
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -14,6 +14,8 @@
 constexpr number_range window_range_ms{1000, 600'000};
 constexpr number_range ratio_range{0.0, 10.0};
 constexpr number_range allowance_range{0.0, 1e6};
+constexpr number_range link_range{0.0, 1e6};
+constexpr number_range share_range{0.0, 1e4};
 
 const toml::table& required_section(toml_checker& check, const toml::table& document, std::string_view name)
 {
@@ -47,7 +49,8 @@
 {
     const auto& table = required_section(check, document, "entry_host");
     check.reject_unknown(table, {"name", "failure_domain", "region", "ip", "callers", "readiness",
-                                 "directory", "metrics", "peer_port", "seeds", "first_start"});
+                                 "directory", "metrics", "peer_port", "seeds", "first_start", "link_mbps",
+                                 "processor_share"});
     values.name = check.required_text(table, "name");
     values.failure_domain = check.required_text(table, "failure_domain");
     values.region = check.optional_text(table, "region", "default");
@@ -58,6 +61,8 @@
     values.metrics_address = read_address(check, table, "metrics", false);
     values.peer_port = static_cast<std::uint16_t>(check.integer(table, "peer_port", 0, port_range));
     values.is_first_start = check.boolean(table, "first_start", false);
+    values.link_mbps = check.number(table, "link_mbps", 0.0, link_range);
+    values.processor_share = check.number(table, "processor_share", 0.0, share_range);
     if (const auto* seeds = table.get_as<toml::array>("seeds")) {
         for (const auto& item : *seeds) {
             const auto seed = item.value<std::string>().value_or("");
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -25,11 +25,22 @@
     std::vector<std::string> seeds; ///< `IP:port` of peers to contact first.
     std::string store_address;      ///< `IP:port` of the platform's store.
     time_ms leaving_limit{2000};    ///< Time within which a leaving host stops getting new work.
+    double link_mbps = 0.0;         ///< Rate of the entry host's link; 0: not known.
+    double processor_share = 0.0;   ///< Cores that the process may use; 0: not known.
     bool is_first_start = false;    ///< The whole system is being started for the first time.
     time_ms stop_limit{8000};       ///< From the stop signal until the process is killed.
     time_ms directory_ttl{2000};    ///< How long callers may cache a directory response.
     retry_window_settings retries;
     std::string log_level = "INFO";
+
+    /// Whether the entry host can work for the others beside its callers: read the tables and control
+    /// replicas. What a reader sends in a second while replicas are formed takes a link of 20 Mbit/s seconds.
+    [[nodiscard]] bool is_strong() const noexcept
+    {
+        constexpr double min_link_mbps = 100.0;
+        constexpr double min_processor_share = 0.4;
+        return this->link_mbps >= min_link_mbps && this->processor_share >= min_processor_share;
+    }
 };
 
 /// The result of parsing: `values` is usable only if `faults` is empty.
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "peer/peer_link.hpp"
 
 #include "net/link_liveness.hpp"
+#include "peer/packed_message.hpp"
 #include "runtime/log.hpp"
 
 #include <asio.hpp>
@@ -141,6 +142,9 @@
                          [this, from](const asio::error_code& problem, std::size_t) {
                              auto message = problem ? fail(error_kind::malformed, problem.message())
                                                     : decode_peer_message(from->body);
+                             if (message) {
+                                 message = unpack_message(std::move(message).value());
+                             }
                              if (!message) {
                                  from->timer.cancel();
                                  return;
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -12,7 +12,8 @@
 constexpr std::uint32_t stopping_flag = 1;
 constexpr std::uint32_t table_reachable_flag = 2;
 constexpr std::uint32_t cut_off_flag = 4;
-constexpr std::uint32_t known_flags = stopping_flag | table_reachable_flag | cut_off_flag;
+constexpr std::uint32_t strong_flag = 8;
+constexpr std::uint32_t known_flags = stopping_flag | table_reachable_flag | cut_off_flag | strong_flag;
 constexpr std::size_t key_half_size = mac_key_size / 2;
 constexpr std::size_t bits_per_byte = 8;
 
@@ -24,7 +25,8 @@
 std::uint32_t flags_of(const member_heartbeat& beat)
 {
     return (beat.stopping ? stopping_flag : 0) | (beat.table_reachable ? table_reachable_flag : 0) |
-           (beat.is_cut_off ? cut_off_flag : 0) | (beat.unknown_flags & ~known_flags);
+           (beat.is_cut_off ? cut_off_flag : 0) | (beat.is_strong ? strong_flag : 0) |
+           (beat.unknown_flags & ~known_flags);
 }
 
 /// Clamps a count to the 16 bits that it has on the wire.
@@ -157,7 +159,8 @@
         this->builder.Finish(wire::CreatePeerMessageDirect(
             this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
             &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers, &statements, &kept,
-            message.relay_key ? &relay_key : nullptr));
+            message.relay_key ? &relay_key : nullptr, message.packed.empty() ? nullptr : &message.packed,
+            message.packed_size));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -220,7 +223,8 @@
             message.beats.push_back({one->id(), one->incarnation(), one->beat(), one->config_number(),
                                      (one->flags() & stopping_flag) != 0,
                                      (one->flags() & table_reachable_flag) != 0,
-                                     (one->flags() & cut_off_flag) != 0, one->flags() & ~known_flags});
+                                     (one->flags() & cut_off_flag) != 0, (one->flags() & strong_flag) != 0,
+                                     one->flags() & ~known_flags});
         }
     }
 }
@@ -378,6 +382,10 @@
     if (const auto* key = root.relay_key()) {
         message.relay_key = read_relay_key(*key);
     }
+    if (const auto* packed = root.packed()) {
+        message.packed.assign(packed->begin(), packed->end());
+        message.packed_size = root.packed_size();
+    }
     return message;
 }
 
--- a/src/peer/peer_message.hpp
+++ b/src/peer/peer_message.hpp
@@ -41,6 +41,9 @@
     std::vector<kept_requests> kept; ///< On replicas whose owner is the recipient.
     /// For marks of requests that are passed on to the sender; see `relay_keys`.
     std::optional<mac_key> relay_key;
+    /// A message with `config` and `news`, compressed (see `pack_message`); empty if it isn't.
+    std::vector<std::uint8_t> packed;
+    std::uint32_t packed_size = 0; ///< Its size before.
 };
 
 /// Serializes a message.
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -173,7 +173,7 @@
 TEST_CASE("peer message: flags of a heartbeat that this build doesn't know are forwarded")
 {
     peer_message message;
-    message.beats = {{7, 5, 3, 9, true, true, false, 0xA0U}};
+    message.beats = {{7, 5, 3, 9, true, true, false, false, 0xA0U}};
     const auto received = decode_peer_message(encode_peer_message(message));
     REQUIRE(received);
     membership member{beat_exchange::identity(0, 1)};
