Relay: incomplete events count among what all requests hold, and comments are no progress

response_limits_test: the three new cases fail on the code before (the sum was not counted, the comment reset the silence).

--- a/include/coriander/relay/event_framer.hpp
+++ b/include/coriander/relay/event_framer.hpp
@@ -27,6 +27,8 @@
     {
         return this->partial.find_first_not_of("\r\n") != std::string::npos;
     }
+    /// The number of buffered bytes.
+    [[nodiscard]] std::size_t partial_bytes() const noexcept { return this->partial.size(); }
     /// Whether the incomplete event exceeds the maximum length of an event.
     [[nodiscard]] bool is_too_long() const noexcept { return this->partial.size() > max_event_bytes; }
 
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -24,6 +24,7 @@
 
 relay_session::~relay_session()
 {
+    this->stream.end_attempt();
     this->release_buffer();
     this->context.sessions.erase(this);
     if (this->is_counted_as_relayed) {
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -138,6 +138,8 @@
     [[nodiscard]] bool can_wait_for_silent_target() const;
     void record_load(const message_head& head);
     void buffer_body(std::string_view bytes);
+    /// Counts the bytes of an incomplete event among those that all requests hold together.
+    void count_held_event();
     void release_buffer();
     void forward_events(std::string_view bytes);
     [[nodiscard]] bool is_event_stream() const;
@@ -188,6 +190,7 @@
     std::unique_ptr<held_attempt> held;
     std::vector<std::string> tried_targets;
     response_stream stream;
+    std::size_t counted_event_bytes = 0; ///< Of an incomplete event, in the context's sum.
     unsigned attempts_sent = 0;
     unsigned denied_permits = 0;
     bool is_asking_to_move = false;
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -140,6 +140,7 @@
         this->tried_targets.push_back(target.id);
     }
     this->stream.end_attempt();
+    this->count_held_event();
     const auto state = this->state_after(end);
     this->attempts_sent = state.attempts_sent;
     this->may_have_run = state.may_have_run;
--- a/src/gateway/relay_session_response.cpp
+++ b/src/gateway/relay_session_response.cpp
@@ -3,6 +3,8 @@
 #include "gateway/statement_intake.hpp"
 #include "gateway/target_answer.hpp"
 
+#include <utility>
+
 // Responses of targets; relay_session_end.cpp has what follows from their end.
 namespace coriander {
 namespace {
@@ -10,6 +12,9 @@
 /// Bytes queued for a slow caller beyond which reading from the target is paused.
 constexpr std::size_t max_unsent_bytes = 262144;
 
+/// Streams with a smaller incomplete event go on when all requests together hold too much.
+constexpr std::size_t tolerated_event_bytes = 16384;
+
 constexpr int first_error_status = 500;
 
 } // namespace
@@ -57,17 +62,33 @@
 
 void relay_session::on_response_body(std::string_view bytes)
 {
-    this->state->board.on_progress(this->current.choice.target.id, this->context.clock.now());
     if (this->current.head_result || !this->is_event_stream()) {
+        this->state->board.on_progress(this->current.choice.target.id, this->context.clock.now());
         this->buffer_body(bytes);
         return;
     }
+    const auto numbered_before = this->stream.numbered_events();
     this->forward_events(bytes);
+    if (this->stream.numbered_events() > numbered_before) {
+        this->state->board.on_progress(this->current.choice.target.id, this->context.clock.now());
+    }
+    this->count_held_event();
     this->context.trials.on_progress(this->current.trial, this->stream.events() - this->current.events_before,
                                      this->context.clock.now());
     if (this->stream.is_too_long()) {
         this->end_attempt(attempt_end::lost, "an event exceeds the size limit");
     }
+    else if (this->context.buffered_bytes > relay_context::max_buffered_bytes &&
+             this->counted_event_bytes > tolerated_event_bytes) {
+        this->end_attempt(attempt_end::lost, "incomplete events exceed the buffer limit of all requests");
+    }
+}
+
+void relay_session::count_held_event()
+{
+    const auto held = this->stream.held_bytes();
+    this->context.buffered_bytes += held;
+    this->context.buffered_bytes -= std::exchange(this->counted_event_bytes, held);
 }
 
 void relay_session::buffer_body(std::string_view bytes)
@@ -89,6 +110,7 @@
 {
     this->context.buffered_bytes -= this->current.body.size();
     this->current.body.clear();
+    this->count_held_event();
 }
 
 bool relay_session::is_event_stream() const
--- a/src/gateway/response_stream.cpp
+++ b/src/gateway/response_stream.cpp
@@ -14,6 +14,7 @@
 {
     std::string passed;
     this->framer.feed(bytes, [&](std::string_view event, std::optional<std::uint64_t> number) {
+        this->numbered_count += number ? 1 : 0;
         const bool is_duplicate = number && this->last && *number <= *this->last;
         if (!is_duplicate) {
             passed.append(event);
--- a/src/gateway/response_stream.hpp
+++ b/src/gateway/response_stream.hpp
@@ -48,6 +48,8 @@
     /// Ends an attempt that may continue later; returns the bytes of an incomplete event.
     [[nodiscard]] std::string suspend_attempt() { return this->framer.take_partial(); }
 
+    /// Bytes of an incomplete event that are held.
+    [[nodiscard]] std::size_t held_bytes() const noexcept { return this->framer.partial_bytes(); }
     /// Whether an event exceeds the size limit.
     [[nodiscard]] bool is_too_long() const noexcept { return this->framer.is_too_long(); }
     [[nodiscard]] bool has_begun() const noexcept { return this->form.has_value(); }
@@ -55,6 +57,9 @@
     [[nodiscard]] const std::optional<stream_form>& begun_form() const noexcept { return this->form; }
     /// The number of the last event that the caller has.
     [[nodiscard]] std::optional<std::uint64_t> last_event() const noexcept { return this->last; }
+    /// The number of events with a number, forwarded or had by the caller before. Comments and the like that a
+    /// stalled target sends are not among them.
+    [[nodiscard]] std::size_t numbered_events() const noexcept { return this->numbered_count; }
     /// The number of events forwarded.
     [[nodiscard]] std::size_t events() const noexcept { return this->event_count; }
     /// When the first event was forwarded; valid once the stream has begun.
@@ -81,6 +86,7 @@
     event_framer framer;
     std::optional<std::uint64_t> last;
     std::size_t event_count = 0;
+    std::size_t numbered_count = 0;
     std::optional<stream_form> form; ///< Set once the stream has begun.
     time_ms first_at;
     time_ms last_at; ///< When an event was last forwarded.
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::size_t frame_header_bytes = 4;
 constexpr std::uint32_t max_frame_bytes = 4U << 20U;
+/// By which the memory of a message that is being received grows.
+constexpr std::size_t body_step_bytes = 65536;
 /// Messages queued behind the one in flight. Allows for those sent together: a heartbeat and some table
 /// updates.
 constexpr std::size_t max_queued_messages = 8;
@@ -131,30 +133,51 @@
                                  from->timer.cancel();
                                  return;
                              }
-                             from->body.resize(length);
-                             this->read_body(from);
+                             from->body.clear();
+                             this->read_body(from, length);
                          });
     }
 
-    void read_body(const std::shared_ptr<incoming>& from)
+    /// Reads the rest of a message of `length` bytes. Memory is taken as bytes arrive, not as a header claims.
+    void read_body(const std::shared_ptr<incoming>& from, std::size_t length)
     {
-        asio::async_read(from->socket, asio::buffer(from->body),
-                         [this, from](const asio::error_code& problem, std::size_t) {
-                             auto message = problem ? fail(error_kind::malformed, problem.message())
-                                                    : decode_peer_message(from->body);
-                             if (message) {
-                                 message = unpack_message(std::move(message).value());
-                             }
-                             if (!message) {
+        const auto begin = from->body.size();
+        if (begin == length) {
+            this->on_body(from);
+            return;
+        }
+        from->body.resize(std::min(length, begin + body_step_bytes));
+        asio::async_read(from->socket, asio::buffer(from->body.data() + begin, from->body.size() - begin),
+                         [this, from, length](const asio::error_code& problem, std::size_t) {
+                             if (problem) {
                                  from->timer.cancel();
                                  return;
                              }
-                             this->received += from->body.size() + frame_header_bytes;
-                             this->receive(std::move(message).value());
-                             this->read_header(from);
+                             this->read_body(from, length);
                          });
     }
 
+    void on_body(const std::shared_ptr<incoming>& from)
+    {
+        auto message = decode_peer_message(from->body);
+        if (message) {
+            message = unpack_message(std::move(message).value());
+        }
+        if (!message) {
+            asio::error_code unknown;
+            const auto peer = from->socket.remote_endpoint(unknown);
+            log_event(event::peer_message_rejected,
+                      {{"peer", unknown ? std::string{"gone"} : peer.address().to_string()},
+                       {"bytes", from->body.size()},
+                       {"why", message.error().message}});
+            from->timer.cancel();
+            return;
+        }
+        this->received += from->body.size() + frame_header_bytes;
+        this->receive(std::move(message).value());
+        this->read_header(from);
+    }
+
     void send(const std::string& address, const std::shared_ptr<frame>& bytes)
     {
         auto& connection = this->connections[address];
--- a/test/gateway/response_limits_test.cpp
+++ b/test/gateway/response_limits_test.cpp
@@ -95,4 +95,41 @@
     CHECK(relay.context.buffered_bytes == 0);
 }
 
+TEST_CASE("relay session: incomplete events of all requests together are limited, so that none takes the memory of the others")
+{
+    const auto begun = signed_head("") + "id: 1\ndata: t\n\nid: 2\ndata: ";
+    relay_fixture relay{repetition::resumable, respond_with(begun + std::string(65536, 'x')),
+                        respond_with(stream_head + chunk_of_event(2) + last_chunk)};
+    relay.context.buffered_bytes = relay_context::max_buffered_bytes - 1024;
+    CHECK(relay.exchange() == exchange_end::complete);
+    CHECK(relay.caller->body == "id: 1\ndata: t\n\nid: 2\ndata: t\n\n");
+    CHECK(relay.context.buffered_bytes == relay_context::max_buffered_bytes - 1024);
+}
+
+TEST_CASE("relay session: an incomplete event is counted until its stream ends")
+{
+    const auto begun = signed_head("") + "id: 1\ndata: t\n\nid: 2\ndata: ";
+    relay_fixture relay{repetition::resumable, respond_with(begun), respond_with(ok_response)};
+    (void)relay.begin_stream();
+    CHECK(relay.context.buffered_bytes == std::string{"id: 2\ndata: "}.size());
+    relay.caller.reset();
+    REQUIRE(relay.loop.run_until([&] { return relay.context.sessions.empty(); }));
+    CHECK(relay.context.buffered_bytes == 0);
+}
+
+TEST_CASE("relay session: comments of a target that sends no events are no progress")
+{
+    const auto begun = stream_head + chunk_of_event(1);
+    relay_fixture relay{repetition::resumable,
+                        [&](tcp_link& link, const std::string& /*request*/) { link.write(begun); },
+                        respond_with(ok_response)};
+    const auto session = relay.begin_stream();
+    auto& board = relay.context.service("desk").board;
+    board.reset_silence(relay.context.clock.now() - 5_s);
+    session->on_response_body(": still here\n\n");
+    CHECK(board.silence("first", relay.context.clock.now()) >= 5_s);
+    session->on_response_body("id: 2\ndata: t\n\n");
+    CHECK(board.silence("first", relay.context.clock.now()) < 5_s);
+}
+
 } // namespace coriander
