Losses: daemons that others control for ask them to probe, and wait longer first

Each gateway that sees a replica silent for 140 ms probes all its hosts, 32 of them, over new connections; 128 of 158 such inquiries found nothing (prompts were being read), and a real loss was probed by some 15 gateways.

Change: a gateway that doesn't control replicas asks those that act on the domain after 220 ms, in one message, avoids the replica meanwhile, and probes itself 250 ms later if the record shows nothing. Hosts asked about by many are probed once in 300 ms. Delayed orders to leave are logged by the owner only (one line a loss).

stall_response_test: three new cases.

--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -143,8 +143,10 @@
         }
         const auto view = this->view_of(current.record, *hosts, work, now);
         auto decision = plan_domain(view);
-        log_replicas(event::leave_delayed, key, work.logged_waiting, decision.waiting_replicas);
-        log_replicas(event::replica_held, key, work.logged_held, decision.held_replicas);
+        if (current.record.owner == this->self) { // One line of the daemon that acts, not one of each.
+            log_replicas(event::leave_delayed, key, work.logged_waiting, decision.waiting_replicas);
+            log_replicas(event::replica_held, key, work.logged_held, decision.held_replicas);
+        }
         if (current.is_lost && !decision.is_changed) {
             decision.is_changed = true;
             decision.reasons.push_back({"write the record again that the restored table has lost"});
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -94,6 +94,9 @@
         this->peers->set_permit_listener([this](const std::string& sender, const permit_message& message) {
             this->permits.receive(sender, message);
         });
+        this->stalls.set_delegation([this](const domain_key& key, const std::vector<lost_host>& hosts) {
+            return this->ask_controllers(key, hosts);
+        });
         this->control.set_report_check(
             [this] { return this->peers->all_understand(peer_feature::kept_request_reports); });
         this->peers->set_kept_listener([this](const kept_requests& report) {
@@ -301,6 +304,20 @@
         this->refresh();
     }
 
+    /// Asks the daemons that act on a domain to probe hosts, if this daemon isn't one that controls replicas.
+    /// Returns whether they are to be waited for.
+    bool ask_controllers(const domain_key& key, std::span<const lost_host> hosts)
+    {
+        const auto& controllers = this->peers->controllers();
+        if (std::binary_search(controllers.begin(), controllers.end(), this->values.name)) {
+            return false;
+        }
+        if (!hosts.empty()) {
+            this->peers->send_losses(hosts, this->losses.recipients(key, this->values.name));
+        }
+        return true;
+    }
+
     /// Reports requests on a dissolving replica to the owner of its domain.
     void send_kept(const std::string& owner, const kept_requests& report)
     {
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -139,7 +139,8 @@
         limits.resize(limits_per_message);
     }
     message.crashes = std::move(crash_reports);
-    const auto targets = this->members.choose_targets(peers_per_round, now, this->random);
+    const auto count = this->count() > large_fleet ? peers_per_round_in_large_fleet : peers_per_round;
+    const auto targets = this->members.choose_targets(count, now, this->random);
     const auto others = this->lacks_manifest(manifest_version, now) && !manifest_text.empty()
                             ? this->members.alive(now)
                             : std::vector<member_view>{};
@@ -169,10 +170,10 @@
     this->link.send_all(targets.empty() ? this->seeds : std::move(addresses), message);
 }
 
-void gateway_peers::send_loss(const lost_host& host, std::span<const std::string> names)
+void gateway_peers::send_losses(std::span<const lost_host> hosts, std::span<const std::string> names)
 {
     peer_message message;
-    message.lost_hosts.push_back(host);
+    message.lost_hosts.assign(hosts.begin(), hosts.end());
     this->send_to(names, message);
 }
 
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -94,8 +94,13 @@
 
     /// Sets the source of the crash reports that a daemon gets when it is first heard of.
     void set_crash_source(std::function<crash_update()> source) { this->known_crashes = std::move(source); }
-    /// Notifies the named daemons that a host is lost.
-    void send_loss(const lost_host& host, std::span<const std::string> names);
+    /// Notifies the named daemons that a host is lost. They probe it themselves.
+    void send_loss(const lost_host& host, std::span<const std::string> names)
+    {
+        this->send_losses({&host, 1}, names);
+    }
+    /// The same for several hosts, in one message.
+    void send_losses(std::span<const lost_host> hosts, std::span<const std::string> names);
 
     /// Sends heartbeats and loads to some of the peers; to be called every `round_length`. Only the first
     /// `loads_per_message` targets of `load_reports` are sent.
--- a/src/gateway/loss_exchange.hpp
+++ b/src/gateway/loss_exchange.hpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -63,8 +64,10 @@
             const auto* host = this->view.find_host(reported.id);
             const bool must_probe = host != nullptr && host->incarnation == reported.incarnation &&
                                     !this->view.is_silent(reported.id) &&
+                                    !this->was_probed(reported.id, now) &&
                                     this->probing.insert(reported.id).second;
             if (must_probe) {
+                this->probed_at[reported.id] = now;
                 this->probe_host(std::make_shared<inquiry>(
                     inquiry{reported, {{reported.id}, this->settings.max_rounds}, now}));
             }
@@ -72,6 +75,15 @@
     }
 
 private:
+    /// Many daemons report a loss at about the same time.
+    static constexpr time_ms probe_interval{300};
+
+    [[nodiscard]] bool was_probed(const std::string& id, time_ms now)
+    {
+        std::erase_if(this->probed_at, [&](const auto& item) { return now - item.second >= probe_interval; });
+        return this->probed_at.contains(id);
+    }
+
     struct inquiry {
         lost_host reported;
         loss_probe probes;
@@ -118,6 +130,7 @@
     std::function<void()> notify_change;
     loss_probe_settings settings;
     path_check check_path = without_path_check();
+    std::map<std::string, time_ms> probed_at; ///< When inquiries about a host began, for a short while.
     std::set<std::string> probing; ///< Hosts with a probe in flight.
 };
 
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coriander/lost_host.hpp"
 #include "coriander/clock.hpp"
 #include "coriander/relay/loss_probe.hpp"
 #include "gateway/fleet_controller.hpp"
@@ -36,6 +37,11 @@
     /// Targets without progress for this long are left when the path to the service's hosts is lost; others
     /// may go on over the connections that they have.
     time_ms silence_without_path{120};
+    /// Silence after which a daemon that may ask others to probe does so. Longer than the usual threshold:
+    /// one that sees few of the replica's streams often takes the reading of long prompts for a stall.
+    time_ms silence_to_ask{220};
+    /// How long it waits for what they find out before it probes itself.
+    time_ms answer_wait{250};
 };
 
 /// Investigates stalled replicas and moves their requests to other replicas. A replica stops when it loses a
@@ -57,6 +63,14 @@
     /// granted.
     void set_path_check(const path_check& check) { this->check_path = check; }
 
+    /// Asks other daemons to probe the hosts of a replica in this domain. Returns whether there are any to
+    /// ask; if not, this daemon probes itself.
+    using ask_others = std::function<bool(const domain_key&, std::vector<lost_host>)>;
+
+    /// Sets how others are asked. Without it, this daemon probes. What the others find lost shows in the
+    /// domain's record.
+    void set_delegation(ask_others ask) { this->ask = std::move(ask); }
+
     /// Starts an inquiry for each replica of the service that appears to be stalled.
     void check(const std::string& service, time_ms now)
     {
@@ -133,7 +147,7 @@
                      time_ms now)
     {
         auto& last_inquiry = this->last_inquiries[target.id];
-        if (now - last_inquiry < this->settings.inquiry_interval) {
+        if (now - last_inquiry < this->settings.inquiry_interval || this->waits_for_others(state, target, now)) {
             return;
         }
         last_inquiry = now;
@@ -150,6 +164,36 @@
             service, target, replica->hosts, {std::move(ids), this->settings.inquiry.max_rounds}, now}));
     }
 
+    /// Whether this daemon leaves the inquiry to others for now. They are asked once for each suspicion.
+    bool waits_for_others(service_state& state, const relay_target& target, time_ms now)
+    {
+        const auto* leader = this->view.find_host(target.host);
+        const auto* replica =
+            leader == nullptr ? nullptr : this->view.find_replica(leader->service, target.id);
+        if (replica == nullptr) {
+            return false;
+        }
+        auto& asked_at = this->asked[target.id];
+        if (asked_at && now - *asked_at < this->settings.inquiry_interval + this->settings.answer_wait * 2) {
+            return now - *asked_at < this->settings.answer_wait;
+        }
+        asked_at.reset();
+        std::vector<lost_host> members;
+        for (const auto& member : replica->hosts) {
+            members.push_back({member.id, member.incarnation});
+        }
+        const bool is_silent_enough = state.board.silence(target.id, now) >= this->settings.silence_to_ask;
+        const domain_key key{leader->service, leader->fabric_domain};
+        if (!this->ask(key, is_silent_enough ? std::move(members) : std::vector<lost_host>{})) {
+            return false;
+        }
+        if (is_silent_enough) {
+            asked_at = now;
+            state.board.suspend(target.id, suspension::probed, now + this->settings.answer_wait);
+        }
+        return true;
+    }
+
     void probe_round(const std::shared_ptr<inquiry>& pending)
     {
         const auto now = this->context.clock.now();
@@ -252,6 +296,8 @@
     on_lost report_lost;
     stall_response_settings settings;
     path_check check_path = without_path_check();
+    ask_others ask = [](const domain_key&, const std::vector<lost_host>&) { return false; };
+    std::map<std::string, std::optional<time_ms>> asked;  ///< When others were asked, by replica.
     std::map<std::string, time_ms> last_inquiries; ///< When each replica's last inquiry started.
 };
 
--- a/test/gateway/stall_response_test.cpp
+++ b/test/gateway/stall_response_test.cpp
@@ -104,4 +104,56 @@
     CHECK(replica.changes == 0);
 }
 
+TEST_CASE("stall response: a daemon that others control for asks them once, and probes only if nothing comes of it")
+{
+    stalled_replica replica;
+    std::vector<std::size_t> asked;
+    replica.stalls.set_delegation([&](const domain_key& key, const std::vector<lost_host>& hosts) {
+        CHECK(key.domain == "d0");
+        asked.push_back(hosts.size());
+        return true;
+    });
+    replica.world.unreachable = {"b"};
+    for (const auto after : {0_ms, 50_ms, 200_ms}) {
+        replica.stalls.check(service_name, replica.start + after);
+        replica.io.deliver();
+    }
+    CHECK(asked == std::vector<std::size_t>{2});
+    CHECK(replica.changes == 0);
+    // The record doesn't show a loss: the others may be gone.
+    for (int round = 0; round < 10; ++round) {
+        replica.stalls.check(service_name, replica.start + 300_ms);
+        replica.io.deliver();
+    }
+    CHECK(replica.changes == 1);
+    CHECK(replica.view.is_silent("b"));
+}
+
+TEST_CASE("stall response: a daemon that is to ask others waits longer before it takes silence for a stall")
+{
+    stalled_replica replica;
+    std::size_t asked = 0;
+    replica.stalls.set_delegation([&](const domain_key& /*key*/, const std::vector<lost_host>& hosts) {
+        asked += hosts.size();
+        return true;
+    });
+    replica.board().reset_silence(replica.start);
+    replica.stalls.check(service_name, replica.start + 180_ms);
+    CHECK(asked == 0);
+    replica.stalls.check(service_name, replica.start + 230_ms);
+    CHECK(asked == 2);
+}
+
+TEST_CASE("stall response: a daemon that none controls for probes at once")
+{
+    stalled_replica replica;
+    replica.stalls.set_delegation([](const domain_key&, const std::vector<lost_host>&) { return false; });
+    replica.world.unreachable = {"b"};
+    replica.stalls.check(service_name, replica.start);
+    for (int round = 0; round < 5; ++round) {
+        replica.io.deliver();
+    }
+    CHECK(replica.changes == 1);
+}
+
 } // namespace coriander
