--- a/include/coriander/membership.hpp
+++ b/include/coriander/membership.hpp
@@ -107,6 +107,7 @@
         this->move_near_first(candidates, count);
         candidates.resize(std::min(count, candidates.size()));
         std::vector<member_identity> chosen;
+        chosen.reserve(candidates.size());
         for (const auto* candidate : candidates) {
             chosen.push_back(*candidate);
         }
--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -83,6 +83,17 @@
         }
     }
 
+    /// Whether this daemon owns a domain of the service, or is writing the record of one.
+    [[nodiscard]] bool owns_domain_of(const std::string& service) const
+    {
+        const auto domains = this->view.domains_of(service);
+        return std::any_of(domains.begin(), domains.end(), [&](const domain_key& key) {
+            const auto found = this->work.find(key);
+            const bool is_committing = found != this->work.end() && found->second.is_committing;
+            return is_committing || this->view.domain(key).record.owner == this->self;
+        });
+    }
+
     /// Performs due work in all domains of the service. Returns the maximum delay until the next call.
     /// Preconditions: the service has an engine.
     time_ms tick(const relay_service& service, time_ms now)
@@ -331,8 +342,9 @@
                 const auto doublings = std::min(done.failed_commits - 1, max_commit_doublings);
                 const auto delay = this->settings.commit_retry_delay * (1LL << doublings);
                 done.next_commit_at = now + delay;
-                log_event(event::placement_unknown,
-                          {{"domain", key.row_key()}, {"failures", done.failed_commits}, {"retry_in", delay}});
+                log_event(
+                    event::placement_unknown,
+                    {{"domain", key.row_key()}, {"failures", done.failed_commits}, {"retry_in", delay}});
             }
         });
     }
@@ -416,7 +428,7 @@
     std::function<void()> progress_listener = [] {};
     std::function<bool()> do_all_report = [] { return true; };
     std::function<bool()> reaches_table = [] { return true; };
-    bool table_reached = true; ///< At the last tick.
+    bool table_reached = true;          ///< At the last tick.
     std::vector<load_assignment> loads; ///< Loads to start now, of the service that `tick` is processing.
     std::set<std::string> held;         ///< Replicas that are held, of the same service.
     std::map<domain_key, domain_work> work;
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -153,13 +153,16 @@
     /// domains many times a second, and few of them change.
     struct domain_index {
         std::set<std::string> ids;
-        std::uint64_t changes = 0; ///< Of its hosts, their silence, and the record.
-        host_list hosts;           ///< Null after a change.
+        std::uint64_t changes = 0;                       ///< Of its hosts, their silence, and the record.
+        host_list hosts;                                 ///< Null after a change.
         std::optional<std::vector<std::size_t>> serving; ///< Positions of such replicas in the record.
     };
 
     void note_change(const domain_key& key);
-    void note_change(const listed_host& host) { this->note_change(domain_key{host.service, host.fabric_domain}); }
+    void note_change(const listed_host& host)
+    {
+        this->note_change(domain_key{host.service, host.fabric_domain});
+    }
     /// Notes that the silence of a host has changed.
     void note_silence(const std::string& id);
     /// Keeps the index up to date when a host's entry is added, replaced or removed. Null: no entry.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -105,7 +105,8 @@
         this->peers->set_version_listener([this](std::uint64_t version) {
             const auto now = this->relay.clock.now();
             this->relay.doubt.on_peer_version(version, now);
-            if (const auto lag = this->relay.doubt.behind_peers_for(this->manifest_version(), now); lag > 0_ms) {
+            if (const auto lag = this->relay.doubt.behind_peers_for(this->manifest_version(), now);
+                lag > 0_ms) {
                 this->lag_listener(lag);
             }
         });
@@ -347,6 +348,15 @@
         }
     }
 
+    /// Whether this gateway has work in the service's domains: it is one of those that control replicas, or
+    /// orders of its own are under way. For the others, planning would only take time from requests.
+    [[nodiscard]] bool controls(const std::string& service) const
+    {
+        const auto& controllers = this->peers->controllers();
+        return std::binary_search(controllers.begin(), controllers.end(), this->values.name) ||
+               this->control.owns_domain_of(service);
+    }
+
     void run_control()
     {
         this->is_control_due = false;
@@ -357,9 +367,10 @@
         }
         if (this->relay.routes && this->is_fleet_loaded && !this->stopping.has_begun()) {
             const auto now = this->relay.clock.now();
+            this->fleet.expire_reports(now);
             this->control.set_cheap_loads(this->values.is_first_start && !this->relay.has_traffic);
             for (const auto& [name, service] : this->relay.routes->manifest().services) {
-                if (service.engine && !this->paths.is_cut(name)) {
+                if (service.engine && !this->paths.is_cut(name) && this->controls(name)) {
                     this->control.set_needed_replicas(
                         name,
                         this->loads.replicas_needed(name, *service.engine, this->fleet.host_count(name)));
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -187,12 +187,12 @@
 void gateway_peers::send_to(std::span<const std::string> names, const peer_message& message)
 {
     std::vector<std::string> addresses;
-    this->members.visit_alive(
-        this->clock.now(), [&](const member_identity& identity, const member_heartbeat& /*heartbeat*/) {
-            if (std::find(names.begin(), names.end(), identity.name) != names.end()) {
-                addresses.push_back(identity.peer_address);
-            }
-        });
+    this->members.visit_alive(this->clock.now(),
+                              [&](const member_identity& identity, const member_heartbeat& /*heartbeat*/) {
+                                  if (std::find(names.begin(), names.end(), identity.name) != names.end()) {
+                                      addresses.push_back(identity.peer_address);
+                                  }
+                              });
     this->link.send_all(std::move(addresses), message);
 }
 
@@ -263,15 +263,15 @@
     peer_message message;
     message.news = read;
     std::vector<member_identity> recipients;
-    this->members.visit_alive(
-        this->clock.now(), [&](const member_identity& identity, const member_heartbeat& heartbeat) {
-            if (this->is_in_own_group(identity.name, identity.failure_domain)) {
-                recipients.push_back(identity);
-                if (identity.incarnation != heartbeat.incarnation) {
-                    recipients.back().features = {}; // Of an earlier process.
-                }
-            }
-        });
+    this->members.visit_alive(this->clock.now(),
+                              [&](const member_identity& identity, const member_heartbeat& heartbeat) {
+                                  if (this->is_in_own_group(identity.name, identity.failure_domain)) {
+                                      recipients.push_back(identity);
+                                      if (identity.incarnation != heartbeat.incarnation) {
+                                          recipients.back().features = {}; // Of an earlier process.
+                                      }
+                                  }
+                              });
     this->send_large(recipients, message);
 }
 
@@ -345,19 +345,19 @@
 bool gateway_peers::all_understand(peer_feature feature) const
 {
     bool do_all = true;
-    this->members.visit_alive(
-        this->clock.now(), [&](const member_identity& identity, const member_heartbeat& heartbeat) {
-            do_all = do_all && identity.incarnation == heartbeat.incarnation && identity.features.contains(feature);
-        });
+    this->members.visit_alive(this->clock.now(),
+                              [&](const member_identity& identity, const member_heartbeat& heartbeat) {
+                                  do_all = do_all && identity.incarnation == heartbeat.incarnation &&
+                                           identity.features.contains(feature);
+                              });
     return do_all;
 }
 
 std::size_t gateway_peers::count() const
 {
     std::size_t alive = 1;
-    this->members.visit_alive(
-        this->clock.now(),
-        [&](const member_identity& /*identity*/, const member_heartbeat& /*heartbeat*/) { ++alive; });
+    this->members.visit_alive(this->clock.now(), [&](const member_identity& /*identity*/,
+                                                     const member_heartbeat& /*heartbeat*/) { ++alive; });
     return alive;
 }
 
@@ -366,10 +366,9 @@
     std::uint64_t digest = this->members.own_heartbeat().is_cut_off ? 1 : 0;
     this->members.visit_alive(
         this->clock.now(), [&](const member_identity& /*identity*/, const member_heartbeat& heartbeat) {
-            const std::array<std::uint64_t, 2> state{heartbeat.id, (heartbeat.table_reachable ? 1U : 0U) |
-                                                                       (heartbeat.stopping ? 2U : 0U) |
-                                                                       (heartbeat.is_cut_off ? 4U : 0U) |
-                                                                       (heartbeat.is_strong ? 8U : 0U)};
+            const std::array<std::uint64_t, 2> state{
+                heartbeat.id, (heartbeat.table_reachable ? 1U : 0U) | (heartbeat.stopping ? 2U : 0U) |
+                                  (heartbeat.is_cut_off ? 4U : 0U) | (heartbeat.is_strong ? 8U : 0U)};
             digest = stable_hash({reinterpret_cast<const char*>(state.data()), sizeof(state)}, digest);
         });
     return digest;
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -33,7 +33,6 @@
     bool is_cut_off = false; ///< It can't reach the hosts of some service.
 };
 
-
 /// Exchanges heartbeats with the other gateways, and sends the manifest to those that have an older one, so
 /// that a daemon that the store rejects stays up to date. A daemon that reads changes from a table forwards
 /// them, so that not every daemon polls the store. Soft state only. Must be used on the event loop's thread
@@ -149,8 +148,8 @@
 private:
     /// So many strong gateways control and read for all. With fewer, the loss of some would leave too few.
     static constexpr std::size_t min_strong = 4;
-    /// Most daemons of a reader group; keeps what a reader sends constant for any number of daemons. With more
-    /// daemons, a group has those of one failure domain, so that news seldom leave it.
+    /// Most daemons of a reader group; keeps what a reader sends constant for any number of daemons. With
+    /// more daemons, a group has those of one failure domain, so that news seldom leave it.
     static constexpr std::size_t reader_group_size = 64;
 
     /// The controllers, and for which tables this gateway reads, as of a digest of what they follow from.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -48,9 +48,9 @@
 void read_entry_host(toml_checker& check, const toml::table& document, gateway_settings& values)
 {
     const auto& table = required_section(check, document, "entry_host");
-    check.reject_unknown(table, {"name", "failure_domain", "region", "ip", "callers", "readiness",
-                                 "directory", "metrics", "peer_port", "seeds", "first_start", "link_mbps",
-                                 "processor_share"});
+    check.reject_unknown(table,
+                         {"name", "failure_domain", "region", "ip", "callers", "readiness", "directory",
+                          "metrics", "peer_port", "seeds", "first_start", "link_mbps", "processor_share"});
     values.name = check.required_text(table, "name");
     values.failure_domain = check.required_text(table, "failure_domain");
     values.region = check.optional_text(table, "region", "default");
--- a/src/gateway/loss_exchange.hpp
+++ b/src/gateway/loss_exchange.hpp
@@ -131,7 +131,7 @@
     loss_probe_settings settings;
     path_check check_path = without_path_check();
     std::map<std::string, time_ms> probed_at; ///< When inquiries about a host began, for a short while.
-    std::set<std::string> probing; ///< Hosts with a probe in flight.
+    std::set<std::string> probing;            ///< Hosts with a probe in flight.
 };
 
 } // namespace coriander
--- a/src/gateway/manifest_queue.hpp
+++ b/src/gateway/manifest_queue.hpp
@@ -19,10 +19,10 @@
     time_ms received_at;
 };
 
-/// Decides which received manifest is put in force next, and when. Of several that arrive before one is taken,
-/// only the newest is: a later one replaces all that came before it. Putting a large manifest in force takes a
-/// small machine tens of milliseconds, so that a series of changes would keep it from its requests; after each
-/// one, requests get at least `rest_factor` times as long. Not thread-safe.
+/// Decides which received manifest is put in force next, and when. Of several that arrive before one is
+/// taken, only the newest is: a later one replaces all that came before it. Putting a large manifest in force
+/// takes a small machine tens of milliseconds, so that a series of changes would keep it from its requests;
+/// after each one, requests get at least `rest_factor` times as long. Not thread-safe.
 class manifest_queue {
 public:
     /// Receives the table's manifest. The table holds one version; a later one replaces it.
--- a/src/gateway/relay_request.cpp
+++ b/src/gateway/relay_request.cpp
@@ -188,10 +188,10 @@
 
 const char* name_of(local_reply reply) noexcept
 {
-    constexpr std::array names{"none",        "no_manifest", "no_route", "unknown_key", "no_service",
-                               "quarantined", "no_target",   "cut_off",  "relay_limit", "paused",
-                               "overloaded",  "stopping",    "outdated", "not_sent",    "unknown_end",
-                               "timed_out"};
+    constexpr std::array names{"none",        "no_manifest", "no_route",    "unknown_key",
+                               "no_service",  "quarantined", "no_target",   "cut_off",
+                               "relay_limit", "paused",      "overloaded",  "stopping",
+                               "outdated",    "not_sent",    "unknown_end", "timed_out"};
     return names[static_cast<std::size_t>(reply)];
 }
 
--- a/src/gateway/response_stream.hpp
+++ b/src/gateway/response_stream.hpp
@@ -57,8 +57,8 @@
     [[nodiscard]] const std::optional<stream_form>& begun_form() const noexcept { return this->form; }
     /// The number of the last event that the caller has.
     [[nodiscard]] std::optional<std::uint64_t> last_event() const noexcept { return this->last; }
-    /// The number of events with a number, forwarded or had by the caller before. Comments and the like that a
-    /// stalled target sends are not among them.
+    /// The number of events with a number, forwarded or had by the caller before. Comments and the like that
+    /// a stalled target sends are not among them.
     [[nodiscard]] std::size_t numbered_events() const noexcept { return this->numbered_count; }
     /// The number of events forwarded.
     [[nodiscard]] std::size_t events() const noexcept { return this->event_count; }
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coriander/lost_host.hpp"
 #include "coriander/clock.hpp"
+#include "coriander/lost_host.hpp"
 #include "coriander/relay/loss_probe.hpp"
 #include "gateway/fleet_controller.hpp"
 #include "gateway/fleet_events.hpp"
@@ -147,7 +147,8 @@
                      time_ms now)
     {
         auto& last_inquiry = this->last_inquiries[target.id];
-        if (now - last_inquiry < this->settings.inquiry_interval || this->waits_for_others(state, target, now)) {
+        if (now - last_inquiry < this->settings.inquiry_interval ||
+            this->waits_for_others(state, target, now)) {
             return;
         }
         last_inquiry = now;
@@ -297,8 +298,8 @@
     stall_response_settings settings;
     path_check check_path = without_path_check();
     ask_others ask = [](const domain_key&, const std::vector<lost_host>&) { return false; };
-    std::map<std::string, std::optional<time_ms>> asked;  ///< When others were asked, by replica.
-    std::map<std::string, time_ms> last_inquiries; ///< When each replica's last inquiry started.
+    std::map<std::string, std::optional<time_ms>> asked; ///< When others were asked, by replica.
+    std::map<std::string, time_ms> last_inquiries;       ///< When each replica's last inquiry started.
 };
 
 } // namespace coriander
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -138,7 +138,8 @@
                          });
     }
 
-    /// Reads the rest of a message of `length` bytes. Memory is taken as bytes arrive, not as a header claims.
+    /// Reads the rest of a message of `length` bytes. Memory is taken as bytes arrive, not as a header
+    /// claims.
     void read_body(const std::shared_ptr<incoming>& from, std::size_t length)
     {
         const auto begin = from->body.size();
--- a/src/replicas/domain_view.cpp
+++ b/src/replicas/domain_view.cpp
@@ -7,8 +7,9 @@
 const listed_host* domain_view::find_host(std::string_view id) const
 {
     // Hosts are usually ordered by id.
-    auto found = std::lower_bound(this->hosts.begin(), this->hosts.end(), id,
-                                  [](const listed_host& host, std::string_view key) { return host.id < key; });
+    auto found =
+        std::lower_bound(this->hosts.begin(), this->hosts.end(), id,
+                         [](const listed_host& host, std::string_view key) { return host.id < key; });
     if (found == this->hosts.end() || found->id != id) {
         found = std::find_if(this->hosts.begin(), this->hosts.end(),
                              [&](const listed_host& host) { return host.id == id; });
--- a/test/gateway/fleet_controller_test.cpp
+++ b/test/gateway/fleet_controller_test.cpp
@@ -454,4 +454,23 @@
     });
 }
 
+TEST_CASE(
+    "fleet controller: a daemon that isn't among the controllers takes over from none, and owns what it owns")
+{
+    fleet_fixture fleet{2};
+    fleet.world.daemons = {"edge-0"};
+    fleet.run(8_s);
+    REQUIRE(fleet.record().owner == "edge-0");
+    CHECK(fleet.daemons[0]->control.owns_domain_of("assistant"));
+    CHECK_FALSE(fleet.daemons[1]->control.owns_domain_of("assistant"));
+    fleet.daemons[0]->is_alive = false;
+    const auto lost = fleet.record().replicas.front().hosts.back().id;
+    fleet.world.hosts.erase(lost);
+    fleet.run(8_s);
+    CHECK(fleet.record().owner == "edge-0");
+    fleet.world.daemons = {"edge-1"}; // The controllers have ended: the others control.
+    fleet.run(8_s);
+    CHECK(fleet.record().owner == "edge-1");
+}
+
 } // namespace coriander
--- a/test/gateway/manifest_doubt_test.cpp
+++ b/test/gateway/manifest_doubt_test.cpp
@@ -52,7 +52,8 @@
     CHECK(doubt.cause(7, start + 100_ms) == manifest_doubt_cause::none);
 }
 
-TEST_CASE("manifest doubt: a caller whose route may be in a newer manifest is asked to come again, not told 404")
+TEST_CASE(
+    "manifest doubt: a caller whose route may be in a newer manifest is asked to come again, not told 404")
 {
     relay_fixture relay{repetition::idempotent, respond_with(ok_response), respond_with(ok_response)};
     relay.context.doubt.on_peer_version(2, relay.context.clock.now()); // Version 1 is in force.
--- a/test/gateway/response_limits_test.cpp
+++ b/test/gateway/response_limits_test.cpp
@@ -95,7 +95,8 @@
     CHECK(relay.context.buffered_bytes == 0);
 }
 
-TEST_CASE("relay session: incomplete events of all requests together are limited, so that none takes the memory of the others")
+TEST_CASE("relay session: incomplete events of all requests together are limited, so that none takes the "
+          "memory of the others")
 {
     const auto begun = signed_head("") + "id: 1\ndata: t\n\nid: 2\ndata: ";
     relay_fixture relay{repetition::resumable, respond_with(begun + std::string(65536, 'x')),
--- a/test/gateway/stall_response_test.cpp
+++ b/test/gateway/stall_response_test.cpp
@@ -104,7 +104,8 @@
     CHECK(replica.changes == 0);
 }
 
-TEST_CASE("stall response: a daemon that others control for asks them once, and probes only if nothing comes of it")
+TEST_CASE(
+    "stall response: a daemon that others control for asks them once, and probes only if nothing comes of it")
 {
     stalled_replica replica;
     std::vector<std::size_t> asked;
--- a/test/gateway/table_outage_test.cpp
+++ b/test/gateway/table_outage_test.cpp
@@ -51,7 +51,8 @@
     }
 }
 
-TEST_CASE("table outage: the owner commits at once when the table is back, and the others don't all at the same time")
+TEST_CASE("table outage: the owner commits at once when the table is back, and the others don't all at the "
+          "same time")
 {
     outage_fixture fleet;
     fleet.run(8_s);
