--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -363,7 +363,8 @@
 
 std::uint64_t gateway_peers::controller_digest() const
 {
-    std::uint64_t digest = this->members.own_heartbeat().is_cut_off ? 1 : 0;
+    const auto& own = this->members.own_heartbeat();
+    std::uint64_t digest = (own.is_cut_off ? 1U : 0U) | (own.is_strong ? 2U : 0U);
     this->members.visit_alive(
         this->clock.now(), [&](const member_identity& /*identity*/, const member_heartbeat& heartbeat) {
             const std::array<std::uint64_t, 2> state{
