--- a/src/gateway/fleet_controller.hpp
+++ b/src/gateway/fleet_controller.hpp
@@ -128,12 +128,12 @@
                 &this->held};
     }
 
-    /// Returns whether the domain has work in progress.
+    /// Returns whether the domain has work in progress. Skips a domain of another daemon in which nothing has
+    /// changed since there was nothing to do.
     bool tick_domain(const relay_service& service, const domain_key& key, const formation& planned,
                      time_ms now)
     {
         auto& work = this->work[key];
-        const auto& current = this->view.domain(key);
         const auto changes = this->view.change_count(key);
         if (work.idle_at == changes && !planned.contains(key.domain)) {
             return false;
@@ -142,16 +142,37 @@
         if (this->awaits_newer_record(key, work, now)) {
             return true;
         }
-        const auto hosts = this->view.hosts_of(key);
-        work.timing.update(current.record, *service.engine, this->settings, this->planner.loads_are_cheap(),
-                           now);
-        work.staging.update(current.record, this->settings.load_timeout, now);
-        if (has_phase(current.record, replica_phase::warming)) {
+        const bool is_busy = this->work_on(service, key, planned, now);
+        const auto& record = this->view.domain(key).record;
+        const bool has_other_owner = !record.owner.empty() && record.owner != this->self;
+        if (has_other_owner && !is_busy && record.loads.empty()) {
+            work.idle_at = changes;
+        }
+        return is_busy;
+    }
+
+    /// Brings what is known about the progress of the domain's work up to date.
+    void update_progress(const relay_service& service, const domain_record& record, domain_work& work,
+                         time_ms now)
+    {
+        work.timing.update(record, *service.engine, this->settings, this->planner.loads_are_cheap(), now);
+        work.staging.update(record, this->settings.load_timeout, now);
+        if (has_phase(record, replica_phase::warming)) {
             work.next_warming_at = now + this->settings.warming_interval;
         }
-        if (current.record.owner == this->self) { // Only the owner gets the reports.
-            work.update_kept(current.record, this->settings, this->do_all_report, now);
+        if (record.owner == this->self) { // Only the owner gets the reports.
+            work.update_kept(record, this->settings, this->do_all_report, now);
         }
+    }
+
+    /// Decides what is due in the domain, and does it if it is this daemon's turn. Returns whether work is in
+    /// progress.
+    bool work_on(const relay_service& service, const domain_key& key, const formation& planned, time_ms now)
+    {
+        auto& work = this->work[key];
+        const auto& current = this->view.domain(key);
+        const auto hosts = this->view.hosts_of(key);
+        this->update_progress(service, current.record, work, now);
         const auto view = this->view_of(current.record, *hosts, work, now);
         auto decision = plan_domain(view);
         if (current.record.owner == this->self) { // One line of the daemon that acts, not one of each.
@@ -190,12 +211,7 @@
             this->request_statuses(key, current.record, decision.unconfirmed_hosts, work, now);
         }
         const bool is_waiting = work.is_committing || !decision.held_replicas.empty();
-        const bool is_busy = is_unfinished || is_waiting || !work.due_signature.empty();
-        const bool has_other_owner = !is_owner && !current.record.owner.empty();
-        if (has_other_owner && !is_busy && current.record.loads.empty()) {
-            work.idle_at = changes;
-        }
-        return is_busy;
+        return is_unfinished || is_waiting || !work.due_signature.empty();
     }
 
     /// Whether hosts belong to replicas that are newer than the record, which a daemon that knows a newer one
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -178,9 +178,9 @@
 
     /// Sets the function that is called, again and again, while peers have a newer manifest, with how long
     /// that has been so. Must be called before `start`.
-    void set_manifest_lag_listener(std::function<void(time_ms)> listener)
+    void set_manifest_lag_listener(const std::function<void(time_ms)>& listener)
     {
-        this->lag_listener = std::move(listener);
+        this->lag_listener = listener;
     }
 
     /// Notes whether the table of manifests can be reached.
--- a/src/gateway/stall_response.hpp
+++ b/src/gateway/stall_response.hpp
@@ -63,13 +63,13 @@
     /// granted.
     void set_path_check(const path_check& check) { this->check_path = check; }
 
-    /// Asks other daemons to probe the hosts of a replica in this domain. Returns whether there are any to
-    /// ask; if not, this daemon probes itself.
+    /// Asks the daemons that act on the domain to probe these hosts of a replica. Returns whether there are
+    /// any to ask; if not, this daemon probes itself. Without hosts, only finds that out.
     using ask_others = std::function<bool(const domain_key&, std::vector<lost_host>)>;
 
     /// Sets how others are asked. Without it, this daemon probes. What the others find lost shows in the
     /// domain's record.
-    void set_delegation(ask_others ask) { this->ask = std::move(ask); }
+    void set_delegation(const ask_others& ask) { this->ask = ask; }
 
     /// Starts an inquiry for each replica of the service that appears to be stalled.
     void check(const std::string& service, time_ms now)
--- a/test/packed_message_test.cpp
+++ b/test/packed_message_test.cpp
@@ -14,12 +14,14 @@
     message.news = table_delta{"servers", {1, 7}, {1, 9}, {}, {}};
     for (int i = 0; i < rows; ++i) {
         const auto number = std::to_string(i);
-        message.news->rows.push_back(
-            {"i-4b8dc1" + number,
-             R"({"service":"assistant","address":"10.3.64.)" + number +
-                 R"(:8640","zone":"gent","domain":"gent-d0","state":"ready","slots":26,"staged":["large"],)" +
-                 R"("group":{"name":"gent-d0-4","epoch":4,"state":"ready"},"born":17000000)" + number + "}",
-             {1, 8}});
+        std::string value = R"({"service":"assistant","zone":"gent","domain":"gent-d0","state":"ready",)";
+        value += R"("slots":26,"staged":["large"],"group":{"name":"gent-d0-4","epoch":4,"state":"ready"},)";
+        value += R"("address":"10.3.64.)";
+        value += number;
+        value += R"(:8640","born":17000000)";
+        value += number;
+        value += "}";
+        message.news->rows.push_back({"i-4b8dc1" + number, value, {1, 8}});
     }
     message.beats = {{7, 5, 3, 9, true, true, false, true, 0}};
     return message;
