Planner, view, peers: what the change did twice is done once; behaviour as before

Found by reading the change again: - is_member beside member_ids/contains in domain_planner: one of them is left. - The planner went through a domain's free hosts twice for capacity and spares. - The loop over a service's domains stood three times in fleet_view (visit_index). - Whether a gateway controls was looked up twice in gateway.hpp (is_controller). - standin_host_test repeated its setup (start_replica); assertions unchanged. - Comments: the field's words.

--- a/src/gateway/fleet_planner.cpp
+++ b/src/gateway/fleet_planner.cpp
@@ -14,6 +14,15 @@
     return replica.phase == replica_phase::forming || replica.phase == replica_phase::open;
 }
 
+spare_host spare_of(const listed_host& host, const domain_record& record)
+{
+    const auto load = std::find_if(record.loads.begin(), record.loads.end(),
+                                   [&](const pending_load& one) { return one.host == host.id; });
+    const bool is_loading = load != record.loads.end();
+    const auto held_model = host.staged.empty() ? std::string{} : host.staged.back();
+    return {host.id, is_loading ? load->model : held_model, is_loading};
+}
+
 } // namespace
 
 fleet_plan fleet_planner::plan(const relay_service& service, time_ms now)
@@ -72,9 +81,8 @@
     }
     const auto& record = this->view.domain(key).record;
     const auto hosts = this->view.hosts_of(key);
-    supply = {changes,
-              {key.domain, 0, {}, {}, hosts->empty() ? std::string{} : hosts->front().failure_domain},
-              this->spares_of(key, record)};
+    supply = {
+        changes, {key.domain, 0, {}, {}, hosts->empty() ? std::string{} : hosts->front().failure_domain}, {}};
     for (const auto& replica : record.replicas) {
         supply.capacity.running[replica.model] += is_forming_or_open(replica) ? 1 : 0;
     }
@@ -83,6 +91,7 @@
         for (const auto& model : host->staged) {
             ++supply.capacity.staged[model];
         }
+        supply.spares.push_back(spare_of(*host, record));
     }
     return supply;
 }
@@ -117,18 +126,4 @@
     return planned;
 }
 
-std::vector<spare_host> fleet_planner::spares_of(const domain_key& key, const domain_record& record) const
-{
-    const auto hosts = this->view.hosts_of(key);
-    std::vector<spare_host> spares;
-    for (const auto* host : free_hosts(this->view_of(record, *hosts))) {
-        const auto load = std::find_if(record.loads.begin(), record.loads.end(),
-                                       [&](const pending_load& one) { return one.host == host->id; });
-        const bool is_loading = load != record.loads.end();
-        const auto held_model = host->staged.empty() ? std::string{} : host->staged.back();
-        spares.push_back({host->id, is_loading ? load->model : held_model, is_loading});
-    }
-    return spares;
-}
-
 } // namespace coriander
--- a/src/gateway/fleet_planner.hpp
+++ b/src/gateway/fleet_planner.hpp
@@ -60,7 +60,6 @@
     [[nodiscard]] std::size_t loads_allowed(const relay_service& service, const formation_input& input) const;
     [[nodiscard]] std::vector<load_assignment> due_loads(const relay_service& service,
                                                          const formation_input& input);
-    [[nodiscard]] std::vector<spare_host> spares_of(const domain_key& key, const domain_record& record) const;
     [[nodiscard]] domain_view view_of(const domain_record& record, std::span<const listed_host> hosts) const
     {
         return {&record, hosts, &this->view.silent(), nullptr, nullptr};
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -328,12 +328,11 @@
 std::vector<domain_key> fleet_view::domains_of(const std::string& service) const
 {
     std::set<domain_key> keys;
-    for (auto next = this->index.lower_bound({service, {}});
-         next != this->index.end() && next->first.service == service; ++next) {
-        if (!next->second.ids.empty() && !next->first.domain.empty()) {
-            keys.insert(next->first);
+    this->visit_index(service, [&](const domain_key& key, const domain_index& domain) {
+        if (!domain.ids.empty() && !key.domain.empty()) {
+            keys.insert(key);
         }
-    }
+    });
     for (const auto& [key, record] : this->records) {
         if (key.service == service) {
             keys.insert(key);
@@ -364,10 +363,8 @@
 std::size_t fleet_view::host_count(const std::string& service) const
 {
     std::size_t count = 0;
-    for (auto next = this->index.lower_bound({service, {}});
-         next != this->index.end() && next->first.service == service; ++next) {
-        count += next->second.ids.size();
-    }
+    this->visit_index(
+        service, [&](const domain_key& /*key*/, const domain_index& domain) { count += domain.ids.size(); });
     return count;
 }
 
@@ -494,24 +491,22 @@
 {
     std::vector<relay_target> targets;
     if (!service.engine) {
-        for (auto next = this->index.lower_bound({service.name, {}});
-             next != this->index.end() && next->first.service == service.name; ++next) {
-            for (const auto& id : next->second.ids) {
+        this->visit_index(service.name, [&](const domain_key& /*key*/, const domain_index& domain) {
+            for (const auto& id : domain.ids) {
                 const auto& host = this->known.at(id);
-                if (host.is_leaving || this->is_silent(id)) {
-                    continue;
+                if (!host.is_leaving && !this->is_silent(id)) {
+                    targets.push_back({id,
+                                       id,
+                                       host.address,
+                                       host.failure_domain,
+                                       {},
+                                       host.incarnation,
+                                       host.slots,
+                                       1.0,
+                                       host.incarnation});
                 }
-                targets.push_back({id,
-                                   id,
-                                   host.address,
-                                   host.failure_domain,
-                                   {},
-                                   host.incarnation,
-                                   host.slots,
-                                   1.0,
-                                   host.incarnation});
             }
-        }
+        });
         return targets;
     }
     const auto add = [&](const replica_entry& replica, bool is_held) {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace coriander {
@@ -158,6 +159,15 @@
         std::optional<std::vector<std::size_t>> serving; ///< Positions of such replicas in the record.
     };
 
+    /// Calls `visit` with the key and the index entry of each domain of a service that has or had a host.
+    template <typename Visitor>
+    void visit_index(const std::string& service, Visitor visit) const
+    {
+        for (auto next = this->index.lower_bound({service, {}});
+             next != this->index.end() && next->first.service == service; ++next) {
+            visit(next->first, std::as_const(next->second));
+        }
+    }
     void note_change(const domain_key& key);
     void note_change(const listed_host& host)
     {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -309,8 +309,7 @@
     /// Returns whether they are to be waited for.
     bool ask_controllers(const domain_key& key, std::span<const lost_host> hosts)
     {
-        const auto& controllers = this->peers->controllers();
-        if (std::binary_search(controllers.begin(), controllers.end(), this->values.name)) {
+        if (this->peers->is_controller()) {
             return false;
         }
         if (!hosts.empty()) {
@@ -352,9 +351,7 @@
     /// orders of its own are under way. For the others, planning would only take time from requests.
     [[nodiscard]] bool controls(const std::string& service) const
     {
-        const auto& controllers = this->peers->controllers();
-        return std::binary_search(controllers.begin(), controllers.end(), this->values.name) ||
-               this->control.owns_domain_of(service);
+        return this->peers->is_controller() || this->control.owns_domain_of(service);
     }
 
     void run_control()
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -429,4 +429,10 @@
     return this->current_controllers().names;
 }
 
+bool gateway_peers::is_controller() const
+{
+    const auto& names = this->controllers();
+    return std::binary_search(names.begin(), names.end(), this->members.self().name);
+}
+
 } // namespace coriander
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -140,6 +140,8 @@
     /// the table and aren't stopping. Without those that are cut off from hosts, unless all are. If enough of
     /// them are strong, only these.
     [[nodiscard]] const std::vector<std::string>& controllers() const;
+    /// Whether this gateway is one of them.
+    [[nodiscard]] bool is_controller() const;
 
     [[nodiscard]] const member_identity& self() const noexcept { return this->members.self(); }
     /// The port on which peers' messages arrive.
@@ -149,7 +151,7 @@
     /// So many strong gateways control and read for all. With fewer, the loss of some would leave too few.
     static constexpr std::size_t min_strong = 4;
     /// Most daemons of a reader group; keeps what a reader sends constant for any number of daemons. With
-    /// more daemons, a group has those of one failure domain, so that news seldom leave it.
+    /// more daemons, a group has those of one failure domain, so that table deltas seldom leave it.
     static constexpr std::size_t reader_group_size = 64;
 
     /// The controllers, and for which tables this gateway reads, as of a digest of what they follow from.
@@ -176,7 +178,7 @@
     /// Sends a message with large parts, compressed to those that understand that.
     void send_large(std::span<const member_identity> recipients, const peer_message& message);
     void send_known_crashes(const member_identity& sender);
-    /// Whether the daemon gets its news from the same reader as this one.
+    /// Whether the daemon receives table deltas from the same reader as this one.
     [[nodiscard]] bool is_in_own_group(const std::string& name, const std::string& failure_domain) const;
 
     std::vector<std::string> seeds;
--- a/src/replicas/domain_planner.cpp
+++ b/src/replicas/domain_planner.cpp
@@ -232,14 +232,6 @@
     return is_empty;
 }
 
-bool is_member(const domain_record& record, const std::string& host)
-{
-    return std::any_of(record.replicas.begin(), record.replicas.end(), [&](const replica_entry& replica) {
-        return std::any_of(replica.hosts.begin(), replica.hosts.end(),
-                           [&](const replica_host& member) { return member.id == host; });
-    });
-}
-
 /// Ids of all members of the record's replicas, sorted.
 std::vector<std::string_view> member_ids(const domain_record& record)
 {
@@ -279,11 +271,12 @@
 /// Removes loads that have ended or whose host is no longer available for them, and orders the others.
 void plan_pending_loads(const domain_view& view, domain_decision& decision)
 {
+    const auto members = member_ids(decision.next);
     const auto has_ended = [&](const pending_load& load) {
         const auto* host = view.find_host(load.host);
         return host == nullptr || host->part || host->is_leaving ||
                view.is_unresponsive(host->id, host->incarnation) || is_staged(*host, load.model) ||
-               is_member(decision.next, load.host) || view.overdue_loads->contains(load.host);
+               contains(members, load.host) || view.overdue_loads->contains(load.host);
     };
     const auto ended = std::erase_if(decision.next.loads, has_ended);
     if (ended > 0) {
--- a/test/platform/standin_host_test.cpp
+++ b/test/platform/standin_host_test.cpp
@@ -83,6 +83,14 @@
         return stream;
     }
 
+    /// Opens the replica `r1` of these hosts and starts a stream on it.
+    std::shared_ptr<response_recorder> start_replica(const std::vector<std::string>& members = {"a", "b"})
+    {
+        this->join("r1", 1, members);
+        this->open("r1", 1, members.front());
+        return this->start_stream(members.front());
+    }
+
     /// Sends a request to a leader whose replica stalls, and waits for longer than one interval.
     std::shared_ptr<response_recorder> start_waiting(const std::string& leader)
     {
@@ -114,9 +122,7 @@
     "stand-in host: the first stall of a replica is not counted from a stall of its leader's previous one")
 {
     standin_domain domain;
-    domain.join("r1", 1, {"a", "b"});
-    domain.open("r1", 1, "a");
-    (void)domain.start_stream("a");
+    (void)domain.start_replica();
     domain.host("b").pause();
     domain.run_some();
     domain.clock.advance(61_s);
@@ -133,9 +139,7 @@
 TEST_CASE("stand-in host: streams end with their replica and do not go on in the leader's next one")
 {
     standin_domain domain;
-    domain.join("r1", 1, {"a", "b"});
-    domain.open("r1", 1, "a");
-    const auto left = domain.start_stream("a");
+    const auto left = domain.start_replica();
     CHECK(domain.order("a", {{"op", "leave"}, {"group", "r1"}, {"epoch", 1}}) == 202);
     CHECK(domain.loop.run_until([&] { return left->end == exchange_end::lost; }));
     domain.join("r2", 2, {"a", "b"});
@@ -185,9 +189,7 @@
 TEST_CASE("stand-in host: a restart ends the streams of the life before and its leaving")
 {
     standin_domain domain;
-    domain.join("r1", 1, {"a", "b"});
-    domain.open("r1", 1, "a");
-    const auto stream = domain.start_stream("a");
+    const auto stream = domain.start_replica();
     domain.host("a").drain();
     domain.host("a").crash();
     domain.host("a").restart();
@@ -198,9 +200,7 @@
 TEST_CASE("stand-in host: a leader that falls silent for long itself breaks off no stream")
 {
     standin_domain domain;
-    domain.join("r1", 1, {"a", "b"});
-    domain.open("r1", 1, "a");
-    const auto stream = domain.start_stream("a");
+    const auto stream = domain.start_replica();
     domain.host("a").pause();
     domain.run_some();
     domain.clock.advance(61_s);
@@ -211,9 +211,7 @@
 TEST_CASE("stand-in host: a stall that was over without a stream is not counted with the next one")
 {
     standin_domain domain;
-    domain.join("r1", 1, {"a", "b"});
-    domain.open("r1", 1, "a");
-    (void)domain.start_stream("a");
+    (void)domain.start_replica();
     domain.host("b").pause();
     domain.run_some();
     domain.sent.back().second->close();
@@ -226,9 +224,7 @@
 TEST_CASE("stand-in host: hosts that fall silent one after the other do not add up to a lost one")
 {
     standin_domain domain;
-    domain.join("r1", 1, {"a", "b", "c"});
-    domain.open("r1", 1, "a");
-    const auto stream = domain.start_stream("a");
+    const auto stream = domain.start_replica({"a", "b", "c"});
     domain.host("b").pause();
     domain.run_some();
     domain.clock.advance(50_s);
@@ -243,9 +239,7 @@
 TEST_CASE("stand-in host: requests that have not begun when a stall is too long are refused, not cut")
 {
     standin_domain domain;
-    domain.join("r1", 1, {"a", "b"});
-    domain.open("r1", 1, "a");
-    const auto begun = domain.start_stream("a");
+    const auto begun = domain.start_replica();
     domain.host("b").pause();
     domain.run_some();
     const auto waiting = domain.start_waiting("a");
