--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -102,6 +102,7 @@
         self.changed = asyncio.Condition()
         self.is_silent = False
         self.outages = 0
+        self.polled = asyncio.Event()  # Set when a poll of the table of servers arrives.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, 0, limit=1 << 24)
@@ -150,6 +151,8 @@
                 body = await read_body(reader, head)
                 method, target, _ = head.first.split(" ")
                 outages = self.outages
+                if target.startswith("/rows-feed?table=servers"):
+                    self.polled.set()
                 if not self.is_silent:
                     answer = await self.handle(method, target, body)
                 if self.is_silent or self.outages != outages:
