--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -98,7 +98,9 @@
         self.ip, self.record = ip, record
         self.rows = {}  # (table, key) to (value, version)
         self.changes = []  # (version, table, key)
+        self.before = []  # (time, version before, table, key, row before) of each change.
         self.version = 0
+        self.era = 1
         self.changed = asyncio.Condition()
         self.is_silent = False
         self.outages = 0
@@ -118,7 +120,20 @@
             self.apply(table, key, value)
             self.changed.notify_all()
 
+    def restore(self, age_s):
+        """Goes back to how the store was `age_s` ago: versions go back and are given out again."""
+        until = now() - age_s
+        while self.before and self.before[-1][0] > until:
+            _, self.version, table, key, row = self.before.pop()
+            self.changes.pop()
+            if row is None:
+                self.rows.pop((table, key), None)
+            else:
+                self.rows[(table, key)] = row
+        self.era += 1
+
     def apply(self, table, key, value):
+        self.before.append((now(), self.version, table, key, self.rows.get((table, key))))
         self.version += 1
         if value is None:
             self.rows.pop((table, key), None)
@@ -143,7 +158,8 @@
 
     def answer(self, status, body):
         body = {**body, "ver": self.version, "now_ms": int(now() * 1000)}
-        return response(status, [("Content-Type", "application/json")], json.dumps(body).encode())
+        return response(status, [("Content-Type", "application/json"), ("Store-Era", self.era)],
+                        json.dumps(body).encode())
 
     async def serve(self, reader, writer):
         try:
@@ -174,6 +190,8 @@
             return self.answer(200, {"rows": [self.row(table, k) for k in keys], "has_more": False})
         if parts.path == "/rows-feed":
             after, until = int(query["after"]), now() + int(query["wait_ms"]) / 1000
+            if after > self.version:
+                return self.answer(410, {})
             async with self.changed:
                 while not (rows := self.since(table, after)) and now() < until:
                     try:
