Review: the scripts end what they started also when they are ended themselves

Cause: a script that was terminated left its gateways running, and an unexpected exception ended it with 1, as a broken rule does. Change: signals end all started processes and exit with 2; any exception of a script exits with 2.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -336,6 +336,17 @@
         writer.write(response(200, self.stamped(attempt), b"done " + attempt.encode()))
 
 
+STARTED = []  # All processes that were started.
+
+
+def end_all(*_):
+    """Ends all started processes, and this one, as one whose case couldn't run."""
+    for process in STARTED:
+        if process.poll() is None:
+            process.kill()
+    os._exit(2)
+
+
 class Gateways:
     """The gateways' processes, started with the deploy file's command and its settings template."""
 
@@ -371,6 +382,7 @@
             self.processes[number] = subprocess.Popen(
                 [self.program], cwd=ROOT, stdout=log, stderr=log,
                 env={"PATH": os.environ["PATH"], "CORIANDERPOINT_CONFIG": path})
+        STARTED.append(self.processes[number])
         self.record.write("gateway_started", gateway=f"edge-{number}")
 
     def start_all(self):
@@ -501,13 +513,15 @@
     pid = os.getpid()
     net = f"127.{1 + pid % 250}.{1 + pid // 250 % 250}"
     loop = asyncio.new_event_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_all)
     code = 2
     with tempfile.TemporaryDirectory() as directory:
         directory = os.environ.get("KEEP", directory)
         try:
             held = loop.run_until_complete(asyncio.wait_for(case(record, directory, net, trouble), 110))
             code = 0 if held else 1
-        except (Unable, OSError, asyncio.TimeoutError) as problem:
+        except Exception as problem:  # A fault of the script is no broken rule.
             print(f"not run: {problem!r}")
             record.write("not_run", why=repr(problem).replace(" ", "_"))
     print(("held", "broken", "not run")[code])
