--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -76,6 +76,8 @@
     table_reread = 6006,
     entry_rejected = 6007,
     store_calls = 6008,
+    deletions_deferred = 6009,
+    deletions_applied = 6010,
 };
 
 /// An entry of the event catalogue.
@@ -152,6 +154,8 @@
     event_entry{event::table_reread, "table_reread", log_level::info},
     event_entry{event::entry_rejected, "entry_rejected", log_level::warn},
     event_entry{event::store_calls, "store_calls", log_level::info},
+    event_entry{event::deletions_deferred, "deletions_deferred", log_level::info},
+    event_entry{event::deletions_applied, "deletions_applied", log_level::info},
 };
 
 /// The catalogue entry of an event. Every event has one.
