--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -78,6 +78,7 @@
     store_calls = 6008,
     deletions_deferred = 6009,
     deletions_applied = 6010,
+    outage_assessed = 6011,
 };
 
 /// An entry of the event catalogue.
@@ -156,6 +157,7 @@
     event_entry{event::store_calls, "store_calls", log_level::info},
     event_entry{event::deletions_deferred, "deletions_deferred", log_level::info},
     event_entry{event::deletions_applied, "deletions_applied", log_level::info},
+    event_entry{event::outage_assessed, "outage_assessed", log_level::info},
 };
 
 /// The catalogue entry of an event. Every event has one.
--- a/include/coriander/table_delta.hpp
+++ b/include/coriander/table_delta.hpp
@@ -22,7 +22,8 @@
     /// A reader that knows the table up to this version can apply the delta without a gap.
     row_version from;
     row_version to; ///< Of the same era as `from`.
-    /// Set after an outage of the table: for this long, deleted rows may still be written again.
+    /// What the sender lacks of the contact with the store after which no deletion is deferred: for this long,
+    /// deleted rows may still be written again. Zero once it has had contact for that long.
     time_ms grace;
     std::vector<changed_row> rows;
 };
--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -26,6 +26,13 @@
         REQUIRE(this->store.loop.run_until([this] { return this->follower.has_synced(); }));
     }
 
+    void wait_longer_than(time_ms length)
+    {
+        const monotonic_clock clock;
+        const auto begun = clock.now();
+        REQUIRE(this->store.loop.run_until([&] { return clock.now() - begun > length; }));
+    }
+
     [[nodiscard]] std::size_t request_count() const { return this->store.server.requests().size(); }
 
     scripted_store store;
@@ -197,8 +204,9 @@
 TEST_CASE("table follower: defers deletions in news until the grace period after an outage ends")
 {
     followed_table table{{page(row("a", "1", 1) + "," + row("b", "1", 1), 5)},
-                         {"t", {}, long_interval, 3600_s, long_interval}};
+                         {"t", {}, long_interval, 3600_s, long_interval, {}, {}, 0_ms}};
     table.start();
+    table.wait_longer_than(0_ms);
     table.follower.apply_news(
         {"t", {0, 5}, {0, 6}, 3600_s, {{"a", std::nullopt, {0, 6}}, {"b", std::nullopt, {0, 6}}}});
     table.follower.apply_news({"t", {0, 6}, {0, 7}, 3600_s, {{"a", "2", {0, 7}}}});
@@ -206,6 +214,48 @@
     CHECK(table.rows["b"] == "1");
 }
 
+// Guards against targets that have left being used as long as a single daemon's path to the store comes and
+// goes.
+TEST_CASE("table follower: does not defer deletions because another daemon had lost the store")
+{
+    followed_table table{{page(row("a", "1", 1) + "," + row("b", "1", 1), 5)},
+                         {"t", {}, long_interval, 3600_s, long_interval, {}, {}, long_interval}};
+    table.start();
+    table.follower.apply_news({"t", {0, 5}, {0, 6}, 3600_s, {{"a", std::nullopt, {0, 6}}}});
+    CHECK(table.rows["a"] == "gone");
+    table.follower.apply_news({"t", {0, 6}, {0, 7}, 3600_s, {{"b", std::nullopt, {0, 7}}}});
+    CHECK(table.rows["b"] == "gone");
+}
+
+// Guards against a daemon that was cut off from the store using targets that have left once it is back.
+TEST_CASE("table follower: applies deferred deletions at once when another daemon had contact all the time")
+{
+    const auto without_news = GENERATE(false, true);
+    followed_table table{{page(row("a", "1", 1), 5), "cut", page(R"({"key":"a","ver":7,"deleted":true})", 7)},
+                         {"t", {}, 50_ms, 3600_s, long_interval, {}, {}, 0_ms}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 4; }));
+    REQUIRE(table.rows["a"] == "1");
+    table.follower.apply_news({"t", {0, 7}, {0, 7}, without_news ? 3600_s : 0_ms, {}});
+    CHECK(table.rows["a"] == (without_news ? "1" : "gone"));
+}
+
+TEST_CASE(
+    "table follower: a reader that had lost the store tells the others of no outage if they had contact")
+{
+    const auto is_informed = GENERATE(true, false);
+    followed_table table{{page(row("a", "1", 1), 5), "cut", page(row("a", "2", 7), 7)},
+                         {"t", 1_s, {}, 3600_s, 1_s, {}, {}, long_interval}};
+    table.is_reader = true;
+    table.start();
+    if (is_informed) {
+        table.follower.apply_news({"t", {0, 5}, {0, 5}, {}, {}});
+    }
+    REQUIRE(table.store.loop.run_until([&] { return !table.published.empty(); }));
+    // Without a word of the others, the contact since the start of the process is all that it knows of.
+    CHECK((table.published[0].grace == 0_ms) == is_informed);
+}
+
 TEST_CASE("table follower: a delta from before a restore does not hide rows of the new era")
 {
     followed_table table{{in_era(2, page(row("a", "2", 4), 4)), in_era(2, page(row("a", "3", 6), 6))},
