--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstring>
+
 namespace coriander::platform {
 namespace {
 
@@ -33,6 +35,15 @@
         REQUIRE(this->store.loop.run_until([&] { return clock.now() - begun > length; }));
     }
 
+    /// How long a poll lets the store wait for changes.
+    [[nodiscard]] time_ms wait_of_request(std::size_t number) const
+    {
+        const auto& text = this->store.server.requests()[number];
+        const auto at = text.find("wait_ms=");
+        REQUIRE(at != std::string::npos);
+        return time_ms{std::stoll(text.substr(at + std::strlen("wait_ms=")))};
+    }
+
     [[nodiscard]] std::size_t request_count() const { return this->store.server.requests().size(); }
 
     scripted_store store;
@@ -149,6 +160,32 @@
     CHECK_FALSE(a_was_missing);
 }
 
+// Guards against the grace period of deletions beginning long after the store has come back.
+TEST_CASE("table follower: an unreachable store is not asked to wait for changes")
+{
+    followed_table table{{page(row("a", "1", 1), 5), "cut", page("", 5)}, {"t", 1_s, {}, {}, {}}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 4; }));
+    CHECK(table.wait_of_request(1) == 1_s);
+    CHECK(table.wait_of_request(2) == 0_ms);
+    CHECK(table.wait_of_request(3) == 1_s);
+}
+
+// Guards against deferred deletions taking effect long after the grace period.
+TEST_CASE("table follower: a poll does not last beyond the grace period of the deletions that it defers")
+{
+    constexpr time_ms grace = 300_ms;
+    followed_table table{{page(row("a", "1", 1), 5), "cut", page(R"({"key":"a","ver":7,"deleted":true})", 7)},
+                         {"t", long_interval, 50_ms, grace, {}}};
+    table.store.default_response = page("", 7);
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.rows["a"] == "gone"; }));
+    REQUIRE(table.request_count() >= 4);
+    for (std::size_t i = 3; i < table.request_count(); ++i) {
+        CHECK(table.wait_of_request(i) <= grace);
+    }
+}
+
 TEST_CASE("table follower: a reader publishes the changes that it reads, with the version that they follow")
 {
     followed_table table{{page(row("a", "1", 1), 5), page(row("a", "2", 7), 7), page("", 7)},
