--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -118,6 +118,17 @@
     CHECK(table.rows["a"] == "1");
 }
 
+// Guards against a crash of the log line about a deletion that the same response takes back.
+TEST_CASE("table follower: a row that is deleted and written again in one response during the grace period")
+{
+    followed_table table{{page(row("a", "1", 1), 5), "cut",
+                          page(R"({"key":"a","ver":6,"deleted":true},)" + row("a", "2", 7), 7)},
+                         {"t", 1_s, 50_ms, 3600_s, {}}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 4; }));
+    CHECK(table.rows["a"] == "2");
+}
+
 TEST_CASE("table follower: retries while the store is unreachable, and keeps the known rows")
 {
     scripted_store store{{page(row("a", "1", 1), 5), "cut", answer(503, ""), page(row("a", "2", 8), 8)}};
