--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -79,6 +79,8 @@
     deletions_deferred = 6009,
     deletions_applied = 6010,
     outage_assessed = 6011,
+    stale_rows_ignored = 6012,
+    stale_rows_applied = 6013,
 };
 
 /// An entry of the event catalogue.
@@ -158,6 +160,8 @@
     event_entry{event::deletions_deferred, "deletions_deferred", log_level::info},
     event_entry{event::deletions_applied, "deletions_applied", log_level::info},
     event_entry{event::outage_assessed, "outage_assessed", log_level::info},
+    event_entry{event::stale_rows_ignored, "stale_rows_ignored", log_level::warn},
+    event_entry{event::stale_rows_applied, "stale_rows_applied", log_level::warn},
 };
 
 /// The catalogue entry of an event. Every event has one.
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -10,6 +10,7 @@
 constexpr number_range port_range{0, 65535};
 constexpr number_range stop_range_ms{1000, 3'600'000};
 constexpr number_range leaving_range_ms{200, 60'000};
+constexpr number_range heartbeat_range_ms{10, 60'000};
 constexpr number_range ttl_range_ms{200, 60'000};
 constexpr number_range window_range_ms{1000, 600'000};
 constexpr number_range ratio_range{0.0, 10.0};
@@ -99,9 +100,11 @@
     check.reject_unknown(document, {"entry_host", "platform", "stop", "directory", "retries", "log"});
     read_entry_host(check, document, result.values);
     const auto& platform = required_section(check, document, "platform");
-    check.reject_unknown(platform, {"store", "leaving_limit"});
+    check.reject_unknown(platform, {"store", "leaving_limit", "host_heartbeat"});
     result.values.leaving_limit =
         check.duration(platform, "leaving_limit", result.values.leaving_limit, leaving_range_ms);
+    result.values.host_heartbeat =
+        check.duration(platform, "host_heartbeat", result.values.host_heartbeat, heartbeat_range_ms);
     result.values.store_address = read_address(check, platform, "store", true);
     read_limits(check, document, result.values);
     if (const auto* log = document.get_as<toml::table>("log")) {
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -25,6 +25,7 @@
     std::vector<std::string> seeds; ///< `IP:port` of peers to contact first.
     std::string store_address;      ///< `IP:port` of the platform's store.
     time_ms leaving_limit{2000};    ///< Time within which a leaving host stops getting new work.
+    time_ms host_heartbeat{1200};   ///< How often hosts renew their entries in the store.
     double link_mbps = 0.0;         ///< Rate of the entry host's link; 0: not known.
     double processor_share = 0.0;   ///< Cores that the process may use; 0: not known.
     bool is_first_start = false;    ///< The whole system is being started for the first time.
--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -15,6 +15,7 @@
         : store{std::move(answers)}, follower{store.loop.context(), store.rows, std::move(settings),
                                               [this](const changed_row& changed) {
                                                   this->rows[changed.key] = changed.value.value_or("gone");
+                                                  this->writes += changed.value ? 1 : 0;
                                               },
                                               [] {}}
     {
@@ -48,6 +49,7 @@
 
     scripted_store store;
     std::map<std::string, std::string> rows;
+    std::size_t writes = 0; ///< Rows with a value that were passed on.
     std::vector<table_delta> published;
     bool is_reader = false;
     table_follower follower;
@@ -118,6 +120,49 @@
     CHECK(table.rows["a"] == "1");
 }
 
+// Guards against targets that have left being used again after the store has gone back.
+TEST_CASE("table follower: a row that was deleted before a restore is not used because the copy has it")
+{
+    const std::string deletion = page(R"({"key":"a","ver":6,"deleted":true})", 6);
+    const std::string copy = in_era(2, page(row("a", "1", 1), 5));
+    followed_table table{{in_era(1, page(row("a", "1", 1), 5)), in_era(1, deletion), copy, copy},
+                         {"t", 1_s, {}, {}, {}, {}, {}, long_interval, long_interval}};
+    SECTION("while nobody writes it")
+    {
+        table.start();
+        REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 5; }));
+        CHECK(table.rows["a"] == "gone");
+        CHECK(table.writes == 1);
+    }
+    SECTION("until it is written again")
+    {
+        table.store.responses.push_back(in_era(2, page(row("a", "2", 6), 6)));
+        table.start();
+        REQUIRE(table.store.loop.run_until([&] { return table.rows["a"] == "2"; }));
+        CHECK(table.writes == 2);
+    }
+    SECTION("and its second deletion has no effect")
+    {
+        table.store.responses.push_back(in_era(2, deletion));
+        table.start();
+        REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 6; }));
+        CHECK(table.rows["a"] == "gone");
+        CHECK(table.writes == 1);
+    }
+}
+
+TEST_CASE("table follower: a row that a restored store keeps is used in the end")
+{
+    const std::string copy = in_era(2, page(row("a", "1", 1), 5));
+    followed_table table{{in_era(1, page(row("a", "1", 1), 5)),
+                          in_era(1, page(R"({"key":"a","ver":6,"deleted":true})", 6)), copy, copy},
+                         {"t", 1_s, {}, {}, {}, {}, {}, long_interval, 300_ms}};
+    table.store.default_response = in_era(2, page("", 5));
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.writes == 2; }));
+    CHECK(table.rows["a"] == "1");
+}
+
 // Guards against a crash of the log line about a deletion that the same response takes back.
 TEST_CASE("table follower: a row that is deleted and written again in one response during the grace period")
 {
