--- a/include/coriander/table_delta.hpp
+++ b/include/coriander/table_delta.hpp
@@ -22,8 +22,8 @@
     /// A reader that knows the table up to this version can apply the delta without a gap.
     row_version from;
     row_version to; ///< Of the same era as `from`.
-    /// What the sender lacks of the contact with the store after which no deletion is deferred: for this long,
-    /// deleted rows may still be written again. Zero once it has had contact for that long.
+    /// For this long, deleted rows may still be written again: what the sender lacks of the time of contact
+    /// with the store after which no deletion is deferred.
     time_ms grace;
     std::vector<changed_row> rows;
 };
--- a/test/contact_history_test.cpp
+++ b/test/contact_history_test.cpp
@@ -68,6 +68,7 @@
         // Few enough for none to be dropped.
         const auto starts = *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 12000));
         std::vector<contact_span> spans;
+        spans.reserve(starts.size());
         for (const int start : starts) {
             spans.push_back({time_ms{start}, time_ms{start + *rc::gen::inRange(0, 2000)}});
         }
@@ -84,6 +85,7 @@
     rc::prop("no span ends within the bound before it", [] {
         const auto starts = *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 12000));
         std::vector<contact_span> spans;
+        spans.reserve(starts.size());
         for (const int start : starts) {
             spans.push_back({time_ms{start}, time_ms{start}});
         }
