--- a/test/gateway/gateway_settings_test.cpp
+++ b/test/gateway/gateway_settings_test.cpp
@@ -18,6 +18,7 @@
 
 [platform]
 store = "10.200.1.7:8223"
+host_heartbeat = "900ms"
 
 [stop]
 limit = "8s"
@@ -38,6 +39,7 @@
     const auto result = parse_gateway_settings(valid_settings, "gateway.toml");
     CHECK(findings_text(result.faults).empty());
     CHECK(result.values.name == "edge-1");
+    CHECK(result.values.host_heartbeat == 900_ms);
     CHECK(result.values.callers_address == "10.1.0.40:8227");
     CHECK(result.values.seeds.size() == 2);
     CHECK(result.values.is_first_start);
