--- a/include/coriander/departed_rows.hpp
+++ b/include/coriander/departed_rows.hpp
@@ -13,7 +13,7 @@
 /// Rows of a table that were deleted a short time ago.
 ///
 /// A store that is restored from an earlier copy shows such rows again, as they were before their deletion.
-/// Nobody has written them since, so that what they describe may not exist any more. Not thread-safe.
+/// They have not been written since, so that what they describe may not exist any more. Not thread-safe.
 class departed_rows {
 public:
     /// Records the deletion of a row whose last version was `last`. `deletion` is of the era in which the
--- a/test/contact_history_test.cpp
+++ b/test/contact_history_test.cpp
@@ -17,6 +17,18 @@
     return history;
 }
 
+/// Spans shorter than `length_limit` ms, few enough for a history to keep them all.
+std::vector<contact_span> drawn_spans(int length_limit)
+{
+    const auto starts = *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 12000));
+    std::vector<contact_span> spans;
+    spans.reserve(starts.size());
+    for (const int start : starts) {
+        spans.push_back({time_ms{start}, time_ms{start + *rc::gen::inRange(0, length_limit)}});
+    }
+    return spans;
+}
+
 } // namespace
 
 TEST_CASE("contact history: the first contact does not follow an outage")
@@ -65,13 +77,7 @@
 TEST_CASE("contact history: the order in which spans become known does not matter")
 {
     rc::prop("any two orders give the same result", [] {
-        // Few enough for none to be dropped.
-        const auto starts = *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 12000));
-        std::vector<contact_span> spans;
-        spans.reserve(starts.size());
-        for (const int start : starts) {
-            spans.push_back({time_ms{start}, time_ms{start + *rc::gen::inRange(0, 2000)}});
-        }
+        const auto spans = drawn_spans(2000);
         auto reversed = spans;
         std::reverse(reversed.begin(), reversed.end());
         const auto history = history_of(spans);
@@ -83,12 +89,7 @@
 TEST_CASE("contact history: regained contact begins at a span that no other one is near before")
 {
     rc::prop("no span ends within the bound before it", [] {
-        const auto starts = *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(0, 12000));
-        std::vector<contact_span> spans;
-        spans.reserve(starts.size());
-        for (const int start : starts) {
-            spans.push_back({time_ms{start}, time_ms{start}});
-        }
+        const auto spans = drawn_spans(1);
         const auto regained_at = history_of(spans).regained_at();
         for (const auto& span : spans) {
             RC_ASSERT(!regained_at || span.until >= *regained_at || *regained_at - span.until > max_gap);
--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -127,7 +127,7 @@
     const std::string copy = in_era(2, page(row("a", "1", 1), 5));
     followed_table table{{in_era(1, page(row("a", "1", 1), 5)), in_era(1, deletion), copy, copy},
                          {"t", 1_s, {}, {}, {}, {}, {}, long_interval, long_interval}};
-    SECTION("while nobody writes it")
+    SECTION("while it is not written")
     {
         table.start();
         REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 5; }));
@@ -323,14 +323,14 @@
 // Guards against a daemon that was cut off from the store using targets that have left once it is back.
 TEST_CASE("table follower: applies deferred deletions at once when another daemon had contact all the time")
 {
-    const auto without_news = GENERATE(false, true);
+    const auto has_sender_lost_store = GENERATE(false, true);
     followed_table table{{page(row("a", "1", 1), 5), "cut", page(R"({"key":"a","ver":7,"deleted":true})", 7)},
                          {"t", {}, 50_ms, 3600_s, long_interval, {}, {}, 0_ms}};
     table.start();
     REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 4; }));
     REQUIRE(table.rows["a"] == "1");
-    table.follower.apply_news({"t", {0, 7}, {0, 7}, without_news ? 3600_s : 0_ms, {}});
-    CHECK(table.rows["a"] == (without_news ? "1" : "gone"));
+    table.follower.apply_news({"t", {0, 7}, {0, 7}, has_sender_lost_store ? 3600_s : 0_ms, {}});
+    CHECK(table.rows["a"] == (has_sender_lost_store ? "1" : "gone"));
 }
 
 TEST_CASE(
