Failure domains can be emptied at the operators' request, and cold hosts get requests with permits only

Change: relay/emptied_domains holds the share of new requests that a domain may get; target_pool asks for it in each choice and right before a request is sent; the planner leaves emptied domains out; peers pass the state on with its age. A cold host is a target with a rate limit that ends by itself, and gets requests with the permits that targets with a stated limit need.

--- a/include/coriander/relay/relay_manifest.hpp
+++ b/include/coriander/relay/relay_manifest.hpp
@@ -83,6 +83,7 @@
     std::string name;
     std::string health_path;
     unsigned max_connections = 0;         ///< Per target, over all callers; 0: unlimited.
+    double cold_rate = 0.0;               ///< Requests per second that a cold host bears in all; 0: any.
     std::optional<engine_profile> engine; ///< Empty for a plain service.
 };
 
--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "coriander/load_estimate.hpp"
 #include "coriander/message_mac.hpp"
+#include "coriander/relay/emptied_domains.hpp"
 #include "coriander/relay/load_report.hpp"
 #include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/stall_detector.hpp"
@@ -33,6 +34,10 @@
     std::uint64_t incarnation = 0; ///< Of the host.
     bool is_gateway = false;       ///< Another gateway, which sends the request to a target of its own.
     bool is_held = false; ///< The only replica of its model; a host of it is silent but may be sound.
+    std::vector<std::string>
+        further_domains{};  ///< Other failure domains in which hosts of the replica stand.
+    time_ms cold_until{};   ///< Until then the host bears only `cold_rate`.
+    double cold_rate = 0.0; ///< Requests per second from all daemons; 0: any.
 };
 
 /// Why a target is temporarily out of rotation.
@@ -76,10 +81,12 @@
 
     /// Observes what hosts state about themselves. `known` must outlive the pool.
     void observe(const target_statements& known);
+    /// Observes which failure domains are being emptied. `known` must outlive the pool.
+    void observe(const emptied_domains& known) { this->emptied = &known; }
     /// Applies the statements that have changed. Call it after each change.
     void apply_statements();
     /// Whether a request may be sent to the target that was selected earlier: it is still listed, and its
-    /// host has stated nothing against it.
+    /// host has stated nothing against it, and its failure domain has not been emptied.
     [[nodiscard]] bool may_send(const relay_target& selected, time_ms now) const;
     /// The target whose requests this host takes, listed or not; empty if there is none.
     [[nodiscard]] std::optional<relay_target> target_of(host_key host) const;
@@ -120,9 +127,12 @@
     void on_rate_limit(const std::string& id, std::optional<double> per_second, time_ms now);
     /// Records a rate limit that another daemon received. Unknown targets are ignored.
     void on_peer_rate_limit(const rate_limit& limit, time_ms now);
-    /// The rate limit in force for the target, if it has one.
+    /// The rate limit in force for the target, if it has one: what it stated, or what a cold host bears,
+    /// whichever is lower.
     [[nodiscard]] std::optional<rate_limit> limit_of(const std::string& id, time_ms now) const;
-    /// Known rate limits, and those that ended lately.
+    /// The number of targets whose host is cold.
+    [[nodiscard]] std::size_t count_cold(time_ms now) const;
+    /// Rate limits stated by targets, and those that ended lately.
     [[nodiscard]] std::vector<rate_limit> rate_limits(time_ms now) const;
     /// Excludes the target from selection until `until`, when a permit may be available.
     void defer(const std::string& id, time_ms until);
@@ -161,6 +171,9 @@
     static constexpr time_ms max_report_age{1000};
     /// A rate limit that no response has confirmed for this time is no longer in force.
     static constexpr time_ms max_limit_age{10000};
+    /// Part of the rate that a cold host bears for which permits are issued: the rest is for permits of an
+    /// issuer that has just been replaced.
+    static constexpr double cold_rate_share = 0.85;
     /// Consecutive failures that take a target out of rotation, and for how long the first time.
     static constexpr std::uint32_t failure_limit = 3;
     static constexpr time_ms failure_suspension{1000};
@@ -204,7 +217,13 @@
     [[nodiscard]] static bool is_usable(const target_state& target, std::string_view model, time_ms now);
     /// Whether the target is usable but for a silence of which it is not known whether it lasts.
     [[nodiscard]] static bool is_silent(const target_state& target, std::string_view model, time_ms now);
-    [[nodiscard]] static bool is_limited(const target_state& target, time_ms now);
+    /// The share of new requests that the target may get: less than 1 while one of its failure domains is
+    /// being emptied or returns.
+    [[nodiscard]] double share_of(const relay_target& target, time_ms now) const;
+    [[nodiscard]] static bool has_stated_limit(const target_state& target, time_ms now);
+    [[nodiscard]] static bool is_cold(const target_state& target, time_ms now);
+    /// The rate limit in force; see `limit_of`.
+    [[nodiscard]] static std::optional<rate_limit> limit_in_force(const target_state& target, time_ms now);
     /// Records a rate limit as of `stated_at`; zero if the target stated none.
     static void set_limit(target_state& target, double per_second, time_ms stated_at);
     /// The target's rate limit as it is passed on. Precondition: one has been stated.
@@ -215,6 +234,7 @@
 
     std::map<std::string, target_state> targets;
     const target_statements* statements = nullptr;
+    const emptied_domains* emptied = nullptr;
 };
 
 } // namespace coriander
--- a/include/coriander/replicas/listed_host.hpp
+++ b/include/coriander/replicas/listed_host.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coriander/time_ms.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,6 +45,8 @@
     /// Whether the host itself reported this state recently. Otherwise the state comes from the host list,
     /// which may be stale.
     bool is_self_reported = false;
+    time_ms cold_left{};  ///< For how long the host bears fewer requests, as of its entry.
+    time_ms cold_until{}; ///< When that ends, by this daemon's clock; in the past if it isn't cold.
 };
 
 } // namespace coriander
--- a/src/gateway/fleet_planner.cpp
+++ b/src/gateway/fleet_planner.cpp
@@ -53,13 +53,16 @@
     input.needed = &wanted;
     input.only_staged = !this->are_cheap;
     for (const auto& key : this->view.domains_of(service.name)) {
+        input.may_mix = input.may_mix && this->is_settled(key, now);
+        if (this->view.is_emptied(key)) {
+            continue; // Its replicas get no requests, and nothing is planned there.
+        }
         const auto& record = this->view.domain(key).record;
         for (const auto& replica : record.replicas) {
             // Spare hosts replace a held replica at once, in case its silent host is lost.
             const bool counts = is_forming_or_open(replica) && !held.contains(replica.name);
             this->existing[replica.model] += counts ? 1 : 0;
         }
-        input.may_mix = input.may_mix && this->is_settled(key, now);
         input.domains.push_back(this->supply_of(key).capacity);
     }
     input.existing = &this->existing;
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -32,6 +32,15 @@
     return true;
 }
 
+/// Sets the rate that the target bears while the host that gets its requests is cold.
+void set_cold_limit(relay_target& target, const listed_host& host, const relay_service& service)
+{
+    if (service.cold_rate > 0.0) {
+        target.cold_until = host.cold_until;
+        target.cold_rate = service.cold_rate;
+    }
+}
+
 } // namespace
 
 std::optional<domain_key> parse_domain_key(std::string_view row_key)
@@ -54,8 +63,9 @@
     return host;
 }
 
-void fleet_view::set_host(const listed_host& host, time_ms now)
+void fleet_view::set_host(const listed_host& entry_read, time_ms now)
 {
+    const auto host = this->with_cold_end(entry_read, now);
     this->list_times[host.id] = now;
     this->expire_reports(now);
     this->reindex(this->find_host(host.id), &host);
@@ -92,6 +102,18 @@
     this->apply_statement(current);
 }
 
+listed_host fleet_view::with_cold_end(listed_host host, time_ms now) const
+{
+    const auto* before = this->find_host(host.id);
+    const bool is_same_statement =
+        before != nullptr && before->incarnation == host.incarnation && before->cold_left == host.cold_left;
+    // An entry that is read again says nothing new of the time left.
+    host.cold_until = is_same_statement            ? before->cold_until
+                      : host.cold_left > time_ms{} ? now + host.cold_left
+                                                   : time_ms{};
+    return host;
+}
+
 void fleet_view::apply_statements()
 {
     const auto newest = this->statements == nullptr ? 0 : this->statements->leaving_changes();
@@ -360,6 +382,17 @@
     return domain.hosts;
 }
 
+bool fleet_view::is_emptied(const domain_key& key) const
+{
+    if (this->emptied == nullptr || !this->emptied->has_emptied()) {
+        return false;
+    }
+    const auto hosts = this->hosts_of(key);
+    return std::any_of(hosts->begin(), hosts->end(), [&](const listed_host& host) {
+        return this->emptied->is_emptied(host.failure_domain);
+    });
+}
+
 std::size_t fleet_view::host_count(const std::string& service) const
 {
     std::size_t count = 0;
@@ -504,6 +537,7 @@
                                        host.slots,
                                        1.0,
                                        host.incarnation});
+                    set_cold_limit(targets.back(), host, service);
                 }
             }
         });
@@ -516,6 +550,13 @@
         targets.push_back({replica.name, leader->id, leader->address, leader->failure_domain, replica.model,
                            replica.generation, service.engine->slots, factor, leader->incarnation, false,
                            is_held});
+        set_cold_limit(targets.back(), *leader, service);
+        for (const auto& member : replica.hosts) {
+            const auto* host = this->find_host(member.id);
+            if (host != nullptr && host->failure_domain != leader->failure_domain) {
+                targets.back().further_domains.push_back(host->failure_domain);
+            }
+        }
     };
     const auto held = this->held_replicas(service.name, now);
     for (const auto& [key, domain] : this->records) {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coriander/relay/emptied_domains.hpp"
 #include "coriander/relay/relay_manifest.hpp"
 #include "coriander/relay/target_pool.hpp"
 #include "coriander/relay/target_statements.hpp"
@@ -69,11 +70,14 @@
     /// the view.
     explicit fleet_view(const target_statements& statements) : statements{&statements} {}
 
+    /// Observes which failure domains are to be empty. `known` must outlive the view.
+    void observe(const emptied_domains& known) { this->emptied = &known; }
+
     /// Applies the statements that have changed. Call it after each change.
     void apply_statements();
 
     /// Applies an entry of the platform's host list.
-    void set_host(const listed_host& host, time_ms now);
+    void set_host(const listed_host& entry_read, time_ms now);
     /// Removes a host that is no longer listed.
     void remove_host(const std::string& id);
     /// Applies a host's own report, requested at `requested_at`. For a while it takes precedence over the
@@ -124,6 +128,8 @@
     [[nodiscard]] std::vector<domain_key> domains_of(const std::string& service) const;
     /// The hosts of a domain, ordered by id. The list stays as it is when hosts change later.
     [[nodiscard]] host_list hosts_of(const domain_key& key) const;
+    /// Whether hosts of the domain stand in a failure domain that is to be empty.
+    [[nodiscard]] bool is_emptied(const domain_key& key) const;
     /// The number of listed hosts of the service.
     [[nodiscard]] std::size_t host_count(const std::string& service) const;
     /// When a new or restarted host last appeared in the domain.
@@ -186,6 +192,8 @@
     /// Whether the member still belongs to the open replica, as far as is known.
     [[nodiscard]] bool is_in_place(const replica_entry& replica, const replica_host& member) const;
     void record_report(const listed_host& host, time_ms at);
+    /// The entry with the time at which its host is no longer cold.
+    [[nodiscard]] listed_host with_cold_end(listed_host host, time_ms now) const;
     /// Overwrites the known state of the host with its list entry, except the warm model, which the list does
     /// not contain.
     void apply_listed(listed_host& known, const listed_host& listed) const;
@@ -195,6 +203,7 @@
     void update_warm_model(listed_host& host) const;
 
     const target_statements* statements = nullptr;
+    const emptied_domains* emptied = nullptr;
     std::uint64_t applied_statements = 0; ///< The statements' counter when they were applied last.
     std::map<std::string, listed_host> known;
     mutable std::map<domain_key, domain_index> index; ///< Of `known`, by service and fabric domain.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/crash_response.hpp"
+#include "gateway/domains/emptied_domain_watch.hpp"
 #include "gateway/fleet_controller.hpp"
 #include "gateway/fleet_view.hpp"
 #include "gateway/gateway_peers.hpp"
@@ -28,6 +29,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -65,6 +67,8 @@
         const path_check check = [this](const listed_host& suspect, on_path_checked done) {
             this->paths.check(suspect, std::move(done));
         };
+        this->fleet.observe(this->relay.emptied);
+        this->loads.set_emptied_listener([this](auto reports) { this->emptied.merge(reports); });
         this->control.set_path_check(check);
         this->control.set_table_check([this] { return this->io.reaches_table(); });
         this->stalls.set_path_check(check);
@@ -156,6 +160,9 @@
     /// The known hosts and replicas. Call `refresh` after changing them.
     [[nodiscard]] fleet_view& view() noexcept { return this->fleet; }
 
+    /// Applies what the store says of an emptied failure domain.
+    void set_emptied(const emptied_domain_report& report) { this->emptied.apply(report, "store"); }
+
     /// Starts control. Call it once the host list and the records have been read completely: until then every
     /// host would appear to be gone.
     void start_control() { this->is_fleet_loaded = true; }
@@ -288,6 +295,20 @@
                 this->stalls.abandon_lost_replicas(name);
             }
         }
+        this->note_cold_targets();
+    }
+
+    /// Logs and counts the targets that get requests with permits only, since their hosts are cold.
+    void note_cold_targets()
+    {
+        for (const auto& [name, state] : this->relay.services) {
+            const auto count = state.board.count_cold(this->relay.clock.now());
+            if (std::exchange(this->cold_targets[name], count) != count) {
+                log_event(event::targets_cold, {{"service", name}, {"targets", count}});
+                this->relay.counters.set("coriander_cold_targets", "service=\"" + name + "\"",
+                                         static_cast<double>(count));
+            }
+        }
     }
 
     /// Called when requests on their replicas showed that `hosts` are lost. Notifies daemons that have no
@@ -394,6 +415,8 @@
         this->relay.channels.close_expired();
         this->relay.counters.set("coriander_open_requests", {},
                                  static_cast<double>(this->relay.open_requests()));
+        this->emptied.update_metrics();
+        this->note_cold_targets();
         this->silent_hosts.probe_all(this->relay.clock.now());
         this->call_after(this->housekeeping_timer, housekeeping_interval,
                          [this] { this->run_housekeeping(); });
@@ -409,6 +432,7 @@
     relay_context relay;
     page_server pages;
     load_exchange loads{this->relay};
+    emptied_domain_watch emptied{this->relay, [this] { this->schedule_control(); }};
     fleet_view fleet{this->relay.statements};
     path_monitor<Io> paths{this->io, this->fleet,
                            [this](const std::string& service) { this->on_path_changed(service); }};
@@ -437,6 +461,7 @@
     asio::steady_timer peer_timer;
     asio::steady_timer path_timer;
     asio::steady_timer housekeeping_timer;
+    std::map<std::string, std::size_t> cold_targets; ///< By service, as logged last.
     bool is_fleet_loaded = false;
     bool is_control_due = false;
 };
--- a/src/gateway/load_exchange.hpp
+++ b/src/gateway/load_exchange.hpp
@@ -10,8 +10,11 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <span>
 #include <string>
+#include <utility>
 
 namespace coriander {
 
@@ -22,6 +25,12 @@
     /// `context` must outlive the exchange.
     explicit load_exchange(relay_context& context) : context{context} {}
 
+    /// Sets the receiver of what other daemons know of emptied failure domains.
+    void set_emptied_listener(std::function<void(std::span<const emptied_domain_report>)> listener)
+    {
+        this->emptied_listener = std::move(listener);
+    }
+
     /// Records that the daemon runs. A wait that a message states counts from its receipt, so that messages
     /// which waited while the daemon stood still would start pauses anew, here and at those it passes them on
     /// to.
@@ -34,6 +43,7 @@
         this->on_activity(now);
         this->context.demand.on_report(sender, update.demands, now);
         this->merge_statements_of(update, now);
+        this->emptied_listener(update.emptied);
         for (auto& [name, state] : this->context.services) {
             for (const auto& one : update.targets) {
                 state.board.on_peer_report(one, now);
@@ -52,6 +62,7 @@
         const auto now = this->context.clock.now();
         this->on_activity(now);
         update.statements = this->context.statements.report(max_statements, now);
+        update.emptied = this->context.emptied.reports(now);
         for (const auto& [name, state] : this->context.services) {
             const auto reports = state.board.reports(limit, now);
             update.targets.insert(update.targets.end(), reports.begin(), reports.end());
@@ -100,6 +111,7 @@
     static constexpr std::size_t max_statements = 16;
 
     relay_context& context;
+    std::function<void(std::span<const emptied_domain_report>)> emptied_listener = [](auto) {};
     standstill_watch activity;
 };
 
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -5,6 +5,7 @@
 #include "coriander/relay/admission_forecast.hpp"
 #include "coriander/relay/answer_trials.hpp"
 #include "coriander/relay/crash_quarantine.hpp"
+#include "coriander/relay/emptied_domains.hpp"
 #include "coriander/relay/fleet_demand.hpp"
 #include "coriander/relay/rate_limit.hpp"
 #include "coriander/relay/route_table.hpp"
@@ -54,6 +55,7 @@
     std::shared_ptr<const route_table> routes; ///< Null until the first manifest has been received.
     manifest_doubt doubt;                      ///< Whether that manifest may be outdated.
     target_statements statements;
+    emptied_domains emptied;
     std::map<std::string, service_state> services;
     retry_window_settings retry_settings;
     fleet_demand demand;
@@ -128,6 +130,7 @@
         if (is_new) {
             entry->second.retries = retry_window{this->retry_settings};
             entry->second.board.observe(this->statements);
+            entry->second.board.observe(this->emptied);
         }
         return entry->second;
     }
--- a/src/gateway/statement_intake.cpp
+++ b/src/gateway/statement_intake.cpp
@@ -16,24 +16,13 @@
 constexpr int unavailable_status = 503;
 constexpr std::string_view retry_after_header = "Retry-After";
 
-/// Applies the statements to all targets. Requests that wait for a connection to a target that may get none
-/// now go to another one.
+/// Applies the statements to all targets.
 void apply_statements(relay_context& context)
 {
-    std::vector<std::shared_ptr<relay_session>> waiting;
     for (auto& [name, state] : context.services) {
         state.board.apply_statements();
-        for (const auto& [target, sessions] : state.sessions) {
-            for (auto* session : sessions) {
-                if (session->is_unsent()) {
-                    waiting.push_back(session->shared_from_this());
-                }
-            }
-        }
-    }
-    for (const auto& session : waiting) {
-        session->withdraw_if_forbidden();
     }
+    withdraw_forbidden(context);
     context.on_statement();
 }
 
@@ -111,6 +100,23 @@
 
 } // namespace
 
+void withdraw_forbidden(relay_context& context)
+{
+    std::vector<std::shared_ptr<relay_session>> waiting;
+    for (const auto& [name, state] : context.services) {
+        for (const auto& [target, sessions] : state.sessions) {
+            for (auto* session : sessions) {
+                if (session->is_unsent()) {
+                    waiting.push_back(session->shared_from_this());
+                }
+            }
+        }
+    }
+    for (const auto& session : waiting) {
+        session->withdraw_if_forbidden();
+    }
+}
+
 void record_statements(relay_context& context, const relay_target& target, const message_head& head)
 {
     const auto key = key_of_host(target.host, target.incarnation, target.address);
--- a/src/gateway/statement_intake.hpp
+++ b/src/gateway/statement_intake.hpp
@@ -16,4 +16,7 @@
 /// The same for statements that another daemon has passed on.
 void merge_statements(relay_context& context, std::span<const host_statement> statements);
 
+/// Sends requests that wait for a connection to a target which may get none now to another one.
+void withdraw_forbidden(relay_context& context);
+
 } // namespace coriander
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -153,6 +153,12 @@
             converted<wire::PermitAnswer>(message.permits.answers, wire_permit_answer);
         const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
         const auto kept = this->write_kept_requests(message.kept);
+        const auto emptied = converted<flatbuffers::Offset<wire::EmptiedDomain>>(
+            message.loads.emptied, [this](const auto& one) {
+                return wire::CreateEmptiedDomainDirect(this->builder, one.domain.c_str(), one.version.era,
+                                                       one.version.number, one.is_emptied,
+                                                       clamped_age(one.age));
+            });
         const auto relay_key = wire_relay_key(message.relay_key.value_or(mac_key{}));
         const auto config = this->write_config(message.config);
         const auto news = this->write_news(message.news);
@@ -160,7 +166,7 @@
             this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
             &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers, &statements, &kept,
             message.relay_key ? &relay_key : nullptr, message.packed.empty() ? nullptr : &message.packed,
-            message.packed_size));
+            message.packed_size, emptied.empty() ? nullptr : &emptied));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -274,6 +280,18 @@
     }
 }
 
+void read_emptied_domains(const wire::PeerMessage& root, peer_message& message)
+{
+    if (const auto* domains = root.emptied_domains()) {
+        for (const auto* one : *domains) {
+            message.loads.emptied.push_back({text_of(one->name()),
+                                             {one->era(), one->version()},
+                                             one->is_emptied(),
+                                             time_ms{one->age_ms()}});
+        }
+    }
+}
+
 void read_lost_hosts(const wire::PeerMessage& root, peer_message& message)
 {
     if (const auto* hosts = root.lost_hosts()) {
@@ -375,6 +393,7 @@
     read_news(root, message);
     read_loads(root, message);
     read_statements(root, message);
+    read_emptied_domains(root, message);
     read_lost_hosts(root, message);
     read_kept_requests(root, message);
     read_crashes(root, message);
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -5,6 +5,14 @@
 #include <cmath>
 
 namespace coriander {
+namespace {
+
+/// Turns noise in [0, 1) into a salt of hashes.
+constexpr double noise_scale = 1e9;
+/// Values that a draw from a hash can have.
+constexpr std::uint64_t noise_steps = 1024;
+
+} // namespace
 
 void target_pool::set_targets(std::span<const relay_target> serving)
 {
@@ -79,7 +87,19 @@
     const auto& target = found->second;
     return target.info.generation == selected.generation && target.info.host == selected.host &&
            target.info.incarnation == selected.incarnation && target.info.address == selected.address &&
-           !target.is_leaving && now >= target.paused_until;
+           !target.is_leaving && now >= target.paused_until && this->share_of(target.info, now) > 0.0;
+}
+
+double target_pool::share_of(const relay_target& target, time_ms now) const
+{
+    if (this->emptied == nullptr || this->emptied->empty()) {
+        return 1.0;
+    }
+    double share = this->emptied->share(target.failure_domain, now);
+    for (const auto& domain : target.further_domains) {
+        share = std::min(share, this->emptied->share(domain, now));
+    }
+    return share;
 }
 
 std::optional<relay_target> target_pool::target_of(host_key host) const
@@ -136,9 +156,29 @@
 std::optional<target_choice> target_pool::choose(const target_criteria& criteria, double noise,
                                                  time_ms now) const
 {
-    auto choice = this->choose_if(criteria, noise, now, is_usable);
+    // One draw for all targets of a domain, so that the domain gets its share whatever their number.
+    const auto salt = static_cast<std::uint64_t>(noise * noise_scale);
+    const auto is_drawn = [&](const target_state& target) {
+        const double share = this->share_of(target.info, now);
+        const auto drawn = stable_hash(target.info.failure_domain, ~salt) % noise_steps;
+        return share >= 1.0 || static_cast<double>(drawn) < share * noise_steps;
+    };
+    const auto is_open = [&](const target_state& target) { return this->share_of(target.info, now) > 0.0; };
+    auto choice = this->choose_if(criteria, noise, now,
+                                  [&](const target_state& target, std::string_view model, time_ms at) {
+                                      return is_usable(target, model, at) && is_drawn(target);
+                                  });
+    if (!choice && this->emptied != nullptr && !this->emptied->empty()) {
+        choice = this->choose_if(criteria, noise, now,
+                                 [&](const target_state& target, std::string_view model, time_ms at) {
+                                     return is_usable(target, model, at) && is_open(target);
+                                 });
+    }
     if (!choice && criteria.includes_silent) {
-        choice = this->choose_if(criteria, noise, now, is_silent);
+        choice = this->choose_if(criteria, noise, now,
+                                 [&](const target_state& target, std::string_view model, time_ms at) {
+                                     return is_silent(target, model, at) && is_open(target);
+                                 });
         if (choice) {
             choice->is_silent = true;
         }
@@ -155,16 +195,15 @@
     double best_others = 0.0;
     const double expected = this->expected_other_requests(criteria, now);
     const double spread = spread_cost * (1.0 - 1.0 / static_cast<double>(criteria.daemon_count));
-    const auto salt = static_cast<std::uint64_t>(noise * 1e9);
+    const auto salt = static_cast<std::uint64_t>(noise * noise_scale);
     for (const auto& [id, target] : this->targets) {
         const bool was_tried =
             std::find(criteria.tried.begin(), criteria.tried.end(), id) != criteria.tried.end();
-        const bool has_no_permit =
-            now < target.deferred_until || (criteria.excludes_limited && is_limited(target, now));
+        const bool has_no_permit = now < target.deferred_until ||
+                                   (criteria.excludes_limited && limit_in_force(target, now).has_value());
         if (was_tried || has_no_permit || !is_eligible(target, criteria.model, now)) {
             continue;
         }
-        constexpr std::uint64_t noise_steps = 1024;
         const double drawn = (0.5 + static_cast<double>(stable_hash(id, salt) % noise_steps)) / noise_steps;
         const double others = other_requests_on(target, expected, now);
         const double load = (target.own_requests + others) / std::max(1U, target.info.slots);
@@ -189,8 +228,9 @@
 std::size_t target_pool::count(std::string_view model, time_ms now) const
 {
     return static_cast<std::size_t>(
-        std::count_if(this->targets.begin(), this->targets.end(),
-                      [&](const auto& item) { return is_usable(item.second, model, now); }));
+        std::count_if(this->targets.begin(), this->targets.end(), [&](const auto& item) {
+            return is_usable(item.second, model, now) && this->share_of(item.second.info, now) > 0.0;
+        }));
 }
 
 double target_pool::capacity(std::string_view model, double full_rate, time_ms now) const
@@ -198,14 +238,42 @@
     double total = 0.0;
     for (const auto& [id, target] : this->targets) {
         if (is_usable(target, model, now)) {
-            const bool is_partial = is_limited(target, now) && target.limit_per_second < full_rate;
-            total += is_partial ? target.limit_per_second / full_rate : 1.0;
+            const auto limit = limit_in_force(target, now);
+            const bool is_partial = limit && limit->per_second < full_rate;
+            const double share = this->share_of(target.info, now);
+            total += share * (is_partial ? limit->per_second / full_rate : 1.0);
         }
     }
     return total;
 }
 
-bool target_pool::is_limited(const target_state& target, time_ms now)
+bool target_pool::is_cold(const target_state& target, time_ms now)
+{
+    return target.info.cold_rate > 0.0 && now < target.info.cold_until;
+}
+
+std::optional<rate_limit> target_pool::limit_in_force(const target_state& target, time_ms now)
+{
+    std::optional<rate_limit> limit;
+    if (has_stated_limit(target, now)) {
+        limit = limit_report(target, now);
+    }
+    const double cold_rate = cold_rate_share * target.info.cold_rate;
+    if (is_cold(target, now) && (!limit || cold_rate < limit->per_second)) {
+        // By host, since the cold time is the host's, whatever replica it leads.
+        limit = rate_limit{target.host, cold_rate, {}};
+    }
+    return limit;
+}
+
+std::size_t target_pool::count_cold(time_ms now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->targets.begin(), this->targets.end(),
+                      [&](const auto& item) { return item.second.is_serving && is_cold(item.second, now); }));
+}
+
+bool target_pool::has_stated_limit(const target_state& target, time_ms now)
 {
     return target.limit_stated_at && target.limit_per_second > 0.0 &&
            now - *target.limit_stated_at < max_limit_age;
@@ -247,10 +315,7 @@
 std::optional<rate_limit> target_pool::limit_of(const std::string& id, time_ms now) const
 {
     const auto found = this->targets.find(id);
-    if (found == this->targets.end() || !is_limited(found->second, now)) {
-        return std::nullopt;
-    }
-    return limit_report(found->second, now);
+    return found == this->targets.end() ? std::nullopt : limit_in_force(found->second, now);
 }
 
 std::vector<rate_limit> target_pool::rate_limits(time_ms now) const
--- a/test/gateway/fleet_view_test.cpp
+++ b/test/gateway/fleet_view_test.cpp
@@ -412,4 +412,33 @@
     CHECK(fleet.view.domain(key).record.owner == "other");
 }
 
+TEST_CASE("fleet view: the cold time of a host counts from the receipt of its entry, for this incarnation")
+{
+    view_fixture fleet;
+    auto host = fleet.hosts.front();
+    host.cold_left = 3_s;
+    fleet.view.set_host(host, start);
+    CHECK(fleet.view.find_host(host.id)->cold_until == start + 3_s);
+    SECTION("an entry that is read again says nothing new")
+    {
+        fleet.view.set_host(host, start + 2_s);
+        CHECK(fleet.view.find_host(host.id)->cold_until == start + 3_s);
+    }
+    SECTION("a newer entry does")
+    {
+        host.cold_left = 2500_ms;
+        fleet.view.set_host(host, start + 2_s);
+        CHECK(fleet.view.find_host(host.id)->cold_until == start + 4500_ms);
+        host.cold_left = {};
+        fleet.view.set_host(host, start + 3_s);
+        CHECK(fleet.view.find_host(host.id)->cold_until == time_ms{});
+    }
+    SECTION("so does one of another incarnation")
+    {
+        ++host.incarnation;
+        fleet.view.set_host(host, start + 2_s);
+        CHECK(fleet.view.find_host(host.id)->cold_until == start + 5_s);
+    }
+}
+
 } // namespace coriander
--- a/test/platform/platform_reader_test.cpp
+++ b/test/platform/platform_reader_test.cpp
@@ -149,4 +149,22 @@
     });
 }
 
+TEST_CASE("platform reader: the cold time of a host and the rate that it bears meanwhile")
+{
+    const auto entry_with = [](const std::string& cold) {
+        return parse_host_entry("i-1", R"({"service": "old", "address": "10.0.0.9:8080", "zone": "gent",
+            "state": "ready", "born": 7, "cold_remaining_ms": )" +
+                                           cold + "}");
+    };
+    CHECK(entry_with("2400")->cold_left == 2400_ms);
+    CHECK(entry_with("-5")->cold_left == 0_ms);
+    CHECK(entry_with("\"soon\"")->cold_left == 0_ms);
+    CHECK(entry_with("1e300")->cold_left == 600_s);
+    const auto parsed = parse_manifest(R"({"version": 1, "services": [
+        {"name": "old", "cold_s": 3.0, "cold_per_s": 17.0}, {"name": "plain", "cold_per_s": -1}]})");
+    REQUIRE(parsed.manifest);
+    CHECK(parsed.manifest->services.at("old").cold_rate == 17.0);
+    CHECK(parsed.manifest->services.at("plain").cold_rate == 0.0);
+}
+
 } // namespace coriander::platform
