--- a/scripts/gateway-cluster.sh
+++ b/scripts/gateway-cluster.sh
@@ -42,6 +42,7 @@
 peer_port = 7005
 seeds = [$(printf '"'"$NET"'.%s:7003",' "${GATEWAYS[@]}")]
 first_start = $2
+${ENTRY_HOST_EXTRA:-}
 
 [platform]
 store = "$STORE"
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -17,6 +17,8 @@
 constexpr number_range allowance_range{0.0, 1e6};
 constexpr number_range link_range{0.0, 1e6};
 constexpr number_range share_range{0.0, 1e4};
+constexpr number_range memory_range_mb{0, 10'000'000};
+constexpr number_range files_range{0, 10'000'000};
 
 const toml::table& required_section(toml_checker& check, const toml::table& document, std::string_view name)
 {
@@ -51,7 +53,8 @@
     const auto& table = required_section(check, document, "entry_host");
     check.reject_unknown(table,
                          {"name", "failure_domain", "region", "ip", "callers", "readiness", "directory",
-                          "metrics", "peer_port", "seeds", "first_start", "link_mbps", "processor_share"});
+                          "metrics", "peer_port", "seeds", "first_start", "link_mbps", "processor_share",
+                          "memory_mb", "max_open_files"});
     values.name = check.required_text(table, "name");
     values.failure_domain = check.required_text(table, "failure_domain");
     values.region = check.optional_text(table, "region", "default");
@@ -64,6 +67,8 @@
     values.is_first_start = check.boolean(table, "first_start", false);
     values.link_mbps = check.number(table, "link_mbps", 0.0, link_range);
     values.processor_share = check.number(table, "processor_share", 0.0, share_range);
+    values.memory_mb = static_cast<unsigned>(check.integer(table, "memory_mb", 0, memory_range_mb));
+    values.max_open_files = static_cast<unsigned>(check.integer(table, "max_open_files", 0, files_range));
     if (const auto* seeds = table.get_as<toml::array>("seeds")) {
         for (const auto& item : *seeds) {
             const auto seed = item.value<std::string>().value_or("");
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -28,6 +28,8 @@
     time_ms host_heartbeat{1200};   ///< How often hosts renew their entries in the store.
     double link_mbps = 0.0;         ///< Rate of the entry host's link; 0: not known.
     double processor_share = 0.0;   ///< Cores that the process may use; 0: not known.
+    unsigned memory_mb = 0;         ///< Memory that the process may use; 0: not known.
+    unsigned max_open_files = 0;    ///< Descriptors that the process may have; 0: not known.
     bool is_first_start = false;    ///< The whole system is being started for the first time.
     time_ms stop_limit{8000};       ///< From the stop signal until the process is killed.
     time_ms directory_ttl{2000};    ///< How long callers may cache a directory response.
