Callers that nobody controls can't end a gateway

Cause: a body was bounded for each connection, and nothing bounded the sum of bodies, the number of connections, unread answers or messages from peers; a request had to be complete within the header timeout, and held its memory that long. Change: net/caller_budget bounds what all connections hold and how many there are, from the machine's memory and descriptors; near the bound requests wait unread, then the most stalled is ended. Bodies announced as too large are refused at once. Pages and peers have bounds of their own. Large buffers are returned to the system when released. Two tests kept a link beyond the end of its loop; one of them aborted here. They don't any more.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/callers/caller_room.hpp"
 #include "gateway/crash_response.hpp"
 #include "gateway/domains/emptied_domain_watch.hpp"
 #include "gateway/fleet_controller.hpp"
@@ -61,6 +62,7 @@
           control_timer{loop}, peer_timer{loop}, path_timer{loop}, housekeeping_timer{loop}
     {
         this->relay.retry_settings = this->values.retries;
+        this->relay.max_buffered_bytes = bounds_of(this->values).buffered_responses;
         this->relay.is_cut = [this](const std::string& service) { return this->paths.is_cut(service); };
         this->relay.name = this->values.name;
         this->relay.relaying_gateways = [this] { return this->peers->relaying(); };
@@ -90,6 +92,7 @@
         this->peers = &others;
         this->peers->set_relay_key(this->relay.relay_key);
         this->peers->set_strong(this->values.is_strong());
+        this->peers->set_limits(bounds_of(this->values).peers);
         this->pages.set_report_source([this] { return this->peers->reports(); });
         this->peers->set_load_listener(
             [this](std::uint64_t sender, const load_update& news) { this->loads.merge(sender, news); });
@@ -211,6 +214,8 @@
 
 private:
     static constexpr time_ms housekeeping_interval{1000};
+    /// Pages take no bodies; a small one is ignored.
+    static constexpr std::size_t max_page_body_bytes = 16384;
     /// How often hosts that can't be reached are contacted again.
     static constexpr time_ms path_recheck_interval{200};
 
@@ -229,7 +234,7 @@
                     this->checks.start();
                 },
                 [this] { return this->relay.connection_bounds(); },
-                [this] { return this->stopping.has_begun(); }};
+                [this] { return this->stopping.has_begun(); }, this->room.callers()};
     }
 
     connection_handlers page_handlers()
@@ -237,7 +242,12 @@
         return {[this](const std::shared_ptr<caller_connection>& caller, const incoming_request& request) {
                     this->pages.serve(*caller, request);
                 },
-                [] { return connection_limits{}; }, [this] { return this->stopping.has_begun(); }};
+                [] {
+                    connection_limits limits;
+                    limits.max_body_bytes = max_page_body_bytes;
+                    return limits;
+                },
+                [this] { return this->stopping.has_begun(); }, this->room.pages()};
     }
 
     [[nodiscard]] bool is_ready() const
@@ -416,6 +426,7 @@
         this->relay.counters.set("coriander_open_requests", {},
                                  static_cast<double>(this->relay.open_requests()));
         this->emptied.update_metrics();
+        this->room.report();
         this->note_cold_targets();
         this->silent_hosts.probe_all(this->relay.clock.now());
         this->call_after(this->housekeeping_timer, housekeeping_interval,
@@ -430,6 +441,7 @@
     Io& io;
     gateway_settings values;
     relay_context relay;
+    caller_room room{this->loop, bounds_of(this->values), this->relay.counters};
     page_server pages;
     load_exchange loads{this->relay};
     emptied_domain_watch emptied{this->relay, [this] { this->schedule_control(); }};
--- a/src/gateway/gateway_peers.hpp
+++ b/src/gateway/gateway_peers.hpp
@@ -61,6 +61,9 @@
     gateway_peers(asio::io_context& loop, const member_identity& self, std::uint16_t port,
                   std::vector<std::string> seeds, manifest_handler manifest, news_handler news);
 
+    /// Sets the bounds of what others may open and send. Call it before the loop runs.
+    void set_limits(const peer_link_limits& limits) { this->link.set_limits(limits); }
+
     /// Adds a gateway found in the table.
     void introduce(const member_identity& identity);
 
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -4,6 +4,9 @@
 
 #include <asio/ip/address.hpp>
 
+#include <algorithm>
+#include <cstddef>
+
 namespace coriander {
 namespace {
 
@@ -51,10 +54,9 @@
 void read_entry_host(toml_checker& check, const toml::table& document, gateway_settings& values)
 {
     const auto& table = required_section(check, document, "entry_host");
-    check.reject_unknown(table,
-                         {"name", "failure_domain", "region", "ip", "callers", "readiness", "directory",
-                          "metrics", "peer_port", "seeds", "first_start", "link_mbps", "processor_share",
-                          "memory_mb", "max_open_files"});
+    check.reject_unknown(table, {"name", "failure_domain", "region", "ip", "callers", "readiness",
+                                 "directory", "metrics", "peer_port", "seeds", "first_start", "link_mbps",
+                                 "processor_share", "memory_mb", "max_open_files"});
     values.name = check.required_text(table, "name");
     values.failure_domain = check.required_text(table, "failure_domain");
     values.region = check.optional_text(table, "region", "default");
@@ -102,7 +104,8 @@
     toml_checker check{file};
     checked_gateway_settings result;
     const auto document = check.parse(toml);
-    check.reject_unknown(document, {"entry_host", "platform", "stop", "directory", "retries", "log"});
+    check.reject_unknown(document,
+                         {"entry_host", "platform", "stop", "directory", "retries", "callers", "log"});
     read_entry_host(check, document, result.values);
     const auto& platform = required_section(check, document, "platform");
     check.reject_unknown(platform, {"store", "leaving_limit", "host_heartbeat"});
@@ -112,6 +115,13 @@
         check.duration(platform, "host_heartbeat", result.values.host_heartbeat, heartbeat_range_ms);
     result.values.store_address = read_address(check, platform, "store", true);
     read_limits(check, document, result.values);
+    if (const auto* callers = document.get_as<toml::table>("callers")) {
+        check.reject_unknown(*callers, {"memory_mb", "connections"});
+        result.values.callers_memory_mb =
+            static_cast<unsigned>(check.integer(*callers, "memory_mb", 0, memory_range_mb));
+        result.values.max_callers =
+            static_cast<unsigned>(check.integer(*callers, "connections", 0, files_range));
+    }
     if (const auto* log = document.get_as<toml::table>("log")) {
         check.reject_unknown(*log, {"level"});
         result.values.log_level = check.optional_text(*log, "level", result.values.log_level);
@@ -120,4 +130,31 @@
     return result;
 }
 
+caller_bounds bounds_of(const gateway_settings& settings)
+{
+    constexpr std::size_t mb = 1U << 20U;
+    /// Of the smallest entry hosts.
+    constexpr std::size_t default_memory_mb = 160;
+    constexpr std::size_t default_open_files = 4096;
+    /// For the program's own files, and what is opened for a moment.
+    constexpr std::size_t max_other_files = 200;
+    constexpr std::size_t min_peer_bytes = 8 * mb; // Two of the largest messages.
+    constexpr std::size_t max_buffered_responses = 32 * mb;
+    const std::size_t memory = mb * (settings.memory_mb > 0 ? settings.memory_mb : default_memory_mb);
+    const std::size_t files = settings.max_open_files > 0 ? settings.max_open_files : default_open_files;
+    const std::size_t sockets = files - std::min(max_other_files, files / 4);
+    caller_bounds bounds;
+    bounds.callers = {memory / 4, sockets / 2};
+    bounds.pages = {memory / 16, sockets * 15 / 100};
+    bounds.peers = {sockets / 8, std::max(min_peer_bytes, memory / 16)};
+    bounds.buffered_responses = std::min(max_buffered_responses, memory / 5);
+    if (settings.callers_memory_mb > 0) {
+        bounds.callers.bytes = mb * settings.callers_memory_mb;
+    }
+    if (settings.max_callers > 0) {
+        bounds.callers.connections = settings.max_callers;
+    }
+    return bounds;
+}
+
 } // namespace coriander
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -3,6 +3,8 @@
 #include "coriander/finding.hpp"
 #include "coriander/relay/retry_window.hpp"
 #include "coriander/time_ms.hpp"
+#include "net/caller_budget.hpp"
+#include "peer/peer_link.hpp"
 
 #include <cstdint>
 #include <string>
@@ -30,6 +32,8 @@
     double processor_share = 0.0;   ///< Cores that the process may use; 0: not known.
     unsigned memory_mb = 0;         ///< Memory that the process may use; 0: not known.
     unsigned max_open_files = 0;    ///< Descriptors that the process may have; 0: not known.
+    unsigned callers_memory_mb = 0; ///< Of that for all callers' connections; 0: a part of `memory_mb`.
+    unsigned max_callers = 0;       ///< Callers' connections; 0: a part of `max_open_files`.
     bool is_first_start = false;    ///< The whole system is being started for the first time.
     time_ms stop_limit{8000};       ///< From the stop signal until the process is killed.
     time_ms directory_ttl{2000};    ///< How long callers may cache a directory response.
@@ -46,6 +50,17 @@
     }
 };
 
+/// Bounds of what callers hold and open, as set or as they follow from the entry host.
+struct caller_bounds {
+    caller_budget_limits callers;
+    caller_budget_limits pages; ///< Of the directory, readiness and metrics together.
+    peer_link_limits peers;
+    std::size_t buffered_responses = 0; ///< Bytes of responses that are forwarded only once complete.
+};
+
+/// The bounds for an entry host; where its memory or descriptors are not known, those of the smallest one.
+[[nodiscard]] caller_bounds bounds_of(const gateway_settings& settings);
+
 /// The result of parsing: `values` is usable only if `faults` is empty.
 struct checked_gateway_settings {
     gateway_settings values;
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -87,8 +87,8 @@
     std::size_t daemons = 1;           ///< Number of daemons that take callers' requests, including this one.
     std::set<relay_session*> sessions; ///< Of all open requests.
     std::size_t buffered_bytes = 0;    ///< Of responses that are forwarded only once complete.
-    /// Limit of `buffered_bytes`, chosen to fit the smallest entry hosts, which have 160 MB of memory.
-    static constexpr std::size_t max_buffered_bytes = 32U << 20U;
+    /// Limit of `buffered_bytes`, by default that of the smallest entry hosts, which have 160 MB of memory.
+    std::size_t max_buffered_bytes = 32U << 20U;
     std::size_t relayed_requests = 0; ///< Open requests that other gateways passed on.
     /// Limit of `relayed_requests`: several times what a gateway has open in normal operation.
     static constexpr std::size_t max_relayed_requests = 256;
--- a/src/gateway/relay_session_response.cpp
+++ b/src/gateway/relay_session_response.cpp
@@ -78,7 +78,7 @@
     if (this->stream.is_too_long()) {
         this->end_attempt(attempt_end::lost, "an event exceeds the size limit");
     }
-    else if (this->context.buffered_bytes > relay_context::max_buffered_bytes &&
+    else if (this->context.buffered_bytes > this->context.max_buffered_bytes &&
              this->counted_event_bytes > tolerated_event_bytes) {
         this->end_attempt(attempt_end::lost, "incomplete events exceed the buffer limit of all requests");
     }
@@ -95,7 +95,7 @@
 {
     const auto size = this->current.body.size() + bytes.size();
     if (size <= relay_context::max_response_bytes &&
-        this->context.buffered_bytes + bytes.size() <= relay_context::max_buffered_bytes) {
+        this->context.buffered_bytes + bytes.size() <= this->context.max_buffered_bytes) {
         this->current.body.append(bytes);
         this->context.buffered_bytes += bytes.size();
         return;
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -5,9 +5,12 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <chrono>
 #include <cstdio>
+#include <utility>
 
 namespace coriander {
 namespace {
@@ -18,10 +21,25 @@
 constexpr int header_too_large_status = 431;
 
 /// Reading pauses when more than this many bytes of pipelined requests wait behind a pending one.
-constexpr std::size_t max_unparsed_bytes = 262144;
+constexpr std::size_t max_unparsed_bytes = 65536;
+/// Pipelined requests wait while the caller has not read more than this of the answers before them.
+constexpr std::size_t max_unread_answers = 262144;
+/// A larger buffer of received bytes is released once it is empty.
+constexpr std::size_t kept_buffer_bytes = 16384;
+/// Smallest step by which a body's memory grows.
+constexpr std::size_t min_body_step = 4096;
+/// A request is held once while it is answered, and once more on its way to a target.
+constexpr std::size_t copies_while_answered = 2;
 
 } // namespace
 
+time_ms body_time_left(const connection_limits& limits, time_ms head_read_at, time_ms received_at,
+                       time_ms now)
+{
+    const auto end = std::min(received_at + limits.header_timeout, head_read_at + limits.body_timeout);
+    return std::max(time_ms{}, end - now);
+}
+
 caller_connection::caller_connection(asio::ip::tcp::socket socket,
                                      std::shared_ptr<const connection_handlers> handlers)
     : link{std::make_shared<tcp_link>(std::move(socket))}, handlers{std::move(handlers)},
@@ -29,8 +47,22 @@
 {
 }
 
+caller_connection::~caller_connection()
+{
+    this->leave_budget();
+    this->link->set_read_gate(nullptr);
+}
+
 void caller_connection::start()
 {
+    const auto& budget = this->handlers->budget;
+    if (budget != nullptr && !budget->add(*this, monotonic_clock{}.now())) {
+        this->link->close();
+        return;
+    }
+    if (budget != nullptr) {
+        this->link->set_read_gate([this] { return this->bytes_to_read(); });
+    }
     // The callbacks form a reference cycle that keeps the connection alive until the link has ended.
     auto self = this->shared_from_this();
     this->link->listen([self](std::string_view bytes) { self->on_bytes(bytes); },
@@ -60,8 +92,14 @@
     if (this->timer_generation != expired || !this->link->is_open()) {
         return;
     }
+    if (this->waits_for_room) {
+        this->arm_timer(this->limits.header_timeout);
+        return;
+    }
     if (this->parser.has_begun()) {
-        this->reject(request_timeout_status);
+        if (!this->has_time_left()) {
+            this->reject(request_timeout_status);
+        }
         return;
     }
     const auto left = this->idle_since + this->handlers->limits().idle_timeout - monotonic_clock{}.now();
@@ -72,6 +110,33 @@
     this->link->close();
 }
 
+std::size_t caller_connection::bytes_to_read()
+{
+    auto& budget = *this->handlers->budget;
+    if (this->is_pending()) {
+        // Requests that are pipelined behind it. Reading goes on after its response.
+        const auto most = budget.is_tight() ? min_body_step : max_unparsed_bytes;
+        return most - std::min(most, this->unparsed.size());
+    }
+    const auto self = this->shared_from_this(); // The budget may end the connection.
+    const auto allowed = budget.may_read(*this, monotonic_clock{}.now());
+    this->waits_for_room = allowed == 0;
+    return allowed;
+}
+
+bool caller_connection::has_time_left()
+{
+    if (!this->parser.has_head()) {
+        return false;
+    }
+    const auto left =
+        body_time_left(this->limits, this->head_read_at, this->received_at, monotonic_clock{}.now());
+    if (left > time_ms{}) {
+        this->arm_timer(left);
+    }
+    return left > time_ms{};
+}
+
 void caller_connection::wait_for_request()
 {
     this->idle_since = monotonic_clock{}.now();
@@ -88,12 +153,60 @@
 {
     const auto self = this->shared_from_this();
     this->unparsed.append(bytes);
-    if (!this->is_pending()) {
+    this->received_at = monotonic_clock{}.now();
+    if (!this->is_pending() && this->link->unsent() <= max_unread_answers) {
         this->parse();
     }
     else if (this->unparsed.size() > max_unparsed_bytes) {
         this->link->pause_reading();
     }
+    this->note_held();
+}
+
+void caller_connection::note_held()
+{
+    if (this->unparsed.empty() && this->unparsed.capacity() > kept_buffer_bytes) {
+        this->unparsed = {};
+    }
+    if (this->handlers->budget != nullptr) {
+        this->handlers->budget->update(*this, monotonic_clock{}.now());
+    }
+}
+
+void caller_connection::leave_budget()
+{
+    if (this->handlers->budget != nullptr) {
+        this->handlers->budget->remove(*this);
+    }
+}
+
+std::size_t caller_connection::held_bytes() const
+{
+    const auto head_bytes = this->parser.has_head() ? 0 : this->parser.head_bytes();
+    return this->request.body.capacity() + this->answering_bytes + this->unparsed.capacity() + head_bytes +
+           this->link->unsent();
+}
+
+void caller_connection::end_for_room(std::optional<int> status)
+{
+    const auto self = this->shared_from_this();
+    const bool is_incomplete =
+        this->parser.has_begun() && !this->is_pending() && !this->closes_after_response;
+    if (!status || !is_incomplete || this->link->unsent() > 0) {
+        this->abort();
+        return;
+    }
+    this->reject(*status);
+    this->request = {};
+    this->unparsed = {};
+}
+
+void caller_connection::read_on()
+{
+    // The time spent waiting was not the caller's.
+    this->waits_for_room = false;
+    this->received_at = monotonic_clock{}.now();
+    this->link->resume_reading();
 }
 
 void caller_connection::parse()
@@ -117,6 +230,7 @@
         this->disarm_timer();
         this->stage = response_stage::pending;
         this->request.arrived = monotonic_clock{}.now();
+        this->answering_bytes = copies_while_answered * this->request.body.size() + this->parser.head_bytes();
         this->handlers->on_request(this->shared_from_this(), std::exchange(this->request, {}));
     }
 }
@@ -124,6 +238,12 @@
 void caller_connection::on_message_head(message_head head)
 {
     this->caller_keeps_alive = head.keeps_connection;
+    this->head_read_at = monotonic_clock{}.now();
+    const auto length = head.header("Content-Length");
+    std::uint64_t announced = 0;
+    const auto parsed = std::from_chars(length.data(), length.data() + length.size(), announced);
+    this->is_body_too_large = parsed.ec == std::errc::result_out_of_range ||
+                              (parsed.ec == std::errc{} && announced > this->limits.max_body_bytes);
     this->request.head = std::move(head);
 }
 
@@ -132,13 +252,24 @@
     this->is_body_too_large =
         this->is_body_too_large || this->request.body.size() + bytes.size() > this->limits.max_body_bytes;
     if (!this->is_body_too_large) {
+        this->grow_body(bytes.size());
         this->request.body.append(bytes);
     }
 }
 
+void caller_connection::grow_body(std::size_t more)
+{
+    auto& body = this->request.body;
+    const auto needed = body.size() + more;
+    if (needed > body.capacity()) {
+        body.reserve(needed + std::max(min_body_step, body.size() / 4));
+    }
+}
+
 void caller_connection::on_link_end(link_end /*how*/)
 {
     const auto self = this->shared_from_this();
+    this->leave_budget();
     this->disarm_timer();
     if (const auto listener = std::exchange(this->disconnected, nullptr); listener && this->is_pending()) {
         listener();
@@ -204,11 +335,15 @@
     if (chunk.empty() || !this->may_write(response_stage::streaming)) {
         return; // An empty chunk would end the response.
     }
+    const auto unsent_before = this->link->unsent();
     std::array<char, 24> size{};
     const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", chunk.size());
     std::string text{size.data(), static_cast<std::size_t>(length)};
     text.append(chunk).append("\r\n");
     this->link->write(text);
+    if (this->link->unsent() != unsent_before) {
+        this->note_held();
+    }
 }
 
 void caller_connection::finish_stream()
@@ -223,7 +358,9 @@
 {
     this->disconnected = nullptr;
     this->stage = response_stage::none;
+    this->answering_bytes = 0;
     this->link->on_drained(nullptr);
+    this->note_held();
     if (this->closes_after_response) {
         this->disarm_timer();
         this->link->close_when_sent();
@@ -236,9 +373,24 @@
         this->wait_for_request();
         return;
     }
+    if (this->link->unsent() > max_unread_answers) {
+        this->link->on_drained([self = this->weak_from_this()] {
+            if (const auto connection = self.lock()) {
+                connection->continue_pipelined();
+            }
+        });
+        return;
+    }
+    this->continue_pipelined();
+}
+
+void caller_connection::continue_pipelined()
+{
+    this->link->on_drained(nullptr);
     asio::post(this->link->executor(), [self = this->shared_from_this()] {
         if (!self->is_pending() && !self->closes_after_response && self->link->is_open()) {
             self->parse();
+            self->note_held();
         }
     });
 }
@@ -263,6 +415,8 @@
 {
     this->disconnected = nullptr;
     this->stage = response_stage::none;
+    this->answering_bytes = 0;
+    this->leave_budget();
     this->disarm_timer();
     this->link->close();
 }
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coriander/time_ms.hpp"
+#include "net/caller_budget.hpp"
 #include "net/message_parser.hpp"
 #include "net/tcp_link.hpp"
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,8 +29,15 @@
     std::size_t max_body_bytes = 4194304;
     time_ms header_timeout{3000};
     time_ms idle_timeout{15000};
+    /// From the end of a head to that of its body, as long as each `header_timeout` brings a part of it.
+    time_ms body_timeout{30000};
 };
 
+/// How much longer a request may take whose head was complete at `head_read_at` and of which bytes came last
+/// at `received_at`; zero if none. Thread-safe.
+[[nodiscard]] time_ms body_time_left(const connection_limits& limits, time_ms head_read_at,
+                                     time_ms received_at, time_ms now);
+
 class caller_connection;
 
 /// Callbacks shared by all connections of a listener. They are called on the event loop's thread.
@@ -38,16 +47,24 @@
     std::function<connection_limits()> limits;
     /// Whether connections are closed after the response in progress.
     std::function<bool()> is_closing;
+    /// Bounds all connections together; null if nothing does.
+    std::shared_ptr<caller_budget> budget{};
 };
 
 /// A caller's connection: reads requests and sends the responses, one request at a time. It keeps reading
 /// while a response is pending, so that a disconnect is detected at once. Used on the event loop's thread
 /// only.
-class caller_connection : public message_events, public std::enable_shared_from_this<caller_connection> {
+class caller_connection : public message_events,
+                          public budgeted_connection,
+                          public std::enable_shared_from_this<caller_connection> {
 public:
     caller_connection(asio::ip::tcp::socket socket, std::shared_ptr<const connection_handlers> handlers);
+    ~caller_connection() override;
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
 
-    /// Starts reading. Precondition: held by a `shared_ptr`.
+    /// Starts reading, or closes the connection if there is no place for it. Precondition: held by a
+    /// `shared_ptr`.
     void start();
 
     /// Sends a complete response. Precondition: a request is pending and its response has not been started.
@@ -83,6 +100,12 @@
     /// completely.
     [[nodiscard]] bool is_busy() const;
 
+    [[nodiscard]] std::size_t held_bytes() const override;
+    [[nodiscard]] std::size_t unread_bytes() const override { return this->link->unsent(); }
+    [[nodiscard]] bool can_end() const override { return !this->is_pending(); }
+    void end_for_room(std::optional<int> status) override;
+    void read_on() override;
+
     void on_message_head(message_head head) override;
     void on_message_body(std::string_view bytes) override;
 
@@ -94,6 +117,16 @@
     void on_link_end(link_end how);
     void parse();
     void reject(int status);
+    /// Refuses a request that is not complete in time, unless it makes progress. Returns whether it is.
+    [[nodiscard]] bool has_time_left();
+    /// Parses the next pipelined request once the caller has read enough of the answers before it.
+    void continue_pipelined();
+    /// Makes room for `more` bytes of the body in steps that follow its size.
+    void grow_body(std::size_t more);
+    /// How much may be read now; 0: reading pauses.
+    [[nodiscard]] std::size_t bytes_to_read();
+    void note_held();
+    void leave_budget();
     void finish_response();
     [[nodiscard]] bool is_pending() const noexcept { return this->stage != response_stage::none; }
     /// Whether bytes that belong to `expected` may be written; if not, the connection is closed.
@@ -113,7 +146,10 @@
     /// ignored.
     std::uint64_t timer_generation = 0;
     time_ms idle_since;
+    time_ms head_read_at; ///< When the head of the current request was complete.
+    time_ms received_at;  ///< When bytes of the current request came last.
     std::string unparsed;
+    std::size_t answering_bytes = 0; ///< Of the request that is being answered, with the copy that is sent.
     incoming_request request;
     connection_limits limits; ///< Of the request that is being read.
     std::function<void()> disconnected;
@@ -121,6 +157,7 @@
     bool caller_keeps_alive = true;
     bool is_body_too_large = false;
     bool closes_after_response = false;
+    bool waits_for_room = false;
 };
 
 } // namespace coriander
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds accept_retry_delay{20};
+/// Bounds what waits unread in the system's buffers; accepted connections take it over.
+constexpr int receive_buffer_bytes = 32768;
 
 } // namespace
 
@@ -16,6 +18,10 @@
     : acceptor{loop, endpoint, true}, retry_timer{loop}, handlers{std::make_shared<connection_handlers>(
                                                              std::move(handlers))}
 {
+    if (this->handlers->budget != nullptr) {
+        asio::error_code ignored; // The system's default applies where the option is not supported.
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size{receive_buffer_bytes}, ignored);
+    }
 }
 
 void http_listener::start()
--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -3,6 +3,7 @@
 #include <asio/buffer.hpp>
 #include <asio/socket_base.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 
@@ -108,7 +109,13 @@
 {
     asio::error_code problem;
     auto& buffer = read_buffer();
-    const auto count = this->socket.read_some(asio::buffer(buffer), problem);
+    const auto gate = this->read_gate; // It may close the link, which clears the callbacks.
+    const auto allowed = gate ? std::min(gate(), buffer.size()) : buffer.size();
+    if (allowed == 0 || !this->is_open()) {
+        this->is_paused = !this->closes_when_sent;
+        return false;
+    }
+    const auto count = this->socket.read_some(asio::buffer(buffer.data(), allowed), problem);
     if (problem == asio::error::would_block || problem == asio::error::try_again) {
         return false;
     }
@@ -219,6 +226,7 @@
     this->bytes = nullptr;
     this->ended = nullptr;
     this->drained = nullptr;
+    this->read_gate = nullptr;
     this->timer.cancel();
     asio::error_code ignored; // Closing a closed socket is harmless.
     this->socket.close(ignored);
@@ -240,6 +248,7 @@
     this->closes_when_sent = true;
     this->bytes = nullptr;
     this->drained = nullptr;
+    this->read_gate = nullptr;
     if (this->unsent() == 0) {
         this->send_end();
     }
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -58,6 +58,10 @@
     /// Reports the bytes that the socket has already received, and the end if it is known, without waiting.
     void read_available();
 
+    /// Sets the function that says how many bytes may be read before each read. If it returns 0, reading is
+    /// paused. Without it, as many as the read buffer holds.
+    void set_read_gate(std::function<std::size_t()> gate) { this->read_gate = std::move(gate); }
+
     /// Pauses and resumes reading, which applies back-pressure to the peer.
     void pause_reading() noexcept { this->is_paused = true; }
     void resume_reading();
@@ -100,6 +104,7 @@
     on_bytes bytes;
     on_end ended;
     std::function<void()> drained;
+    std::function<std::size_t()> read_gate;
     std::string queue;
     std::size_t queue_begin = 0;
     bool established = false;
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -6,6 +6,7 @@
 
 #include <asio.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <deque>
@@ -31,6 +32,7 @@
 /// between many daemons are idle.
 constexpr link_liveness peer_liveness{20000_ms, 1000_ms, 1, 1000_ms};
 constexpr auto idle_timeout = std::chrono::seconds{60};
+constexpr std::chrono::milliseconds accept_retry_delay{20};
 
 using frame = std::vector<std::uint8_t>;
 
@@ -78,6 +80,7 @@
         asio::steady_timer timer;
         std::array<std::uint8_t, frame_header_bytes> header{};
         std::vector<std::uint8_t> body;
+        std::uint64_t last_read = 0; ///< Position in the order of all reads.
     };
 
     /// Uses `loop`, or its own loop and thread if `loop` is null.
@@ -103,14 +106,62 @@
     {
         this->acceptor.async_accept([this](const asio::error_code& problem, tcp::socket socket) {
             if (!problem) {
-                this->read_header(std::make_shared<incoming>(std::move(socket)));
+                const auto from = std::make_shared<incoming>(std::move(socket));
+                this->make_place();
+                this->open.push_back(from);
+                this->read_header(from);
             }
             if (this->acceptor.is_open()) {
+                this->accept_after(problem ? accept_retry_delay : std::chrono::milliseconds{0});
+            }
+        });
+    }
+
+    void accept_after(std::chrono::milliseconds delay)
+    {
+        if (delay.count() == 0) {
+            this->accept();
+            return;
+        }
+        this->accept_timer.expires_after(delay);
+        this->accept_timer.async_wait([this](const asio::error_code& cancelled) {
+            if (!cancelled) {
                 this->accept();
             }
         });
     }
 
+    /// Closes the connections on which nothing has arrived for longest, if there are as many as allowed.
+    void make_place()
+    {
+        std::erase_if(this->open, [](const auto& one) {
+            const auto connection = one.lock();
+            return !connection || !connection->socket.is_open();
+        });
+        while (this->open.size() >= this->limits.connections && !this->open.empty()) {
+            const auto oldest =
+                std::min_element(this->open.begin(), this->open.end(), [](const auto& a, const auto& b) {
+                    return a.lock()->last_read < b.lock()->last_read;
+                });
+            this->close(*oldest->lock());
+            this->open.erase(oldest);
+        }
+    }
+
+    static void close(incoming& from)
+    {
+        asio::error_code ignored;
+        from.socket.close(ignored);
+        from.timer.cancel();
+    }
+
+    /// Releases the memory of a message, also of one that will not be complete.
+    void release_body(incoming& from)
+    {
+        this->body_bytes -= from.body.size();
+        from.body = {};
+    }
+
     /// Closes an idle connection, since it may have been lost without being closed.
     void start_idle_timer(const std::shared_ptr<incoming>& from)
     {
@@ -133,7 +184,6 @@
                                  from->timer.cancel();
                                  return;
                              }
-                             from->body.clear();
                              this->read_body(from, length);
                          });
     }
@@ -147,17 +197,37 @@
             this->on_body(from);
             return;
         }
-        from->body.resize(std::min(length, begin + body_step_bytes));
+        from->last_read = ++this->reads;
+        const auto step = std::min(length - begin, body_step_bytes);
+        if (this->body_bytes + step > this->limits.bytes) {
+            log_rejected(*from, "the messages being received exceed their limit");
+            this->release_body(*from);
+            close(*from);
+            return;
+        }
+        this->body_bytes += step;
+        from->body.resize(begin + step);
         asio::async_read(from->socket, asio::buffer(from->body.data() + begin, from->body.size() - begin),
                          [this, from, length](const asio::error_code& problem, std::size_t) {
                              if (problem) {
                                  from->timer.cancel();
+                                 this->release_body(*from);
                                  return;
                              }
                              this->read_body(from, length);
                          });
     }
 
+    static void log_rejected(const incoming& from, const std::string& why)
+    {
+        asio::error_code unknown;
+        const auto peer = from.socket.remote_endpoint(unknown);
+        log_event(event::peer_message_rejected,
+                  {{"peer", unknown ? std::string{"gone"} : peer.address().to_string()},
+                   {"bytes", from.body.size()},
+                   {"why", why}});
+    }
+
     void on_body(const std::shared_ptr<incoming>& from)
     {
         auto message = decode_peer_message(from->body);
@@ -165,16 +235,13 @@
             message = unpack_message(std::move(message).value());
         }
         if (!message) {
-            asio::error_code unknown;
-            const auto peer = from->socket.remote_endpoint(unknown);
-            log_event(event::peer_message_rejected,
-                      {{"peer", unknown ? std::string{"gone"} : peer.address().to_string()},
-                       {"bytes", from->body.size()},
-                       {"why", message.error().message}});
+            log_rejected(*from, message.error().message);
             from->timer.cancel();
+            this->release_body(*from);
             return;
         }
         this->received += from->body.size() + frame_header_bytes;
+        this->release_body(*from);
         this->receive(std::move(message).value());
         this->read_header(from);
     }
@@ -286,6 +353,11 @@
     asio::io_context& context;
     tcp::acceptor acceptor;
     on_message receive;
+    peer_link_limits limits;
+    asio::steady_timer accept_timer{this->context};
+    std::vector<std::weak_ptr<incoming>> open; ///< Incoming connections; some may have ended.
+    std::size_t body_bytes = 0;                ///< Of all messages that are being received.
+    std::uint64_t reads = 0;
     std::map<std::string, std::shared_ptr<outgoing>> connections; ///< Used by the loop's thread only.
     std::atomic<std::uint16_t> bound_port{0};
     std::atomic<std::uint64_t> sent{0};
@@ -315,6 +387,11 @@
     }
 }
 
+void peer_link::set_limits(const peer_link_limits& limits)
+{
+    this->self->limits = limits;
+}
+
 void peer_link::send(const std::string& address, const peer_message& message)
 {
     this->send_all({address}, message);
--- a/src/peer/peer_link.hpp
+++ b/src/peer/peer_link.hpp
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -13,6 +14,12 @@
 
 namespace coriander {
 
+/// Bounds of what other processes may open and send.
+struct peer_link_limits {
+    std::size_t connections = 512;              ///< Incoming ones.
+    std::size_t bytes = std::size_t{16} << 20U; ///< Of all messages that are being received.
+};
+
 /// Exchanges messages with other daemons over TCP, each with a length prefix. Connections stay open. A slow
 /// connection queues a few messages and drops the rest, since later messages repeat their content.
 class peer_link {
@@ -36,6 +43,10 @@
     /// Sends a message to several addresses and encodes it only once. Otherwise like `send`. Thread-safe.
     void send_all(std::vector<std::string> addresses, const peer_message& message);
 
+    /// Sets the bounds of incoming connections. Beyond their number, the one on which nothing has arrived for
+    /// longest is closed; beyond the bytes, the one that exceeds them. Call it before the loop runs.
+    void set_limits(const peer_link_limits& limits);
+
     /// The port in use. Thread-safe.
     [[nodiscard]] std::uint16_t port() const noexcept;
 
--- a/test/gateway/domains/emptied_domain_watch_test.cpp
+++ b/test/gateway/domains/emptied_domain_watch_test.cpp
@@ -45,7 +45,7 @@
 
 TEST_CASE("emptied domain watch: a stream that runs when its domain is emptied ends there")
 {
-    std::shared_ptr<tcp_link> link_of_first;
+    std::weak_ptr<tcp_link> link_of_first;
     relay_fixture relay{repetition::resumable,
                         [&](tcp_link& link, const std::string& /*request*/) {
                             link_of_first = link.shared_from_this();
@@ -59,7 +59,7 @@
     CHECK(relay.second.requests().empty());
     SECTION("and is resumed elsewhere if its target is lost")
     {
-        link_of_first->close();
+        link_of_first.lock()->close();
         REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
         CHECK(relay.caller->end == exchange_end::complete);
         CHECK(relay.second.requests().size() == 1);
--- a/test/gateway/gateway_settings_test.cpp
+++ b/test/gateway/gateway_settings_test.cpp
@@ -62,4 +62,26 @@
     }
 }
 
+TEST_CASE("gateway settings: bounds of callers follow from the entry host, or are set")
+{
+    gateway_settings settings;
+    const auto smallest = bounds_of(settings);
+    settings.memory_mb = 160;
+    settings.max_open_files = 4096;
+    CHECK(bounds_of(settings).callers.bytes == smallest.callers.bytes);
+    CHECK(bounds_of(settings).callers.connections == smallest.callers.connections);
+    CHECK(smallest.callers.bytes == std::size_t{40} << 20U);
+    settings.memory_mb = 512;
+    settings.max_open_files = 8192;
+    const auto large = bounds_of(settings);
+    CHECK(large.callers.bytes > smallest.callers.bytes);
+    const auto sockets = large.callers.connections + large.pages.connections + large.peers.connections;
+    CHECK(sockets < settings.max_open_files);
+    const auto set = parse_gateway_settings(valid_settings + "[callers]\nmemory_mb = 24\nconnections = 300\n",
+                                            "gateway.toml");
+    CHECK(findings_text(set.faults).empty());
+    CHECK(bounds_of(set.values).callers.bytes == std::size_t{24} << 20U);
+    CHECK(bounds_of(set.values).callers.connections == 300);
+}
+
 } // namespace coriander
--- a/test/gateway/relay_session_move_test.cpp
+++ b/test/gateway/relay_session_move_test.cpp
@@ -34,6 +34,10 @@
             [&] { return this->target && this->relay.caller->body.empty() == sent_first.empty(); }));
     }
 
+    ~moving_request() { this->target.reset(); } // A link must not outlive its loop.
+    moving_request(const moving_request&) = delete;
+    moving_request& operator=(const moving_request&) = delete;
+
     [[nodiscard]] service_state& state() { return this->relay.context.service("desk"); }
     [[nodiscard]] std::shared_ptr<relay_session> session() { return this->relay.session_on_first(); }
     /// Lets the first target send the rest of its response, and waits for the end of the request.
@@ -220,18 +224,18 @@
 
 TEST_CASE("relay session: a connection whose response ended while it was held still reads the next response")
 {
-    std::shared_ptr<tcp_link> new_target;
+    std::weak_ptr<tcp_link> new_target;
     moving_request request{repetition::idempotent, "", [&](tcp_link& link, const std::string& /*request*/) {
                                new_target = link.shared_from_this();
                            }};
     auto& relay = request.relay;
     request.session()->fail_over();
-    REQUIRE(relay.loop.run_until([&] { return new_target != nullptr; }));
+    REQUIRE(relay.loop.run_until([&] { return !new_target.expired(); }));
     request.target->write(ok_response);
     for (int turn = 0; turn < 10; ++turn) {
         relay.loop.run_ready();
     }
-    new_target->write(not_run_response);
+    new_target.lock()->write(not_run_response);
     REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
     REQUIRE(relay.caller->head.status == 200);
     relay.send();
--- a/test/gateway/response_limits_test.cpp
+++ b/test/gateway/response_limits_test.cpp
@@ -86,7 +86,7 @@
 TEST_CASE("relay session: buffered responses are limited over all requests together")
 {
     relay_fixture relay{repetition::idempotent, respond_with(ok_response), respond_with(ok_response)};
-    relay.context.buffered_bytes = relay_context::max_buffered_bytes;
+    relay.context.buffered_bytes = relay.context.max_buffered_bytes;
     CHECK(relay.exchange() == exchange_end::complete);
     CHECK(relay.caller->head.status == 502);
     relay.context.buffered_bytes = 0;
@@ -101,10 +101,10 @@
     const auto begun = signed_head("") + "id: 1\ndata: t\n\nid: 2\ndata: ";
     relay_fixture relay{repetition::resumable, respond_with(begun + std::string(65536, 'x')),
                         respond_with(stream_head + chunk_of_event(2) + last_chunk)};
-    relay.context.buffered_bytes = relay_context::max_buffered_bytes - 1024;
+    relay.context.buffered_bytes = relay.context.max_buffered_bytes - 1024;
     CHECK(relay.exchange() == exchange_end::complete);
     CHECK(relay.caller->body == "id: 1\ndata: t\n\nid: 2\ndata: t\n\n");
-    CHECK(relay.context.buffered_bytes == relay_context::max_buffered_bytes - 1024);
+    CHECK(relay.context.buffered_bytes == relay.context.max_buffered_bytes - 1024);
 }
 
 TEST_CASE("relay session: an incomplete event is counted until its stream ends")
--- a/test/net/caller_connection_test.cpp
+++ b/test/net/caller_connection_test.cpp
@@ -1,3 +1,4 @@
+#include "coriander/clock.hpp"
 #include "net/caller_connection.hpp"
 #include "net/http_listener.hpp"
 
@@ -6,14 +7,23 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace coriander {
 namespace {
 
 /// A listener that records its requests; the test sends the responses.
 struct server_fixture {
-    server_fixture()
+    explicit server_fixture(std::optional<caller_budget_limits> bounds = std::nullopt)
     {
         connection_handlers handlers;
+        if (bounds) {
+            this->budget = std::make_shared<caller_budget>(*bounds);
+            handlers.budget = this->budget;
+        }
         handlers.on_request = [this](const std::shared_ptr<caller_connection>& caller, incoming_request one) {
             this->callers.push_back(caller);
             this->requests.push_back(std::move(one));
@@ -40,6 +50,7 @@
     event_loop loop;
     connection_limits limits;
     bool is_closing = false;
+    std::shared_ptr<caller_budget> budget;
     std::shared_ptr<http_listener> listener;
     std::vector<std::shared_ptr<caller_connection>> callers;
     std::vector<incoming_request> requests;
@@ -197,4 +208,86 @@
     CHECK(caller.head.header("Connection") == "close");
 }
 
+TEST_CASE("caller connection: a body that is announced as too large is refused before it arrives")
+{
+    server_fixture server;
+    server.limits.max_body_bytes = 1000;
+    test_caller caller{server.loop.context(), server.listener->port()};
+    SECTION("by one byte")
+    {
+        caller.send(request_head + "Content-Length: 1001\r\n\r\n");
+    }
+    SECTION("by far")
+    {
+        caller.send(request_head + "Content-Length: 9000000000000000000\r\n\r\n");
+    }
+    REQUIRE(server.wait_for_end(caller));
+    CHECK(caller.head.status == 413);
+    CHECK(server.requests.empty());
+}
+
+TEST_CASE("caller connection: a body has time while parts of it come, up to a limit, and a head has not")
+{
+    connection_limits limits;
+    limits.header_timeout = 3_s;
+    limits.body_timeout = 30_s;
+    constexpr time_ms start = 1'000'000_ms;
+    CHECK(body_time_left(limits, start, start, start) == 3_s);
+    CHECK(body_time_left(limits, start, start + 2_s, start + 4_s) == 1_s);
+    CHECK(body_time_left(limits, start, start + 2_s, start + 5_s) == 0_s);
+    CHECK(body_time_left(limits, start, start + 29_s, start + 29_s) == 1_s);
+    CHECK(body_time_left(limits, start, start + 30_s, start + 30_s) == 0_s);
+}
+
+TEST_CASE("caller connection: a request waits while another one holds all the room, and is served afterwards")
+{
+    server_fixture server{caller_budget_limits{1000000, 10}};
+    test_caller first{server.loop.context(), server.listener->port()};
+    first.send(request_head + "Content-Length: 600000\r\n\r\n" + std::string(600000, 'a'));
+    REQUIRE(server.wait_for_requests(1));
+    test_caller second{server.loop.context(), server.listener->port()};
+    second.send(request_head + "Content-Length: 600000\r\n\r\n" + std::string(600000, 'b'));
+    REQUIRE(server.loop.run_until([&] { return server.budget->waiting_connections() == 1; }));
+    CHECK(server.requests.size() == 1);
+    server.callers[0]->send(200, {}, {});
+    server.budget->relieve(monotonic_clock{}.now());
+    REQUIRE(server.wait_for_requests(2));
+    CHECK(server.requests[1].body == std::string(600000, 'b'));
+}
+
+TEST_CASE("caller connection: beyond the number of connections an idle one is closed for a new one")
+{
+    server_fixture server{caller_budget_limits{1000000, 2}};
+    const auto wait_for_connections = [&](std::size_t count) {
+        return server.loop.run_until([&] { return server.budget->connections() == count; });
+    };
+    test_caller first{server.loop.context(), server.listener->port()};
+    first.send({}); // So that the end of the connection is recorded.
+    REQUIRE(wait_for_connections(1));
+    test_caller second{server.loop.context(), server.listener->port()};
+    REQUIRE(wait_for_connections(2));
+    test_caller third{server.loop.context(), server.listener->port()};
+    REQUIRE(server.wait_for_end(first));
+    third.send(request_head + "\r\n");
+    REQUIRE(server.wait_for_requests(1));
+    CHECK(server.budget->connections() == 2);
+}
+
+TEST_CASE("caller connection: pipelined requests wait while the answers before them are not read")
+{
+    server_fixture server;
+    test_caller caller{server.loop.context(), server.listener->port()};
+    caller.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    caller.pause_reading();
+    REQUIRE(server.wait_for_requests(1));
+    // More than the sockets hold.
+    server.callers[0]->send(200, {}, std::string(64000000, 'a'));
+    for (int turn = 0; turn < 100; ++turn) {
+        server.loop.run_ready();
+    }
+    CHECK(server.requests.size() == 1);
+    caller.resume_reading();
+    REQUIRE(server.wait_for_requests(2));
+}
+
 } // namespace coriander
--- a/test/support/test_caller.hpp
+++ b/test/support/test_caller.hpp
@@ -27,6 +27,8 @@
         this->body.clear();
         this->channel->send(request, *this);
     }
+    void pause_reading() { this->channel->pause_reading(); }
+    void resume_reading() { this->channel->resume_reading(); }
     void disconnect() { this->channel->close(); }
 
 private:
