Places at targets: a keeper of each target grants no more requests than it answers in time

Change: relay/place_keeper grants places at a target to all gateways, learns from first events how many there are, and divides them by priority and by customers' max-min shares when they are scarce. place_exchange carries requests and releases; requests without a place are refused at once. On with 16 gateways or more that all know how to.

--- a/include/coriander/peer_feature.hpp
+++ b/include/coriander/peer_feature.hpp
@@ -14,6 +14,7 @@
     relayed_requests = 0,
     kept_request_reports = 1, ///< Reports the requests that it keeps on dissolving replicas.
     packed_messages = 2,      ///< Reads messages whose large parts are compressed.
+    places = 3,               ///< Keeps places at targets for others.
 };
 
 /// A set of features. Keeps those that this build doesn't know.
@@ -61,8 +62,9 @@
 };
 
 /// The features that this build of the gateway understands.
-inline constexpr feature_set gateway_features{
-    peer_feature::relayed_requests, peer_feature::kept_request_reports, peer_feature::packed_messages};
+inline constexpr feature_set gateway_features{peer_feature::relayed_requests,
+                                              peer_feature::kept_request_reports,
+                                              peer_feature::packed_messages, peer_feature::places};
 
 /// The features' names, joined by "+"; those unknown to this build by number, and "none" for an empty set.
 [[nodiscard]] std::string names_of(feature_set features);
--- a/include/coriander/relay/permit_message.hpp
+++ b/include/coriander/relay/permit_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coriander/relay/place_message.hpp"
 #include "coriander/relay/rate_limit.hpp"
 
 #include <cstdint>
@@ -23,6 +24,12 @@
 struct permit_message {
     std::vector<permit_request> requests;
     std::vector<permit_answer> answers;
+    place_message places{};
+
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return this->requests.empty() && this->answers.empty() && this->places.empty();
+    }
 };
 
 } // namespace coriander
--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -117,6 +117,11 @@
     /// Records the load that the target reported in a response.
     void on_load(const std::string& id, std::uint32_t running, std::uint32_t waiting, time_ms now);
 
+    /// The hash by which daemons identify the target; nothing for an unknown one.
+    [[nodiscard]] std::optional<std::uint64_t> key_of(const std::string& id) const;
+    /// The last load that the target with this key has told, to this daemon or another one.
+    [[nodiscard]] std::optional<load_report> told_load(std::uint64_t key, time_ms now) const;
+
     /// Records a load report that was received by another daemon. Unknown targets are ignored.
     void on_peer_report(const load_report& report, time_ms now);
     /// The most recent load reports, whether received by this daemon or passed on by others; newest first, at
--- a/src/core/peer_feature.cpp
+++ b/src/core/peer_feature.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// By number.
-constexpr std::array feature_names{"relayed_requests", "kept_request_reports", "packed_messages"};
+constexpr std::array feature_names{"relayed_requests", "kept_request_reports", "packed_messages", "places"};
 
 } // namespace
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include "gateway/page_server.hpp"
 #include "gateway/path_monitor.hpp"
 #include "gateway/permit_exchange.hpp"
+#include "gateway/places/place_exchange.hpp"
 #include "gateway/relay_context.hpp"
 #include "gateway/relay_session.hpp"
 #include "gateway/retiring_replicas.hpp"
@@ -32,6 +33,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -100,7 +102,14 @@
             [this](auto hosts) { this->losses.verify(hosts, this->relay.clock.now()); });
         this->peers->set_permit_listener([this](const std::string& sender, const permit_message& message) {
             this->permits.receive(sender, message);
+            this->places.receive(sender, message.places);
         });
+        this->relay.request_place = [this](const place_request& wanted, place_exchange::on_decision done) {
+            this->places.request(wanted, std::move(done));
+        };
+        this->relay.release_place = [this](const held_place& place, answer_timing timing) {
+            this->places.release(place, timing);
+        };
         this->stalls.set_delegation([this](const domain_key& key, const std::vector<lost_host>& hosts) {
             return this->ask_controllers(key, hosts);
         });
@@ -214,6 +223,8 @@
 
 private:
     static constexpr time_ms housekeeping_interval{1000};
+    /// With fewer gateways, each knows the load of the targets well enough from its own requests.
+    static constexpr std::size_t min_daemons_with_places = 16;
     /// Pages take no bodies; a small one is ignored.
     static constexpr std::size_t max_page_body_bytes = 16384;
     /// How often hosts that can't be reached are contacted again.
@@ -417,9 +428,35 @@
             this->loads.snapshot(gateway_peers::loads_per_message),
             this->relay.quarantine.next_update(gateway_peers::crashes_per_message, this->relay.clock.now()));
         this->relay.daemons = this->peers->count();
+        this->update_place_keeping();
         this->call_after(this->peer_timer, gateway_peers::round_length, [this] { this->run_peers(); });
     }
 
+    /// Places are kept where the settings say so or each gateway sees only a small part of the requests, and
+    /// all gateways know how to.
+    void update_place_keeping()
+    {
+        const bool is_wanted =
+            this->values.places == place_keeping::on ||
+            (this->values.places == place_keeping::by_size && this->relay.daemons >= min_daemons_with_places);
+        const bool keeps = is_wanted && this->peers->all_understand(peer_feature::places);
+        if (std::exchange(this->relay.keeps_places, keeps) != keeps) {
+            log_event(event::places_kept,
+                      {{"kept", keeps ? "yes" : "no"}, {"gateways", this->relay.daemons}});
+        }
+    }
+
+    [[nodiscard]] std::optional<told_load> told_load_of(std::uint64_t target) const
+    {
+        const auto now = this->relay.clock.now();
+        for (const auto& [name, state] : this->relay.services) {
+            if (const auto told = state.board.told_load(target, now)) {
+                return told_load{static_cast<double>(told->running) + told->waiting, told->age};
+            }
+        }
+        return std::nullopt;
+    }
+
     void run_housekeeping()
     {
         this->relay.channels.close_expired();
@@ -464,6 +501,13 @@
                             [this](const std::string& address, const permit_message& message) {
                                 this->peers->send_permits(address, message);
                             }};
+    place_exchange places{this->loop,
+                          [this](std::uint64_t target) { return this->peers->permit_issuer_of(target); },
+                          [this](const std::string& address, const place_message& message) {
+                              this->peers->send_permits(address, {{}, {}, message});
+                          },
+                          [this](std::uint64_t target) { return this->told_load_of(target); },
+                          [this] { return this->relay.draw(); }};
     graceful_stop::listener_list listeners;
     graceful_stop stopping{this->loop, this->relay, this->values, this->listeners};
     std::string manifest_text;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -106,7 +106,7 @@
         this->kept(report);
     }
     this->crashes(message.crashes);
-    const bool has_permits = !message.permits.requests.empty() || !message.permits.answers.empty();
+    const bool has_permits = !message.permits.empty();
     if (has_permits && !message.identities.empty()) {
         this->permits(message.identities.front().peer_address, message.permits);
     }
--- a/src/gateway/gateway_settings.cpp
+++ b/src/gateway/gateway_settings.cpp
@@ -104,8 +104,8 @@
     toml_checker check{file};
     checked_gateway_settings result;
     const auto document = check.parse(toml);
-    check.reject_unknown(document,
-                         {"entry_host", "platform", "stop", "directory", "retries", "callers", "log"});
+    check.reject_unknown(
+        document, {"entry_host", "platform", "stop", "directory", "retries", "callers", "places", "log"});
     read_entry_host(check, document, result.values);
     const auto& platform = required_section(check, document, "platform");
     check.reject_unknown(platform, {"store", "leaving_limit", "host_heartbeat"});
@@ -122,6 +122,16 @@
         result.values.max_callers =
             static_cast<unsigned>(check.integer(*callers, "connections", 0, files_range));
     }
+    if (const auto* places = document.get_as<toml::table>("places")) {
+        check.reject_unknown(*places, {"kept"});
+        const auto kept = check.optional_text(*places, "kept", "by_size");
+        result.values.places = kept == "on"    ? place_keeping::on
+                               : kept == "off" ? place_keeping::off
+                                               : place_keeping::by_size;
+        if (kept != "on" && kept != "off" && kept != "by_size") {
+            check.report(*places, "kept", "'kept' must be \"by_size\", \"on\" or \"off\"");
+        }
+    }
     if (const auto* log = document.get_as<toml::table>("log")) {
         check.reject_unknown(*log, {"level"});
         result.values.log_level = check.optional_text(*log, "level", result.values.log_level);
--- a/src/gateway/gateway_settings.hpp
+++ b/src/gateway/gateway_settings.hpp
@@ -13,6 +13,13 @@
 
 namespace coriander {
 
+/// Whether targets' places are kept by one daemon for all.
+enum class place_keeping {
+    by_size, ///< If there are so many gateways that each sees only a small part of the requests.
+    on,
+    off,
+};
+
 /// The settings of a gateway process.
 struct gateway_settings {
     std::string name; ///< The entry host's name.
@@ -38,6 +45,7 @@
     time_ms stop_limit{8000};       ///< From the stop signal until the process is killed.
     time_ms directory_ttl{2000};    ///< How long callers may cache a directory response.
     retry_window_settings retries;
+    place_keeping places = place_keeping::by_size;
     std::string log_level = "INFO";
 
     /// Whether the entry host can work for the others beside its callers: read the tables and control
--- a/src/gateway/relay_context.hpp
+++ b/src/gateway/relay_context.hpp
@@ -13,6 +13,7 @@
 #include "gateway/forged_marks.hpp"
 #include "gateway/manifest_doubt.hpp"
 #include "gateway/path_check.hpp"
+#include "gateway/places/place_exchange.hpp"
 #include "gateway/relay_dialect.hpp"
 #include "gateway/relaying_gateway.hpp"
 #include "gateway/service_state.hpp"
@@ -69,6 +70,16 @@
         [](const rate_limit&, const std::function<void(permit_decision)>& done) {
             done({true, {}});
         };
+    /// Whether requests to engine targets need a place, which the targets' keepers grant.
+    bool keeps_places = false;
+    /// Requests a place. Calls the function once, possibly at once.
+    std::function<void(const place_request&, place_exchange::on_decision)> request_place =
+        [](const place_request&, const place_exchange::on_decision& done) {
+            done(place_outcome::granted, {});
+        };
+    /// Gives a place back.
+    std::function<void(const held_place&, answer_timing)> release_place = [](const held_place&,
+                                                                             answer_timing) {};
     /// Called after a change of `statements`, which all targets already reflect.
     std::function<void()> on_statement = [] {};
     /// Called with the host that closed the connection of a running request.
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace coriander {
 namespace {
@@ -26,6 +27,7 @@
 {
     this->stream.end_attempt();
     this->release_buffer();
+    this->give_place_back(this->current);
     this->context.sessions.erase(this);
     if (this->is_counted_as_relayed) {
         --this->context.relayed_requests;
@@ -139,12 +141,14 @@
         }
         input.draw = this->context.draw();
     }
-    const auto advice = forecast_admission(input);
+    const bool is_kept = best && this->needs_place(*best);
+    const auto advice = is_kept ? admission_decision{true, {}, {}} : forecast_admission(input);
     if (!advice.is_admitted) {
         meter.on_refused(now);
         const auto pause = best ? time_ms{} : this->pause_left();
         const bool is_paused = pause > time_ms{};
-        const bool has_target = best || this->denied_permits > 0;
+        const bool has_full_targets = this->context.keeps_places && model != nullptr && targets > 0;
+        const bool has_target = best || this->denied_permits > 0 || has_full_targets;
         const auto reply = is_paused    ? local_reply::paused
                            : has_target ? local_reply::overloaded
                                         : local_reply::no_target;
@@ -159,6 +163,10 @@
 void relay_session::send_to(const target_choice& choice)
 {
     const auto limit = this->state->board.limit_of(choice.target.id, this->context.clock.now());
+    if (!limit && this->needs_place(choice)) {
+        this->ask_for_place(choice);
+        return;
+    }
     if (!limit) {
         this->dispatch(choice);
         return;
@@ -263,11 +271,15 @@
     const bool may_send = choice.target.is_gateway || this->state->board.may_send(choice.target, now);
     if (!may_send) {
         log_redirect(this->request, choice);
+        if (const auto unused = std::exchange(this->next_place, std::nullopt)) {
+            this->context.release_place(*unused, answer_timing::unknown);
+        }
         this->choose_again();
         return;
     }
     this->release_buffer();
     this->current = {};
+    this->current.place = std::exchange(this->next_place, std::nullopt);
     this->current.choice = choice;
     this->current.is_open = true;
     this->current.sent_at = now;
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -70,6 +70,7 @@
         std::size_t events_before = 0;       ///< Events that earlier attempts had forwarded.
         std::optional<double> reported_load; ///< Requests on the target, as reported in its response.
         const char* stays_because = nullptr; ///< Why the last move was not possible, as logged.
+        std::optional<held_place> place;     ///< At its target; given back when the attempt ends.
         time_ms sent_at;
         time_ms begun_at;
     };
@@ -109,6 +110,15 @@
     /// available.
     void send_to(const target_choice& choice);
     void on_permit(const target_choice& choice, permit_decision decision);
+    /// Whether the request needs a place at the target, which the target's keeper grants.
+    [[nodiscard]] bool needs_place(const target_choice& choice) const;
+    void ask_for_place(const target_choice& choice);
+    void on_place(const target_choice& choice, place_outcome outcome, const held_place& place);
+    /// Refuses the request after some targets had no place for it, or ends it as its attempts require.
+    void end_without_place();
+    /// Whether the attempt has shown how long the first part of an answer takes there.
+    [[nodiscard]] answer_timing timing_of(const attempt& done) const;
+    void give_place_back(attempt& done);
     /// Selects another target, after the selected one may not get the request.
     void choose_again();
     /// Ends the request, whose attempts so far have failed or that has not been sent at all.
@@ -193,6 +203,8 @@
     std::size_t counted_event_bytes = 0; ///< Of an incomplete event, in the context's sum.
     unsigned attempts_sent = 0;
     unsigned denied_permits = 0;
+    unsigned denied_places = 0;
+    std::optional<held_place> next_place; ///< For the attempt that is about to be sent.
     bool is_asking_to_move = false;
     std::optional<target_choice> reserved; ///< Target to move to, with a retry and any permit it needs.
     time_ms permit_wait;                   ///< Shortest wait of the denied permits.
--- a/src/gateway/relay_session_end.cpp
+++ b/src/gateway/relay_session_end.cpp
@@ -29,6 +29,7 @@
         return;
     }
     this->current.is_open = false;
+    this->give_place_back(this->current);
     const auto& id = this->current.choice.target.id;
     this->leave_target(id);
     this->state->board.on_ended(id, this->current.has_begun, is_failure, this->context.clock.now());
--- a/src/gateway/relay_session_move.cpp
+++ b/src/gateway/relay_session_move.cpp
@@ -144,7 +144,8 @@
         return;
     }
     const auto dropped = std::move(this->held);
-    const auto& left = dropped->left;
+    auto& left = dropped->left;
+    this->give_place_back(left);
     this->forget_held(left.choice.target.id);
     left.channel->close();
     this->context.buffered_bytes -= left.body.size();
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -152,6 +152,16 @@
         const auto permit_answers =
             converted<wire::PermitAnswer>(message.permits.answers, wire_permit_answer);
         const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
+        const auto& places = message.permits.places;
+        const auto place_requests = converted<wire::PlaceRequest>(places.requests, [](const auto& one) {
+            return wire::PlaceRequest{one.id, one.target, one.customer, one.slots, one.rank, one.tries};
+        });
+        const auto place_answers = converted<wire::PlaceAnswer>(places.answers, [](const auto& one) {
+            return wire::PlaceAnswer{one.id, one.is_granted};
+        });
+        const auto place_releases = converted<wire::PlaceRelease>(places.releases, [](const auto& one) {
+            return wire::PlaceRelease{one.id, one.target, static_cast<std::uint8_t>(one.timing)};
+        });
         const auto kept = this->write_kept_requests(message.kept);
         const auto emptied = converted<flatbuffers::Offset<wire::EmptiedDomain>>(
             message.loads.emptied, [this](const auto& one) {
@@ -166,7 +176,10 @@
             this->builder, &identities, &beats, &strikes, &demands, config, news, &loads, &model_demands,
             &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers, &statements, &kept,
             message.relay_key ? &relay_key : nullptr, message.packed.empty() ? nullptr : &message.packed,
-            message.packed_size, emptied.empty() ? nullptr : &emptied));
+            message.packed_size, emptied.empty() ? nullptr : &emptied,
+            place_requests.empty() ? nullptr : &place_requests,
+            place_answers.empty() ? nullptr : &place_answers,
+            place_releases.empty() ? nullptr : &place_releases));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -353,6 +366,28 @@
     }
 }
 
+void read_places(const wire::PeerMessage& root, place_message& places)
+{
+    if (const auto* requests = root.place_requests()) {
+        for (const auto* one : *requests) {
+            places.requests.push_back(
+                {one->id(), one->target(), one->customer(), one->slots(), one->rank(), one->tries()});
+        }
+    }
+    if (const auto* answers = root.place_answers()) {
+        for (const auto* one : *answers) {
+            places.answers.push_back({one->id(), one->is_granted()});
+        }
+    }
+    if (const auto* releases = root.place_releases()) {
+        for (const auto* one : *releases) {
+            const auto timing = static_cast<answer_timing>(one->timing());
+            const bool is_known = timing == answer_timing::in_time || timing == answer_timing::late;
+            places.releases.push_back({one->id(), one->target(), is_known ? timing : answer_timing::unknown});
+        }
+    }
+}
+
 void read_news(const wire::PeerMessage& root, peer_message& message)
 {
     const auto* news = root.news();
@@ -398,6 +433,7 @@
     read_kept_requests(root, message);
     read_crashes(root, message);
     read_permits(root, message);
+    read_places(root, message.permits.places);
     if (const auto* key = root.relay_key()) {
         message.relay_key = read_relay_key(*key);
     }
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -398,6 +398,23 @@
     }
 }
 
+std::optional<std::uint64_t> target_pool::key_of(const std::string& id) const
+{
+    const auto found = this->targets.find(id);
+    return found == this->targets.end() ? std::nullopt : std::optional{found->second.key};
+}
+
+std::optional<load_report> target_pool::told_load(std::uint64_t key, time_ms now) const
+{
+    for (const auto& [id, target] : this->targets) {
+        if (target.key == key && target.load.has_report()) {
+            return load_report{key, target.load.running(), target.load.queued(),
+                               now - target.load.reported_at()};
+        }
+    }
+    return std::nullopt;
+}
+
 void target_pool::on_peer_report(const load_report& report, time_ms now)
 {
     if (auto* target = this->find_by_key(report.target)) {
--- a/test/e2e/gateway_test.sh
+++ b/test/e2e/gateway_test.sh
@@ -15,7 +15,7 @@
 expect_promises
 expect "nothing was refused or cut" "$(($(calls refusals) + $(calls cut) + $(calls errors)))" 0
 expect "all was served" "$(calls whole)" 120
-features=relayed_requests+kept_request_reports+packed_messages
+features=relayed_requests+kept_request_reports+packed_messages+places
 listed() { "$BUILD/corianderctl" gateways "$NET.${GATEWAYS[0]}:7004" | grep -cP "^edge-\\d+\\t\\d[^\\t]+\\t$1\\tserving$"; }
 expect "each gateway is listed with its build and features" "$(listed "${features//+/\\+}")" "${#GATEWAYS[@]}"
 expect "the peers' build is logged once" "$(grep -c "E5006 .*features=$features" "$RUN_DIR/gateway-${GATEWAYS[0]}.log")" 1
