Places: requests that are late already leave the last places to those that can be in time

Change: a request whose caller has waited longer than the objective, by the time that it has left, sees seven tenths of a target's places.

--- a/include/coriander/relay/place_keeper.hpp
+++ b/include/coriander/relay/place_keeper.hpp
@@ -55,6 +55,8 @@
     static constexpr double scarce_share = 0.75;
     /// The last places are for customers that ask for no more than their share.
     static constexpr double excess_share = 0.85;
+    /// Requests that can't be in time any more leave the rest to those that can.
+    static constexpr double late_share = 0.7;
     /// A place that was not given back for this time is free: its daemon has ended.
     static constexpr time_ms max_hold{8000};
     /// Grants of this time may not show in what a target tells.
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -154,7 +154,8 @@
         const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
         const auto& places = message.permits.places;
         const auto place_requests = converted<wire::PlaceRequest>(places.requests, [](const auto& one) {
-            return wire::PlaceRequest{one.id, one.target, one.customer, one.slots, one.rank, one.tries};
+            return wire::PlaceRequest{one.id,   one.target, one.customer, one.slots,
+                                      one.rank, one.tries,  one.is_late};
         });
         const auto place_answers = converted<wire::PlaceAnswer>(places.answers, [](const auto& one) {
             return wire::PlaceAnswer{one.id, one.is_granted};
@@ -370,8 +371,8 @@
 {
     if (const auto* requests = root.place_requests()) {
         for (const auto* one : *requests) {
-            places.requests.push_back(
-                {one->id(), one->target(), one->customer(), one->slots(), one->rank(), one->tries()});
+            places.requests.push_back({one->id(), one->target(), one->customer(), one->slots(), one->rank(),
+                                       one->tries(), one->is_late()});
         }
     }
     if (const auto* answers = root.place_answers()) {
--- a/test/relay/place_keeper_test.cpp
+++ b/test/relay/place_keeper_test.cpp
@@ -194,6 +194,20 @@
     CHECK(lowest.fill(200) == 15);
 }
 
+TEST_CASE("place keeper: requests that are late already leave the last places to those that can be in time")
+{
+    keeper_fixture fixture;
+    int late = 0;
+    while (fixture.keeper
+               .decide("edge-1", {++fixture.last, target, fixture.last, slots, 0, 0, true}, {}, 0.5, start)
+               .is_granted) {
+        ++late;
+    }
+    CHECK(late > 9);
+    CHECK(late < 14);
+    CHECK(fixture.fill() >= 5);
+}
+
 TEST_CASE("place keeper: the number of places falls while answers are late, and grows while they are in time")
 {
     keeper_fixture fixture;
