--- a/include/coriander/relay/place_keeper.hpp
+++ b/include/coriander/relay/place_keeper.hpp
@@ -43,11 +43,9 @@
     static constexpr double first_share = 0.95;
     static constexpr double min_share = 0.5;
     static constexpr double max_share = 1.25;
-    /// Change of the limit by an answer. In balance, one in 51 is late; a limit that was reduced returns
-    /// faster.
-    static constexpr double late_step = 0.5;
-    static constexpr double in_time_step = 0.01;
-    static constexpr double return_step = 0.05;
+    /// Change of the limit by an answer. In balance, one in 34 is late.
+    static constexpr double late_step = 1.0;
+    static constexpr double in_time_step = 0.03;
     /// Part of the limit by which that of each lower priority is smaller, down to a floor.
     static constexpr double rank_step = 0.04;
     static constexpr std::uint8_t max_rank = 5;
@@ -55,8 +53,6 @@
     static constexpr double scarce_share = 0.75;
     /// The last places are for customers that ask for no more than their share.
     static constexpr double excess_share = 0.85;
-    /// Requests that can't be in time any more leave the rest to those that can.
-    static constexpr double late_share = 0.7;
     /// A place that was not given back for this time is free: its daemon has ended.
     static constexpr time_ms max_hold{8000};
     /// Grants of this time may not show in what a target tells.
--- a/include/coriander/relay/place_message.hpp
+++ b/include/coriander/relay/place_message.hpp
@@ -13,7 +13,6 @@
     std::uint16_t slots = 1; ///< Requests that the target runs concurrently.
     std::uint8_t rank = 0;   ///< Priority of the request; 0 is the highest.
     std::uint8_t tries = 0;  ///< Targets that had no place for the request before.
-    bool is_late = false;    ///< Its latency objective has passed, so that it can't be answered in time.
 };
 
 /// The answer to a `place_request`.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -224,7 +224,7 @@
 private:
     static constexpr time_ms housekeeping_interval{1000};
     /// With fewer gateways, each knows the load of the targets well enough from its own requests.
-    static constexpr std::size_t min_daemons_with_places = 16;
+    static constexpr std::size_t min_daemons_with_places = 32;
     /// Pages take no bodies; a small one is ignored.
     static constexpr std::size_t max_page_body_bytes = 16384;
     /// How often hosts that can't be reached are contacted again.
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -113,8 +113,6 @@
     /// Whether the request needs a place at the target, which the target's keeper grants.
     [[nodiscard]] bool needs_place(const target_choice& choice) const;
     void ask_for_place(const target_choice& choice);
-    /// Whether the first part of the answer can't come within the route's objective any more.
-    [[nodiscard]] bool has_missed_objective() const;
     void on_place(const target_choice& choice, place_outcome outcome, const held_place& place);
     /// Refuses the request after some targets had no place for it, or ends it as its attempts require.
     void end_without_place();
--- a/src/gateway/relay_session_place.cpp
+++ b/src/gateway/relay_session_place.cpp
@@ -34,7 +34,6 @@
     wanted.target = this->state->board.key_of(choice.target.id).value_or(0);
     wanted.customer = stable_hash(customer == nullptr ? std::string_view{} : customer->name);
     wanted.slots = static_cast<std::uint16_t>(std::min(most_slots, choice.target.slots));
-    wanted.is_late = this->has_missed_objective();
     wanted.tries = static_cast<std::uint8_t>(this->denied_places);
     wanted.rank = static_cast<std::uint8_t>(std::min(most_priority, priority));
     this->context.request_place(wanted, [weak = this->weak_from_this(), &context = this->context,
@@ -49,15 +48,6 @@
     });
 }
 
-bool relay_session::has_missed_objective() const
-{
-    // A caller that comes back after a refusal has less time left than the route gives.
-    const auto& route = *this->request.route;
-    const auto spent_before = route.time_limit - (this->request.deadline - this->request.raw.arrived);
-    const auto spent_here = this->context.clock.now() - this->request.raw.arrived;
-    return route.latency_objective > time_ms{} && spent_before + spent_here > route.latency_objective;
-}
-
 void relay_session::on_place(const target_choice& choice, place_outcome outcome, const held_place& place)
 {
     const auto now = this->context.clock.now();
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -100,6 +100,29 @@
     return result;
 }
 
+/// The parts of a message about places.
+struct wire_places {
+    std::vector<wire::PlaceRequest> requests;
+    std::vector<wire::PlaceAnswer> answers;
+    std::vector<wire::PlaceRelease> releases;
+};
+
+wire_places wire_places_of(const place_message& places)
+{
+    return {converted<wire::PlaceRequest>(places.requests,
+                                          [](const auto& one) {
+                                              return wire::PlaceRequest{one.id,    one.target, one.customer,
+                                                                        one.slots, one.rank,   one.tries};
+                                          }),
+            converted<wire::PlaceAnswer>(places.answers,
+                                         [](const auto& one) {
+                                             return wire::PlaceAnswer{one.id, one.is_granted};
+                                         }),
+            converted<wire::PlaceRelease>(places.releases, [](const auto& one) {
+                return wire::PlaceRelease{one.id, one.target, static_cast<std::uint8_t>(one.timing)};
+            })};
+}
+
 /// Serializes one message.
 class message_writer {
 public:
@@ -116,11 +139,11 @@
         for (const auto& one : message.beats) {
             beats.emplace_back(one.id, one.incarnation, one.config_number, one.counter, flags_of(one));
         }
-        std::vector<flatbuffers::Offset<wire::Strike>> strikes;
-        for (const auto& one : message.strikes) {
-            strikes.push_back(wire::CreateStrikeDirect(this->builder, one.digest.c_str(), one.deaths,
-                                                       one.deaths_alone, one.cleared));
-        }
+        const auto strikes =
+            converted<flatbuffers::Offset<wire::Strike>>(message.strikes, [this](const auto& one) {
+                return wire::CreateStrikeDirect(this->builder, one.digest.c_str(), one.deaths,
+                                                one.deaths_alone, one.cleared);
+            });
         std::vector<flatbuffers::Offset<wire::Demand>> demands;
         for (const auto& one : message.demands) {
             demands.push_back(
@@ -152,17 +175,7 @@
         const auto permit_answers =
             converted<wire::PermitAnswer>(message.permits.answers, wire_permit_answer);
         const auto statements = converted<wire::HostStatement>(message.loads.statements, wire_statement);
-        const auto& places = message.permits.places;
-        const auto place_requests = converted<wire::PlaceRequest>(places.requests, [](const auto& one) {
-            return wire::PlaceRequest{one.id,   one.target, one.customer, one.slots,
-                                      one.rank, one.tries,  one.is_late};
-        });
-        const auto place_answers = converted<wire::PlaceAnswer>(places.answers, [](const auto& one) {
-            return wire::PlaceAnswer{one.id, one.is_granted};
-        });
-        const auto place_releases = converted<wire::PlaceRelease>(places.releases, [](const auto& one) {
-            return wire::PlaceRelease{one.id, one.target, static_cast<std::uint8_t>(one.timing)};
-        });
+        const auto places = wire_places_of(message.permits.places);
         const auto kept = this->write_kept_requests(message.kept);
         const auto emptied = converted<flatbuffers::Offset<wire::EmptiedDomain>>(
             message.loads.emptied, [this](const auto& one) {
@@ -178,9 +191,9 @@
             &lost_hosts, &suspects, &cleared, &limits, &permit_requests, &permit_answers, &statements, &kept,
             message.relay_key ? &relay_key : nullptr, message.packed.empty() ? nullptr : &message.packed,
             message.packed_size, emptied.empty() ? nullptr : &emptied,
-            place_requests.empty() ? nullptr : &place_requests,
-            place_answers.empty() ? nullptr : &place_answers,
-            place_releases.empty() ? nullptr : &place_releases));
+            places.requests.empty() ? nullptr : &places.requests,
+            places.answers.empty() ? nullptr : &places.answers,
+            places.releases.empty() ? nullptr : &places.releases));
         return {this->builder.GetBufferPointer(), this->builder.GetBufferPointer() + this->builder.GetSize()};
     }
 
@@ -371,8 +384,8 @@
 {
     if (const auto* requests = root.place_requests()) {
         for (const auto* one : *requests) {
-            places.requests.push_back({one->id(), one->target(), one->customer(), one->slots(), one->rank(),
-                                       one->tries(), one->is_late()});
+            places.requests.push_back(
+                {one->id(), one->target(), one->customer(), one->slots(), one->rank(), one->tries()});
         }
     }
     if (const auto* answers = root.place_answers()) {
--- a/src/relay/place_keeper.cpp
+++ b/src/relay/place_keeper.cpp
@@ -24,8 +24,7 @@
     const double used = in_use(places, told, now);
     const bool is_scarce = used >= scarce_share * limit;
     const double fitting = is_scarce ? places.shares.fitting_part(request.customer, now) : 1.0;
-    const double share = request.is_late ? late_share : fitting < 1.0 ? excess_share : 1.0;
-    const double own_limit = share * limit;
+    const double own_limit = fitting < 1.0 ? excess_share * limit : limit;
     if (used + 1.0 > own_limit || draw >= fitting) {
         return {request.id, false};
     }
@@ -49,9 +48,7 @@
     }
     // Answers of a target that is far from full do not show that it could do more.
     else if (given.timing == answer_timing::in_time && used >= scarce_share * places.limit) {
-        const bool is_reduced = places.limit < first_share * places.slots;
-        places.limit =
-            std::min(max_share * places.slots, places.limit + (is_reduced ? return_step : in_time_step));
+        places.limit = std::min(max_share * places.slots, places.limit + in_time_step);
     }
 }
 
@@ -77,8 +74,8 @@
         return now - item.second < told->age + telling_delay;
     });
     // Requests without a place may run there, and places of daemons that have ended may not be given back.
-    constexpr double ended_per_second = 0.8;
-    const double least = (1.0 - ended_per_second * std::max(0.0, told->age.seconds())) * told->requests;
+    constexpr double ended_share = 0.3;
+    const double least = (1.0 - ended_share) * told->requests;
     const double most = told->requests + static_cast<double>(recent);
     return std::clamp(granted, least, most);
 }
--- a/test/net/caller_budget_test.cpp
+++ b/test/net/caller_budget_test.cpp
@@ -153,6 +153,7 @@
 {
     budget_fixture fixture;
     std::vector<fake_connection*> all;
+    all.reserve(5);
     for (int i = 0; i < 5; ++i) {
         all.push_back(&fixture.add_holding(2 * mb - 4 * kb, start));
     }
