Shares: what a target has to spare counts, so that they don't leave it idle

Cause: shares were measured against what was granted, so that nearly full targets stayed at three quarters. Change: against that times the limit by the places in use.

--- a/include/coriander/relay/customer_shares.hpp
+++ b/include/coriander/relay/customer_shares.hpp
@@ -18,8 +18,9 @@
     /// Records that a customer got one.
     void on_granted(time_ms now);
 
-    /// The part of the customer's requests that fit into its share, from 0 to 1.
-    [[nodiscard]] double fitting_part(std::uint64_t customer, time_ms now) const;
+    /// The part of the customer's requests that fit into its share, from 0 to 1, if `room` times as much as
+    /// lately can be granted.
+    [[nodiscard]] double fitting_part(std::uint64_t customer, double room, time_ms now) const;
 
 private:
     /// A count that halves in this time without further events.
--- a/src/relay/customer_shares.cpp
+++ b/src/relay/customer_shares.cpp
@@ -31,7 +31,7 @@
     this->granted.add(now);
 }
 
-double customer_shares::fitting_part(std::uint64_t customer, time_ms now) const
+double customer_shares::fitting_part(std::uint64_t customer, double room, time_ms now) const
 {
     const auto found = this->asked.find(customer);
     const double own = found == this->asked.end() ? 0.0 : found->second.at_time(now);
@@ -39,7 +39,7 @@
     for (const auto& [name, count] : this->asked) {
         total += count.at_time(now);
     }
-    const double available = this->granted.at_time(now);
+    const double available = room * this->granted.at_time(now);
     if (own <= 0.0 || total < min_asked || available >= shortage * total) {
         return 1.0;
     }
--- a/src/relay/place_keeper.cpp
+++ b/src/relay/place_keeper.cpp
@@ -23,7 +23,7 @@
     const double limit = std::max(1.0, places.limit * (1.0 - rank_step * rank));
     const double used = in_use(places, told, now);
     const bool is_scarce = used >= scarce_share * limit;
-    const double fitting = is_scarce ? places.shares.fitting_part(request.customer, now) : 1.0;
+    const double fitting = is_scarce ? places.shares.fitting_part(request.customer, limit / used, now) : 1.0;
     const double own_limit = fitting < 1.0 ? excess_share * limit : limit;
     if (used + 1.0 > own_limit || draw >= fitting) {
         return {request.id, false};
--- a/test/relay/customer_shares_test.cpp
+++ b/test/relay/customer_shares_test.cpp
@@ -32,8 +32,8 @@
     ask(shares, loud, 30);
     ask(shares, quiet, 2);
     grant(shares, 32);
-    CHECK(shares.fitting_part(loud, start) == 1.0);
-    CHECK(shares.fitting_part(quiet, start) == 1.0);
+    CHECK(shares.fitting_part(loud, 1.0, start) == 1.0);
+    CHECK(shares.fitting_part(quiet, 1.0, start) == 1.0);
 }
 
 TEST_CASE(
@@ -44,11 +44,13 @@
     ask(shares, quiet, 5);
     ask(shares, other, 15);
     grant(shares, 30);
-    CHECK(shares.fitting_part(quiet, start) == 1.0);
+    CHECK(shares.fitting_part(quiet, 1.0, start) == 1.0);
     // 25 are left for two: 12.5 each.
-    CHECK(shares.fitting_part(other, start) == Approx(13.5 / 15.0));
-    CHECK(shares.fitting_part(loud, start) == Approx(13.5 / 40.0));
-    CHECK(shares.fitting_part(99, start) == 1.0);
+    CHECK(shares.fitting_part(other, 1.0, start) == Approx(13.5 / 15.0));
+    CHECK(shares.fitting_part(loud, 1.0, start) == Approx(13.5 / 40.0));
+    CHECK(shares.fitting_part(99, 1.0, start) == 1.0);
+    // With room for twice as much, all fits.
+    CHECK(shares.fitting_part(loud, 2.0, start) == 1.0);
 }
 
 TEST_CASE("customer shares: what was asked for long ago does not count")
@@ -57,8 +59,8 @@
     ask(shares, loud, 40);
     ask(shares, quiet, 5);
     grant(shares, 10);
-    REQUIRE(shares.fitting_part(loud, start) < 0.5);
-    CHECK(shares.fitting_part(loud, start + 20_s) == 1.0);
+    REQUIRE(shares.fitting_part(loud, 1.0, start) < 0.5);
+    CHECK(shares.fitting_part(loud, 1.0, start + 20_s) == 1.0);
 }
 
 TEST_CASE("customer shares: the number of customers that are kept is bounded")
@@ -67,7 +69,7 @@
     for (std::uint64_t i = 0; i < 5000; ++i) {
         shares.on_request(i, start);
     }
-    CHECK(shares.fitting_part(4999, start) <= 1.0);
+    CHECK(shares.fitting_part(4999, 1.0, start) <= 1.0);
 }
 
 } // namespace coriander
