--- a/include/coriander/relay/place_keeper.hpp
+++ b/include/coriander/relay/place_keeper.hpp
@@ -43,9 +43,9 @@
     static constexpr double first_share = 0.95;
     static constexpr double min_share = 0.5;
     static constexpr double max_share = 1.25;
-    /// Change of the limit by an answer. In balance, one in 34 is late.
-    static constexpr double late_step = 1.0;
-    static constexpr double in_time_step = 0.03;
+    /// Change of the limit by an answer. In balance, one in eleven is late.
+    static constexpr double late_step = 0.5;
+    static constexpr double in_time_step = 0.05;
     /// Part of the limit by which that of each lower priority is smaller, down to a floor.
     static constexpr double rank_step = 0.04;
     static constexpr std::uint8_t max_rank = 5;
