--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -19,6 +19,9 @@
 constexpr int bad_request_status = 400;
 constexpr int body_too_large_status = 413;
 constexpr int header_too_large_status = 431;
+constexpr int no_room_status = 503;
+/// In seconds; connections that stall are ended after one.
+constexpr const char* retry_after_lack_of_room = "1";
 
 /// Reading pauses when more than this many bytes of pipelined requests wait behind a pending one.
 constexpr std::size_t max_unparsed_bytes = 65536;
@@ -425,7 +428,11 @@
 {
     this->closes_after_response = true;
     this->stage = response_stage::pending;
-    this->send(status, {}, {});
+    std::vector<http_header> headers;
+    if (status == no_room_status) {
+        headers.push_back({"Retry-After", retry_after_lack_of_room});
+    }
+    this->send(status, std::move(headers), {});
 }
 
 } // namespace coriander
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -100,6 +100,19 @@
     return result;
 }
 
+wire::TargetLoad wire_target_load(const load_report& load)
+{
+    return {load.target, clamped_count(load.running), clamped_count(load.waiting),
+            clamped_count(load.age.count())};
+}
+
+wire::ModelDemand wire_model_demand(const model_demand& demand)
+{
+    const auto& load = demand.load;
+    return {demand.model, static_cast<float>(load.requests_per_s), static_cast<float>(load.prompt_tokens),
+            static_cast<float>(load.answer_tokens), static_cast<float>(load.duration_ms)};
+}
+
 /// The parts of a message about places.
 struct wire_places {
     std::vector<wire::PlaceRequest> requests;
@@ -128,38 +141,21 @@
 public:
     std::vector<std::uint8_t> write(const peer_message& message)
     {
-        std::vector<flatbuffers::Offset<wire::Identity>> identities;
-        for (const auto& one : message.identities) {
-            identities.push_back(wire::CreateIdentityDirect(
-                this->builder, one.name.c_str(), one.incarnation, one.http_address.c_str(),
-                one.peer_address.c_str(), one.failure_domain.c_str(), one.region.c_str(), one.features.bits(),
-                one.build.empty() ? nullptr : one.build.c_str()));
-        }
-        std::vector<wire::Beat> beats;
-        for (const auto& one : message.beats) {
-            beats.emplace_back(one.id, one.incarnation, one.config_number, one.counter, flags_of(one));
-        }
+        const auto identities = this->write_identities(message.identities);
+        const auto beats = converted<wire::Beat>(message.beats, [](const auto& one) {
+            return wire::Beat{one.id, one.incarnation, one.config_number, one.counter, flags_of(one)};
+        });
         const auto strikes =
             converted<flatbuffers::Offset<wire::Strike>>(message.strikes, [this](const auto& one) {
                 return wire::CreateStrikeDirect(this->builder, one.digest.c_str(), one.deaths,
                                                 one.deaths_alone, one.cleared);
             });
-        std::vector<flatbuffers::Offset<wire::Demand>> demands;
-        for (const auto& one : message.demands) {
-            demands.push_back(
-                wire::CreateDemandDirect(this->builder, one.customer.c_str(), one.requests_per_second));
-        }
-        std::vector<wire::TargetLoad> loads;
-        for (const auto& one : message.loads.targets) {
-            loads.emplace_back(one.target, clamped_count(one.running), clamped_count(one.waiting),
-                               clamped_count(one.age.count()));
-        }
-        std::vector<wire::ModelDemand> model_demands;
-        for (const auto& [model, load] : message.loads.demands) {
-            model_demands.emplace_back(
-                model, static_cast<float>(load.requests_per_s), static_cast<float>(load.prompt_tokens),
-                static_cast<float>(load.answer_tokens), static_cast<float>(load.duration_ms));
-        }
+        const auto demands =
+            converted<flatbuffers::Offset<wire::Demand>>(message.demands, [this](const auto& one) {
+                return wire::CreateDemandDirect(this->builder, one.customer.c_str(), one.requests_per_second);
+            });
+        const auto loads = converted<wire::TargetLoad>(message.loads.targets, wire_target_load);
+        const auto model_demands = converted<wire::ModelDemand>(message.loads.demands, wire_model_demand);
         const auto lost_hosts = this->write_lost_hosts(message.lost_hosts);
         const auto suspects = converted<flatbuffers::Offset<wire::CrashSuspect>>(
             message.crashes.suspects, [this](const auto& one) {
@@ -198,6 +194,17 @@
     }
 
 private:
+    std::vector<flatbuffers::Offset<wire::Identity>>
+    write_identities(const std::vector<member_identity>& identities)
+    {
+        return converted<flatbuffers::Offset<wire::Identity>>(identities, [this](const auto& one) {
+            return wire::CreateIdentityDirect(
+                this->builder, one.name.c_str(), one.incarnation, one.http_address.c_str(),
+                one.peer_address.c_str(), one.failure_domain.c_str(), one.region.c_str(), one.features.bits(),
+                one.build.empty() ? nullptr : one.build.c_str());
+        });
+    }
+
     std::vector<flatbuffers::Offset<wire::LostHost>> write_lost_hosts(const std::vector<lost_host>& hosts)
     {
         return converted<flatbuffers::Offset<wire::LostHost>>(hosts, [this](const auto& one) {
--- a/test/net/caller_connection_test.cpp
+++ b/test/net/caller_connection_test.cpp
@@ -255,6 +255,22 @@
     CHECK(server.requests[1].body == std::string(600000, 'b'));
 }
 
+TEST_CASE("caller connection: a request for which there is no room is refused with Retry-After")
+{
+    server_fixture server{caller_budget_limits{1000000, 10}};
+    test_caller first{server.loop.context(), server.listener->port()};
+    first.send(request_head + "Content-Length: 520000\r\n\r\n" + std::string(520000, 'a'));
+    REQUIRE(server.wait_for_requests(1));
+    test_caller second{server.loop.context(), server.listener->port()};
+    second.send(request_head + "Content-Length: 600000\r\n\r\n" + std::string(600000, 'b'));
+    REQUIRE(server.loop.run_until([&] { return server.budget->waiting_connections() == 1; }));
+    server.budget->relieve(monotonic_clock{}.now() + 10_s);
+    REQUIRE(server.wait_for_end(second));
+    CHECK(second.head.status == 503);
+    CHECK(second.head.header("Retry-After") == "1");
+    CHECK(server.requests.size() == 1);
+}
+
 TEST_CASE("caller connection: beyond the number of connections an idle one is closed for a new one")
 {
     server_fixture server{caller_budget_limits{1000000, 2}};
