Places and emptied domains: what the project had already is used, and work leaves the hot paths

The load that a target has reported is load_report, as everywhere, and not a second type; target_pool finds a target by its key in one place and makes a report in one place. Retry-After after a refusal has one rule (retry_after_refusal). An unused place is given back in one place. Hosts' failure domains are looked up for each replica only once a domain has been emptied, and cold targets are counted once a second, not at each refresh. The bounds are worked out once.

--- a/include/coriander/relay/admission_forecast.hpp
+++ b/include/coriander/relay/admission_forecast.hpp
@@ -47,6 +47,16 @@
     double busy_share = 0.5;
 };
 
+/// When the caller of a refused request should retry: once `excess_wait` has passed, and later the more
+/// requests are refused.
+[[nodiscard]] inline time_ms retry_after_refusal(time_ms excess_wait, double refused_share,
+                                                 const admission_settings& settings = {})
+{
+    const time_ms shortage_delay{
+        static_cast<std::int64_t>(refused_share * static_cast<double>(settings.shortage_retry.count()))};
+    return std::max(settings.min_retry_after, excess_wait) + shortage_delay;
+}
+
 /// Predicts the wait in the selected target's queue. Refuses requests that would be late and, at random, the
 /// part of the demand that exceeds the supply. Has no side effects.
 [[nodiscard]] inline admission_decision forecast_admission(const admission_input& input,
@@ -65,9 +75,7 @@
     if (!is_excess && wait <= max_wait && wait + settings.min_time_left <= input.time_left) {
         return {true, wait, {}};
     }
-    const time_ms shortage_delay{static_cast<std::int64_t>(
-        input.refused_share * static_cast<double>(settings.shortage_retry.count()))};
-    return {false, wait, std::max(settings.min_retry_after, wait - max_wait) + shortage_delay};
+    return {false, wait, retry_after_refusal(wait - max_wait, input.refused_share, settings)};
 }
 
 } // namespace coriander
--- a/include/coriander/relay/place_keeper.hpp
+++ b/include/coriander/relay/place_keeper.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coriander/relay/customer_shares.hpp"
+#include "coriander/relay/load_report.hpp"
 #include "coriander/relay/place_message.hpp"
 #include "coriander/time_ms.hpp"
 
@@ -13,23 +14,18 @@
 
 namespace coriander {
 
-/// What a target itself has said of its load.
-struct told_load {
-    double requests = 0.0; ///< Running and waiting.
-    time_ms age;
-};
-
 /// Grants places at targets to all daemons, so that no target gets more requests than it answers in time. For
 /// each target, one daemon is the keeper. How many places a target has is learned from the first parts of its
 /// answers: it falls while they are late and grows while they are in time. Nearly full targets grant places
 /// by customers' shares. Answers the load of many daemons that each see a small part of the requests on a
 /// target: without a keeper their choices make some targets late while others have places to spare. Soft
-/// state: a keeper that has just taken over goes by what the targets tell. Not thread-safe.
+/// state: a keeper that has just taken over goes by what the targets report. Not thread-safe.
 class place_keeper {
 public:
-    /// Decides on the request of `daemon`. `draw`, in [0, 1), decides for customers beyond their share.
+    /// Decides on the request of `daemon`. `reported` is the target's last load report, if there is one;
+    /// `draw`, in [0, 1), decides for customers beyond their share.
     [[nodiscard]] place_answer decide(const std::string& daemon, const place_request& request,
-                                      const std::optional<told_load>& told, double draw, time_ms now);
+                                      const std::optional<load_report>& reported, double draw, time_ms now);
     /// Takes a place back, and learns from the timing of the answer.
     void release(const std::string& daemon, const place_release& given, time_ms now);
 
@@ -55,9 +51,9 @@
     static constexpr double excess_share = 0.85;
     /// A place that was not given back for this time is free: its daemon has ended.
     static constexpr time_ms max_hold{8000};
-    /// Grants of this time may not show in what a target tells.
-    static constexpr time_ms telling_delay{600};
-    static constexpr time_ms max_told_age{1000};
+    /// Grants of this time may not show in what a target reports.
+    static constexpr time_ms report_delay{600};
+    static constexpr time_ms max_report_age{1000};
     static constexpr time_ms retention{20000};
 
     using place_id = std::pair<std::string, std::uint64_t>; ///< Daemon and its number.
@@ -70,9 +66,9 @@
         time_ms used_at;
     };
 
-    /// Places in use, by what was granted and by what the target has told, whichever is more plausible.
-    [[nodiscard]] static double in_use(const target_places& places, const std::optional<told_load>& told,
-                                       time_ms now);
+    /// Places in use, by what was granted and by what the target has reported, whichever is more plausible.
+    [[nodiscard]] static double in_use(const target_places& places,
+                                       const std::optional<load_report>& reported, time_ms now);
     void forget_unused(time_ms now);
 
     std::map<std::uint64_t, target_places> targets;
--- a/include/coriander/relay/target_pool.hpp
+++ b/include/coriander/relay/target_pool.hpp
@@ -119,8 +119,8 @@
 
     /// The hash by which daemons identify the target; nothing for an unknown one.
     [[nodiscard]] std::optional<std::uint64_t> key_of(const std::string& id) const;
-    /// The last load that the target with this key has told, to this daemon or another one.
-    [[nodiscard]] std::optional<load_report> told_load(std::uint64_t key, time_ms now) const;
+    /// The last load report of the target with this key, whether received by this daemon or by another one.
+    [[nodiscard]] std::optional<load_report> report_of(std::uint64_t key, time_ms now) const;
 
     /// Records a load report that was received by another daemon. Unknown targets are ignored.
     void on_peer_report(const load_report& report, time_ms now);
@@ -235,7 +235,10 @@
     [[nodiscard]] static rate_limit limit_report(const target_state& target, time_ms now);
     void apply_statements(target_state& target) const;
     [[nodiscard]] target_state* find(const std::string& id);
+    [[nodiscard]] const target_state* find_by_key(std::uint64_t key) const;
     [[nodiscard]] target_state* find_by_key(std::uint64_t key);
+    /// The target's load as it is passed on. Precondition: it has reported one.
+    [[nodiscard]] static load_report report_of(const target_state& target, time_ms now);
 
     std::map<std::string, target_state> targets;
     const target_statements* statements = nullptr;
--- a/src/gateway/domains/emptied_domain_watch.cpp
+++ b/src/gateway/domains/emptied_domain_watch.cpp
@@ -3,7 +3,6 @@
 #include "gateway/statement_intake.hpp"
 #include "runtime/log.hpp"
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -551,6 +551,9 @@
                            replica.generation, service.engine->slots, factor, leader->incarnation, false,
                            is_held});
         set_cold_limit(targets.back(), *leader, service);
+        if (this->emptied == nullptr || this->emptied->empty()) {
+            return;
+        }
         for (const auto& member : replica.hosts) {
             const auto* host = this->find_host(member.id);
             if (host != nullptr && host->failure_domain != leader->failure_domain) {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -135,7 +135,8 @@
     /// When a new or restarted host last appeared in the domain.
     [[nodiscard]] time_ms last_arrival(const domain_key& key) const;
 
-    /// The targets of a service that may get new work, and its held replicas.
+    /// The targets of a service that may get new work, and its held replicas. Their further failure domains
+    /// are filled in once a domain has been emptied.
     [[nodiscard]] std::vector<relay_target> targets_of(const relay_service& service, time_ms now) const;
     /// Names of the service's replicas that are held: they lack nothing but answers of hosts that may be
     /// sound, and no other replica of their model can serve.
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -64,7 +64,7 @@
           control_timer{loop}, peer_timer{loop}, path_timer{loop}, housekeeping_timer{loop}
     {
         this->relay.retry_settings = this->values.retries;
-        this->relay.max_buffered_bytes = bounds_of(this->values).buffered_responses;
+        this->relay.max_buffered_bytes = this->bounds.buffered_responses;
         this->relay.is_cut = [this](const std::string& service) { return this->paths.is_cut(service); };
         this->relay.name = this->values.name;
         this->relay.relaying_gateways = [this] { return this->peers->relaying(); };
@@ -94,7 +94,7 @@
         this->peers = &others;
         this->peers->set_relay_key(this->relay.relay_key);
         this->peers->set_strong(this->values.is_strong());
-        this->peers->set_limits(bounds_of(this->values).peers);
+        this->peers->set_limits(this->bounds.peers);
         this->pages.set_report_source([this] { return this->peers->reports(); });
         this->peers->set_load_listener(
             [this](std::uint64_t sender, const load_update& news) { this->loads.merge(sender, news); });
@@ -316,7 +316,6 @@
                 this->stalls.abandon_lost_replicas(name);
             }
         }
-        this->note_cold_targets();
     }
 
     /// Logs and counts the targets that get requests with permits only, since their hosts are cold.
@@ -446,12 +445,12 @@
         }
     }
 
-    [[nodiscard]] std::optional<told_load> told_load_of(std::uint64_t target) const
+    [[nodiscard]] std::optional<load_report> load_report_of(std::uint64_t target) const
     {
         const auto now = this->relay.clock.now();
         for (const auto& [name, state] : this->relay.services) {
-            if (const auto told = state.board.told_load(target, now)) {
-                return told_load{static_cast<double>(told->running) + told->waiting, told->age};
+            if (const auto report = state.board.report_of(target, now)) {
+                return report;
             }
         }
         return std::nullopt;
@@ -478,10 +477,14 @@
     Io& io;
     gateway_settings values;
     relay_context relay;
-    caller_room room{this->loop, bounds_of(this->values), this->relay.counters};
+    caller_bounds bounds = bounds_of(this->values);
+    caller_room room{this->loop, this->bounds, this->relay.counters};
     page_server pages;
     load_exchange loads{this->relay};
-    emptied_domain_watch emptied{this->relay, [this] { this->schedule_control(); }};
+    emptied_domain_watch emptied{this->relay, [this] {
+                                     this->update_targets();
+                                     this->schedule_control();
+                                 }};
     fleet_view fleet{this->relay.statements};
     path_monitor<Io> paths{this->io, this->fleet,
                            [this](const std::string& service) { this->on_path_changed(service); }};
@@ -506,7 +509,7 @@
                           [this](const std::string& address, const place_message& message) {
                               this->peers->send_permits(address, {{}, {}, message});
                           },
-                          [this](std::uint64_t target) { return this->told_load_of(target); },
+                          [this](std::uint64_t target) { return this->load_report_of(target); },
                           [this] { return this->relay.draw(); }};
     graceful_stop::listener_list listeners;
     graceful_stop stopping{this->loop, this->relay, this->values, this->listeners};
--- a/src/gateway/places/place_exchange.cpp
+++ b/src/gateway/places/place_exchange.cpp
@@ -11,10 +11,10 @@
 
 } // namespace
 
-place_exchange::place_exchange(asio::io_context& loop, keeper_lookup keeper_of, sender send, load_lookup told,
-                               draw_source draw)
-    : loop{loop},
-      find_keeper{std::move(keeper_of)}, send{std::move(send)}, told{std::move(told)}, draw{std::move(draw)}
+place_exchange::place_exchange(asio::io_context& loop, keeper_lookup keeper_of, sender send,
+                               load_lookup reported, draw_source draw)
+    : loop{loop}, find_keeper{std::move(keeper_of)}, send{std::move(send)}, reported{std::move(reported)},
+      draw{std::move(draw)}
 {
 }
 
@@ -38,8 +38,8 @@
     wanted.id = ++this->last_id;
     const held_place place{wanted.id, wanted.target, this->keeper_of(wanted.target)};
     if (!place.keeper) {
-        const auto answer = this->keeper.decide(own_daemon, wanted, this->told(wanted.target), this->draw(),
-                                                this->clock.now());
+        const auto answer = this->keeper.decide(own_daemon, wanted, this->reported(wanted.target),
+                                                this->draw(), this->clock.now());
         done(answer.is_granted ? place_outcome::granted : place_outcome::denied, place);
         return;
     }
@@ -76,7 +76,8 @@
     }
     place_message answers;
     for (const auto& one : message.requests) {
-        answers.answers.push_back(this->keeper.decide(from, one, this->told(one.target), this->draw(), now));
+        answers.answers.push_back(
+            this->keeper.decide(from, one, this->reported(one.target), this->draw(), now));
     }
     if (!answers.answers.empty()) {
         this->send(from, answers);
--- a/src/gateway/places/place_exchange.hpp
+++ b/src/gateway/places/place_exchange.hpp
@@ -31,12 +31,12 @@
     using keeper_lookup = std::function<std::optional<std::string>(std::uint64_t target)>;
     /// Sends a message to the daemon with this address.
     using sender = std::function<void(const std::string& address, const place_message&)>;
-    /// Returns what the target has told of its load, if this daemon knows it.
-    using load_lookup = std::function<std::optional<told_load>(std::uint64_t target)>;
+    /// Returns the target's last load report, if this daemon knows it.
+    using load_lookup = std::function<std::optional<load_report>(std::uint64_t target)>;
     /// Uniform in [0, 1).
     using draw_source = std::function<double()>;
 
-    place_exchange(asio::io_context& loop, keeper_lookup keeper_of, sender send, load_lookup told,
+    place_exchange(asio::io_context& loop, keeper_lookup keeper_of, sender send, load_lookup reported,
                    draw_source draw);
 
     /// Requests a place; the id of `wanted` is set here. `done` is called once, possibly before this function
@@ -69,7 +69,7 @@
     asio::io_context& loop;
     keeper_lookup find_keeper;
     sender send;
-    load_lookup told;
+    load_lookup reported;
     draw_source draw;
     monotonic_clock clock;
     place_keeper keeper;
--- a/src/gateway/relay_session.cpp
+++ b/src/gateway/relay_session.cpp
@@ -271,9 +271,7 @@
     const bool may_send = choice.target.is_gateway || this->state->board.may_send(choice.target, now);
     if (!may_send) {
         log_redirect(this->request, choice);
-        if (const auto unused = std::exchange(this->next_place, std::nullopt)) {
-            this->context.release_place(*unused, answer_timing::unknown);
-        }
+        this->give_next_place_back();
         this->choose_again();
         return;
     }
--- a/src/gateway/relay_session.hpp
+++ b/src/gateway/relay_session.hpp
@@ -119,6 +119,8 @@
     /// Whether the attempt has shown how long the first part of an answer takes there.
     [[nodiscard]] answer_timing timing_of(const attempt& done) const;
     void give_place_back(attempt& done);
+    /// The same for a place that no attempt has used.
+    void give_next_place_back();
     /// Selects another target, after the selected one may not get the request.
     void choose_again();
     /// Ends the request, whose attempts so far have failed or that has not been sent at all.
--- a/src/gateway/relay_session_place.cpp
+++ b/src/gateway/relay_session_place.cpp
@@ -59,9 +59,7 @@
         this->next_place = place;
     }
     if (this->request.deadline <= now) {
-        if (const auto unused = std::exchange(this->next_place, std::nullopt)) {
-            this->context.release_place(*unused, answer_timing::unknown);
-        }
+        this->give_next_place_back();
         this->end_without_target();
         return;
     }
@@ -87,10 +85,7 @@
     const auto now = this->context.clock.now();
     auto& meter = this->state->meters[this->request.model];
     meter.on_refused(now);
-    constexpr time_ms min_retry_after = 100_ms;
-    constexpr double longest_retry_ms = 2000.0;
-    const time_ms wait =
-        min_retry_after + time_ms{static_cast<std::int64_t>(longest_retry_ms * meter.refused_share(now))};
+    const auto wait = retry_after_refusal({}, meter.refused_share(now));
     log_refusal(this->request, local_reply::overloaded, std::nullopt,
                 {{}, wait, this->state->board.count(this->target_model(), now), 0.0});
     this->send_local_reply(local_reply::overloaded, wait);
@@ -98,18 +93,18 @@
 
 answer_timing relay_session::timing_of(const attempt& done) const
 {
-    const auto objective = this->request.route->latency_objective;
-    const auto now = this->context.clock.now();
-    const bool has_first_event =
-        this->stream.has_begun() && done.events_before == 0 && this->stream.begun_at() >= done.sent_at;
-    if (objective <= time_ms{} || !this->request.route->is_stream || done.events_before > 0) {
+    const auto& route = *this->request.route;
+    const bool shows_timing =
+        route.is_stream && route.latency_objective > time_ms{} && done.events_before == 0;
+    if (!shows_timing) {
         return answer_timing::unknown;
     }
-    if (has_first_event) {
-        return this->stream.begun_at() - done.sent_at <= objective ? answer_timing::in_time
-                                                                   : answer_timing::late;
+    if (this->stream.has_begun() && this->stream.begun_at() >= done.sent_at) {
+        return this->stream.begun_at() - done.sent_at <= route.latency_objective ? answer_timing::in_time
+                                                                                 : answer_timing::late;
     }
-    return now - done.sent_at > objective ? answer_timing::late : answer_timing::unknown;
+    const auto waited = this->context.clock.now() - done.sent_at;
+    return waited > route.latency_objective ? answer_timing::late : answer_timing::unknown;
 }
 
 void relay_session::give_place_back(attempt& done)
@@ -119,4 +114,11 @@
     }
 }
 
+void relay_session::give_next_place_back()
+{
+    if (const auto place = std::exchange(this->next_place, std::nullopt)) {
+        this->context.release_place(*place, answer_timing::unknown);
+    }
+}
+
 } // namespace coriander
--- a/src/relay/place_keeper.cpp
+++ b/src/relay/place_keeper.cpp
@@ -5,7 +5,7 @@
 namespace coriander {
 
 place_answer place_keeper::decide(const std::string& daemon, const place_request& request,
-                                  const std::optional<told_load>& told, double draw, time_ms now)
+                                  const std::optional<load_report>& reported, double draw, time_ms now)
 {
     this->forget_unused(now);
     auto [entry, is_new] = this->targets.try_emplace(request.target);
@@ -21,7 +21,7 @@
     std::erase_if(places.granted, [&](const auto& item) { return now - item.second >= max_hold; });
     const double rank = std::min(request.rank, max_rank);
     const double limit = std::max(1.0, places.limit * (1.0 - rank_step * rank));
-    const double used = in_use(places, told, now);
+    const double used = in_use(places, reported, now);
     const bool is_scarce = used >= scarce_share * limit;
     const double fitting = is_scarce ? places.shares.fitting_part(request.customer, limit / used, now) : 1.0;
     const double own_limit = fitting < 1.0 ? excess_share * limit : limit;
@@ -64,19 +64,21 @@
     return found == this->targets.end() ? 0 : found->second.granted.size();
 }
 
-double place_keeper::in_use(const target_places& places, const std::optional<told_load>& told, time_ms now)
+double place_keeper::in_use(const target_places& places, const std::optional<load_report>& reported,
+                            time_ms now)
 {
     const auto granted = static_cast<double>(places.granted.size());
-    if (!told || told->age > max_told_age) {
+    if (!reported || reported->age > max_report_age) {
         return granted;
     }
     const auto recent = std::count_if(places.granted.begin(), places.granted.end(), [&](const auto& item) {
-        return now - item.second < told->age + telling_delay;
+        return now - item.second < reported->age + report_delay;
     });
     // Requests without a place may run there, and places of daemons that have ended may not be given back.
     constexpr double ended_share = 0.3;
-    const double least = (1.0 - ended_share) * told->requests;
-    const double most = told->requests + static_cast<double>(recent);
+    const auto requests = static_cast<double>(reported->running) + reported->waiting;
+    const double least = (1.0 - ended_share) * requests;
+    const double most = requests + static_cast<double>(recent);
     return std::clamp(granted, least, most);
 }
 
--- a/src/relay/target_pool.cpp
+++ b/src/relay/target_pool.cpp
@@ -3,6 +3,7 @@
 #include "coriander/digest.hpp"
 
 #include <cmath>
+#include <utility>
 
 namespace coriander {
 namespace {
@@ -342,13 +343,19 @@
     return found == this->targets.end() ? nullptr : &found->second;
 }
 
-target_pool::target_state* target_pool::find_by_key(std::uint64_t key)
+const target_pool::target_state* target_pool::find_by_key(std::uint64_t key) const
 {
     const auto found = std::find_if(this->targets.begin(), this->targets.end(),
                                     [&](const auto& item) { return item.second.key == key; });
     return found == this->targets.end() ? nullptr : &found->second;
 }
 
+target_pool::target_state* target_pool::find_by_key(std::uint64_t key)
+{
+    const auto* found = std::as_const(*this).find_by_key(key);
+    return found == nullptr ? nullptr : this->find(found->info.id);
+}
+
 void target_pool::on_sent(const std::string& id, time_ms now)
 {
     if (auto* target = this->find(id)) {
@@ -404,15 +411,16 @@
     return found == this->targets.end() ? std::nullopt : std::optional{found->second.key};
 }
 
-std::optional<load_report> target_pool::told_load(std::uint64_t key, time_ms now) const
+load_report target_pool::report_of(const target_state& target, time_ms now)
 {
-    for (const auto& [id, target] : this->targets) {
-        if (target.key == key && target.load.has_report()) {
-            return load_report{key, target.load.running(), target.load.queued(),
-                               now - target.load.reported_at()};
-        }
-    }
-    return std::nullopt;
+    return {target.key, target.load.running(), target.load.queued(), now - target.load.reported_at()};
+}
+
+std::optional<load_report> target_pool::report_of(std::uint64_t key, time_ms now) const
+{
+    const auto* target = this->find_by_key(key);
+    return target != nullptr && target->load.has_report() ? std::optional{report_of(*target, now)}
+                                                          : std::nullopt;
 }
 
 void target_pool::on_peer_report(const load_report& report, time_ms now)
@@ -426,9 +434,9 @@
 {
     std::vector<load_report> all;
     for (const auto& [id, target] : this->targets) {
-        const auto age = now - target.load.reported_at();
-        if (target.is_serving && target.load.has_report() && age <= max_report_age) {
-            all.push_back({target.key, target.load.running(), target.load.queued(), age});
+        const bool is_recent = now - target.load.reported_at() <= max_report_age;
+        if (target.is_serving && target.load.has_report() && is_recent) {
+            all.push_back(report_of(target, now));
         }
     }
     std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.age < b.age; });
--- a/test/relay/place_keeper_test.cpp
+++ b/test/relay/place_keeper_test.cpp
@@ -19,9 +19,10 @@
 
 struct keeper_fixture {
     bool ask(std::uint64_t customer = 1, std::uint8_t rank = 0, time_ms now = start,
-             const std::optional<told_load>& told = std::nullopt, double draw = 0.5)
+             const std::optional<load_report>& reported = std::nullopt, double draw = 0.5)
     {
-        return this->keeper.decide("edge-1", {++this->last, target, customer, slots, rank}, told, draw, now)
+        return this->keeper
+            .decide("edge-1", {++this->last, target, customer, slots, rank}, reported, draw, now)
             .is_granted;
     }
     /// Asks until a place is denied; returns how many were granted. Each is another customer's.
@@ -76,8 +77,8 @@
     static constexpr int target_count = 36;
     static constexpr int tries = 6;
     static constexpr time_ms answer_time{1050};
-    /// How old what a target tells is.
-    static constexpr time_ms told_age{300};
+    /// How old what a target reports is.
+    static constexpr time_ms report_age{300};
 
     struct running_request {
         time_ms ends;
@@ -98,9 +99,9 @@
                 {done.id, done.target, done.is_late ? answer_timing::late : answer_timing::in_time},
                 this->now);
         }
-        if (this->now - this->told_at >= told_age) {
-            this->told = this->loads;
-            this->told_at = this->now;
+        if (this->now - this->reported_at >= report_age) {
+            this->reported = this->loads;
+            this->reported_at = this->now;
         }
     }
 
@@ -111,12 +112,12 @@
         for (int i = 0; i < tries; ++i) {
             const std::uint64_t chosen = this->random() % target_count;
             const auto id = ++this->last_id;
-            const told_load told{static_cast<double>(this->told[chosen]), this->now - this->told_at};
+            const load_report reported{chosen, this->reported[chosen], 0, this->now - this->reported_at};
             const double draw = std::uniform_real_distribution<double>{0.0, 1.0}(this->random);
             const bool is_granted =
                 !this->keeps_places ||
                 this->keeper
-                    .decide(daemon, {id, chosen, customer, slots, 0, static_cast<std::uint8_t>(i)}, told,
+                    .decide(daemon, {id, chosen, customer, slots, 0, static_cast<std::uint8_t>(i)}, reported,
                             draw, this->now)
                     .is_granted;
             if (is_granted) {
@@ -136,9 +137,9 @@
     std::mt19937 random;
     place_keeper keeper;
     time_ms now = start;
-    time_ms told_at = start;
-    std::map<std::uint64_t, int> loads;
-    std::map<std::uint64_t, int> told;
+    time_ms reported_at = start;
+    std::map<std::uint64_t, std::uint32_t> loads;
+    std::map<std::uint64_t, std::uint32_t> reported;
     std::deque<running_request> running; ///< In the order of their ends.
     std::uint64_t last_id = 0;
 };
@@ -228,26 +229,26 @@
     CHECK(fixture.keeper.limit_of(target, slots) == before);
 }
 
-TEST_CASE("place keeper: what a target tells bounds what was granted")
+TEST_CASE("place keeper: what a target reports bounds what was granted")
 {
     SECTION("places of daemons that ended are free before they expire")
     {
         keeper_fixture fixture;
         fixture.fill();
         CHECK_FALSE(fixture.ask(1, 0, start + 2_s));
-        CHECK(fixture.ask(1, 0, start + 2_s, told_load{5.0, 100_ms}));
+        CHECK(fixture.ask(1, 0, start + 2_s, load_report{target, 5, 0, 100_ms}));
     }
     SECTION("a keeper that has just taken over goes by it")
     {
         keeper_fixture fixture;
-        CHECK_FALSE(fixture.ask(1, 0, start, told_load{30.0, 100_ms}));
-        CHECK(fixture.ask(1, 0, start, told_load{30.0, 5_s}));
+        CHECK_FALSE(fixture.ask(1, 0, start, load_report{target, 30, 0, 100_ms}));
+        CHECK(fixture.ask(1, 0, start, load_report{target, 30, 0, 5_s}));
     }
     SECTION("grants that it can't know yet count")
     {
         keeper_fixture fixture;
         fixture.fill();
-        CHECK_FALSE(fixture.ask(1, 0, start, told_load{0.0, 100_ms}));
+        CHECK_FALSE(fixture.ask(1, 0, start, load_report{target, 0, 0, 100_ms}));
     }
 }
 
