--- a/src/gateway/permit_exchange.hpp
+++ b/src/gateway/permit_exchange.hpp
@@ -3,15 +3,12 @@
 #include "coriander/clock.hpp"
 #include "coriander/relay/permit_issuer.hpp"
 #include "coriander/relay/permit_message.hpp"
+#include "gateway/pending_answers.hpp"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -30,7 +27,7 @@
     using sender = std::function<void(const std::string& address, const permit_message&)>;
 
     permit_exchange(asio::io_context& loop, issuer_lookup issuer_of, sender send)
-        : loop{loop}, issuer_of{std::move(issuer_of)}, send{std::move(send)}
+        : issuer_of{std::move(issuer_of)}, send{std::move(send)}, pending{loop}
     {
     }
 
@@ -42,15 +39,8 @@
             done(this->issuer.decide(limit, this->clock.now()));
             return;
         }
-        const auto id = ++this->last_id;
-        auto timer = std::make_unique<asio::steady_timer>(this->loop);
-        timer->expires_after(std::chrono::milliseconds{answer_timeout.count()});
-        timer->async_wait([this, id](const asio::error_code& cancelled) {
-            if (!cancelled) {
-                this->resolve(id, {false, unanswered_wait});
-            }
-        });
-        this->pending[id] = {std::move(done), std::move(timer)};
+        const auto id = this->pending.new_id();
+        this->pending.wait_for(id, answer_timeout, {false, unanswered_wait}, std::move(done));
         this->send(*issuer_address, {{{id, limit}}, {}});
     }
 
@@ -65,7 +55,7 @@
             this->send(from, answers);
         }
         for (const auto& one : message.answers) {
-            this->resolve(one.id, one.decision);
+            this->pending.resolve(one.id, one.decision);
         }
     }
 
@@ -75,29 +65,11 @@
     /// How long an unanswered request counts as denied: the issuer may be about to be replaced.
     static constexpr time_ms unanswered_wait{200};
 
-    struct pending_request {
-        on_decision done;
-        std::unique_ptr<asio::steady_timer> timer;
-    };
-
-    void resolve(std::uint64_t id, permit_decision decision)
-    {
-        const auto found = this->pending.find(id);
-        if (found == this->pending.end()) {
-            return; // The answer is late.
-        }
-        const auto done = std::move(found->second.done);
-        this->pending.erase(found);
-        done(decision);
-    }
-
-    asio::io_context& loop;
     issuer_lookup issuer_of;
     sender send;
     monotonic_clock clock;
     permit_issuer issuer;
-    std::map<std::uint64_t, pending_request> pending;
-    std::uint64_t last_id = 0;
+    pending_answers<permit_decision> pending;
 };
 
 } // namespace coriander
--- a/src/gateway/places/place_exchange.cpp
+++ b/src/gateway/places/place_exchange.cpp
@@ -1,6 +1,5 @@
 #include "gateway/places/place_exchange.hpp"
 
-#include <chrono>
 #include <utility>
 
 namespace coriander {
@@ -9,12 +8,17 @@
 /// The name under which a keeper knows its own daemon.
 const std::string own_daemon;
 
+place_outcome outcome_of(const place_answer& answer)
+{
+    return answer.is_granted ? place_outcome::granted : place_outcome::denied;
+}
+
 } // namespace
 
 place_exchange::place_exchange(asio::io_context& loop, keeper_lookup keeper_of, sender send,
                                load_lookup reported, draw_source draw)
-    : loop{loop}, find_keeper{std::move(keeper_of)}, send{std::move(send)}, reported{std::move(reported)},
-      draw{std::move(draw)}
+    : find_keeper{std::move(keeper_of)}, send{std::move(send)}, reported{std::move(reported)},
+      draw{std::move(draw)}, pending{loop}
 {
 }
 
@@ -35,22 +39,16 @@
 
 void place_exchange::request(place_request wanted, on_decision done)
 {
-    wanted.id = ++this->last_id;
+    wanted.id = this->pending.new_id();
     const held_place place{wanted.id, wanted.target, this->keeper_of(wanted.target)};
     if (!place.keeper) {
         const auto answer = this->keeper.decide(own_daemon, wanted, this->reported(wanted.target),
                                                 this->draw(), this->clock.now());
-        done(answer.is_granted ? place_outcome::granted : place_outcome::denied, place);
+        done(outcome_of(answer), place);
         return;
     }
-    auto timer = std::make_unique<asio::steady_timer>(this->loop);
-    timer->expires_after(std::chrono::milliseconds{answer_timeout.count()});
-    timer->async_wait([this, id = wanted.id](const asio::error_code& cancelled) {
-        if (!cancelled) {
-            this->resolve(id, place_outcome::unanswered);
-        }
-    });
-    this->pending[wanted.id] = {std::move(done), place, std::move(timer)};
+    this->pending.wait_for(wanted.id, answer_timeout, place_outcome::unanswered,
+                           [done = std::move(done), place](place_outcome outcome) { done(outcome, place); });
     place_message message;
     message.requests = {wanted};
     this->send(*place.keeper, message);
@@ -83,20 +81,9 @@
         this->send(from, answers);
     }
     for (const auto& one : message.answers) {
-        this->resolve(one.id, one.is_granted ? place_outcome::granted : place_outcome::denied);
-    }
-}
-
-void place_exchange::resolve(std::uint64_t id, place_outcome outcome)
-{
-    const auto found = this->pending.find(id);
-    if (found == this->pending.end()) {
-        return; // The answer is late; a place that it grants is free again after a while.
+        // A place that a late answer grants is free again after a while.
+        this->pending.resolve(one.id, outcome_of(one));
     }
-    const auto done = std::move(found->second.done);
-    const auto place = std::move(found->second.place);
-    this->pending.erase(found);
-    done(outcome, place);
 }
 
 } // namespace coriander
--- a/src/gateway/places/place_exchange.hpp
+++ b/src/gateway/places/place_exchange.hpp
@@ -4,15 +4,14 @@
 #include "coriander/relay/place_keeper.hpp"
 #include "coriander/relay/place_message.hpp"
 #include "coriander/time_ms.hpp"
+#include "gateway/pending_answers.hpp"
 #include "gateway/places/held_place.hpp"
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -53,20 +52,13 @@
     /// How long a keeper's address is used: finding it takes all daemons' names.
     static constexpr time_ms address_validity{500};
 
-    struct pending_request {
-        on_decision done;
-        held_place place;
-        std::unique_ptr<asio::steady_timer> timer;
-    };
     struct keeper_address {
         std::optional<std::string> address;
         time_ms found_at;
     };
 
     [[nodiscard]] const std::optional<std::string>& keeper_of(std::uint64_t target);
-    void resolve(std::uint64_t id, place_outcome outcome);
 
-    asio::io_context& loop;
     keeper_lookup find_keeper;
     sender send;
     load_lookup reported;
@@ -74,8 +66,7 @@
     monotonic_clock clock;
     place_keeper keeper;
     std::map<std::uint64_t, keeper_address> keepers; ///< By target.
-    std::map<std::uint64_t, pending_request> pending;
-    std::uint64_t last_id = 0;
+    pending_answers<place_outcome> pending;
 };
 
 } // namespace coriander
