Review, case 7: a spoiled head of an answer is passed on to the client

Cause: names of header fields are passed on as the parser library reports them, blanks included. Change: a script shows it; the gateways of the cases get the limits of a small machine.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -246,8 +246,9 @@
             [sys.executable, ROOT / "scripts" / "render-settings", ip, self.case.store.address,
              ",".join(f"{one}:7003" for one in self.ips)],
             input=(ROOT / "deploy" / "settings.toml.in").read_text(), capture_output=True, text=True, check=True).stdout
-        if not first_start:
-            text = text.replace("first_start = true", "first_start = false")
+        # The limits of a machine of the small installations, which the script for loopback addresses leaves out.
+        limits = "link_mbps = 1000.0\nmemory_mb = 260\nmax_open_files = 4200\nprocessor_share = 0.25"
+        text = text.replace("first_start = true", f"first_start = {json.dumps(first_start)}\n{limits}")
         path = self.case.folder / f"gateway-{n}.toml"
         path.write_text(text)
         log = open(self.case.folder / f"gateway-{n}.log", "a")
