Review, case 8: a late answer of the store brings back a server that has left

Cause: rows of an answer are applied without a comparison with what a peer has told meanwhile. Change: a script shows it with three gateways, each with a path of its own to the store.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -161,7 +161,7 @@
             return 200, {}
         return 404, {}
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, before_answer=None):
         while (head := await read_head(reader)) is not None:
             method, target, _ = head[0].split(" ")
             body = await read_body(reader, head[1])
@@ -169,12 +169,28 @@
             query = {k: v[0] for k, v in urllib.parse.parse_qs(text, keep_blank_values=True).items()}
             status, answer = await self._answer(method, path, query, body)
             answer.update(ver=self.ver, now_ms=int(time.monotonic() * 1000))
+            if before_answer is not None:
+                await before_answer(path, query, answer)
             text = json.dumps(answer).encode()
             writer.write(message(f"HTTP/1.1 {status} X", [("Content-Type", "application/json"),
                                                           ("Content-Length", len(text))], text))
             await writer.drain()
 
 
+class Path(Listener):
+    """One machine's path to the store, on an address of its own. A case overrides `before_answer`, to delay answers."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.store = store
+
+    async def before_answer(self, path, query, answer):
+        pass
+
+    async def serve(self, reader, writer):
+        await self.store.serve(reader, writer, self.before_answer)
+
+
 class Server(Listener):
     """A sound replica of a plain service. It registers itself and answers each request by its `Attempt-Id`."""
 
@@ -196,6 +212,11 @@
                 "state": "ready", "cold_remaining_ms": 0, "seq": self.seq, "born": self.born})
             await asyncio.sleep(1.2)
 
+    async def remove(self):
+        """Its entry goes, without a word before. It serves on until it is stopped."""
+        self.beats.cancel()
+        await self.case.store.put("servers", self.name, None)
+
     def stamp(self, attempt):
         return f"{self.name}.{attempt}"
 
@@ -232,8 +253,8 @@
 class Gateways:
     """The gateways of a case, started with the command of the deploy file and its template of settings."""
 
-    def __init__(self, case, count):
-        self.case, self.running = case, {}
+    def __init__(self, case, count, paths=None):
+        self.case, self.running, self.paths = case, {}, paths or [case.store] * count
         base = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
         self.ips = [f"{base}.{n + 1}" for n in range(count)]
 
@@ -243,18 +264,23 @@
     def start(self, n, first_start=True):
         ip = self.ips[n]
         text = subprocess.run(
-            [sys.executable, ROOT / "scripts" / "render-settings", ip, self.case.store.address,
+            [sys.executable, ROOT / "scripts" / "render-settings", ip, self.paths[n].address,
              ",".join(f"{one}:7003" for one in self.ips)],
             input=(ROOT / "deploy" / "settings.toml.in").read_text(), capture_output=True, text=True, check=True).stdout
         # The limits of a machine of the small installations, which the script for loopback addresses leaves out.
         limits = "link_mbps = 1000.0\nmemory_mb = 260\nmax_open_files = 4200\nprocessor_share = 0.25"
         text = text.replace("first_start = true", f"first_start = {json.dumps(first_start)}\n{limits}")
+        text = text.replace('leaving_limit = "8000ms"', 'leaving_limit = "2000ms"\nhost_heartbeat = "1200ms"')
         path = self.case.folder / f"gateway-{n}.toml"
         path.write_text(text)
         log = open(self.case.folder / f"gateway-{n}.log", "a")
         self.running[n] = subprocess.Popen([GATEWAY], cwd=ROOT, stdout=log, stderr=log,
                                            env={"PATH": os.environ["PATH"], "CORIANDERPOINT_CONFIG": str(path)})
 
+    def kill(self, n):
+        self.running[n].kill()
+        self.running[n].wait()
+
     async def wait_ready(self, n, limit=20):
         ip, end = self.ips[n], time.monotonic() + limit
         while time.monotonic() < end:
