--- a/review/8/case.py
+++ b/review/8/case.py
@@ -58,7 +58,7 @@
     """One lookup or booking, over a new channel."""
     attempt = f"{n:x}c41d07b{number:08x}"
     try:
-        client = await Client(case.gateways.front(n)).open()
+        client = await Client(case.gateways.front(n), case).open()
         if number % 2:
             await client.send("GET", "/lookup/stock", attempt)
         else:
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -318,8 +318,8 @@
 class Client:
     """A client with one kept channel to an entry host."""
 
-    def __init__(self, address):
-        self.address = address
+    def __init__(self, address, case):
+        self.address, self.case = address, case
 
     async def open(self):
         ip, port = self.address.rsplit(":", 1)
@@ -330,6 +330,7 @@
         fields = [("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Ms", deadline_ms)] + list(headers)
         if body or method == "POST":
             fields.append(("Content-Length", len(body)))
+        self.case.record("sent", to=self.address, request=f"{method} {path}", attempt=attempt)
         self.writer.write(message(f"{method} {path} HTTP/1.1", fields, body))
         await self.writer.drain()
 
@@ -390,11 +391,12 @@
     def _run(self, play):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.gateways = None
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # What was started is ended then, too.
         try:
             if not GATEWAY.exists():
                 raise CannotRun("target/coriander_gateway is not built")
             asyncio.new_event_loop().run_until_complete(asyncio.wait_for(self._play(play), 110))
-        except (CannotRun, asyncio.TimeoutError, OSError) as problem:
+        except (Exception, SystemExit) as problem:  # Also a fault of the case itself says nothing about the rule.
             self.record("could not run", why=repr(problem))
             return 2
         finally:
