--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -24,10 +24,16 @@
     """The case could not be set up; says nothing about the rule."""
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def are_free(ip, ports):
+    """Whether nothing listens on these ports of the address."""
+    for port in ports:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                return False
+    return True
 
 
 async def read_head(reader):
@@ -255,8 +261,11 @@
 
     def __init__(self, case, count, paths=None):
         self.case, self.running, self.paths = case, {}, paths or [case.store] * count
-        base = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
-        self.ips = [f"{base}.{n + 1}" for n in range(count)]
+        for attempt in range(os.getpid(), os.getpid() + 100):  # Loopback addresses that no other run uses.
+            self.ips = [f"127.{1 + attempt % 250}.{1 + attempt // 250 % 250}.{n + 1}" for n in range(count)]
+            if all(are_free(ip, range(7001, 7006)) for ip in self.ips):
+                return
+        raise CannotRun("no free loopback addresses")
 
     def front(self, n):
         return f"{self.ips[n]}:7001"
