A response with a status outside of 100 to 599 is malformed

Callers saw: nothing until their time limit when a target answered with the status 000, 0, 20 or 099 and kept the connection; a 200 whose body began with that of a 000 ("badok" for "ok") when the 000 came ahead of the answer on a connection in use again; the status 600, as an answer, to a request that may not be repeated.

Cause: http_parser accepts every number up to 999, and message_parser took all statuses below 200 for interim responses, whose heads it drops, while the parser went on with their bodies. The same parser reads the answers of other gateways, the store and hosts. http_client (libcurl) rejected what is below 100, and accepted 600 to 999.

Change: both check the status when the head is complete, before any of the body, and end the exchange as malformed or lost. The attempt then counts as lost, as with any other malformed response: repeated elsewhere if the request allows it, 502 otherwise.

That http_client loses responses with a status below 100 was so before and is kept in a test.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -47,6 +47,13 @@
 /// Return value of a callback that makes libcurl fail the transfer.
 constexpr std::size_t abort_transfer = 0;
 
+int status_of(const transfer& one)
+{
+    long status = 0;
+    curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+}
+
 std::size_t receive_body(char* bytes, std::size_t size, std::size_t count, void* user)
 {
     auto& one = *static_cast<transfer*>(user);
@@ -68,7 +75,7 @@
     auto& one = *static_cast<transfer*>(user);
     const std::string_view line{bytes, size * count};
     one.header_bytes += line.size();
-    if (one.header_bytes > max_header_bytes) {
+    if (one.header_bytes > max_header_bytes || !is_valid_status(status_of(one))) {
         return abort_transfer;
     }
     const auto colon = line.find(": ");
@@ -116,11 +123,9 @@
 
 void set_outcome(transfer& one, CURLcode code)
 {
-    long status = 0;
     long sent = 0;
-    curl_easy_getinfo(one.easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(one.easy, CURLINFO_REQUEST_SIZE, &sent);
-    one.result.status = static_cast<int>(status);
+    one.result.status = status_of(one);
     if (code == CURLE_OK) {
         one.result.outcome = http_outcome::answered;
         return;
--- a/src/http/http_message.hpp
+++ b/src/http/http_message.hpp
@@ -11,6 +11,14 @@
     std::string value;
 };
 
+/// Whether a response's status code is one that HTTP allows (RFC 9110, section 15).
+[[nodiscard]] constexpr bool is_valid_status(int status) noexcept
+{
+    constexpr int first_status = 100;
+    constexpr int last_status = 599;
+    return status >= first_status && status <= last_status;
+}
+
 /// A request passed to a handler. `path` excludes the query; header names are compared ignoring case.
 struct http_request {
     std::string method;
--- a/src/net/message_parser.cpp
+++ b/src/net/message_parser.cpp
@@ -49,6 +49,7 @@
 int message_parser::finish_head()
 {
     constexpr int skip_body = 1;
+    constexpr int reject = -1;
     this->head.status = this->parser.status_code;
     this->head.keeps_connection = http_should_keep_alive(&this->parser) != 0;
     this->head.has_framing =
@@ -56,6 +57,9 @@
     if (this->parsed == side::requests) {
         this->head.method = http_method_str(static_cast<http_method>(this->parser.method));
     }
+    else if (!is_valid_status(this->head.status)) {
+        return reject;
+    }
     else if (this->head.status < first_final_status) {
         this->head = {};
         this->last_was_value = true;
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -88,6 +88,27 @@
     return call;
 }
 
+/// Runs one call to a server that sends `response` and closes the connection.
+http_result call_with_response(const std::string& response)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::make_address("127.0.0.1"), 0}};
+    std::thread server{[&] {
+        auto socket = acceptor.accept();
+        std::string request;
+        asio::error_code ended;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ended);
+        asio::write(socket, asio::buffer(response), ended);
+    }};
+    http_client client;
+    http_call call;
+    call.url = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/";
+    call.total_timeout = 60_s;
+    auto result = client.perform(call);
+    server.join();
+    return result;
+}
+
 } // namespace
 
 TEST_CASE(
@@ -150,6 +171,16 @@
     CHECK(end.message.find("Timeout") == std::string::npos);
 }
 
+TEST_CASE("http client: a response with an invalid status is lost")
+{
+    const auto* const status = GENERATE("000", "0", "20", "099", "600", "999");
+    CAPTURE(status);
+    const auto end =
+        call_with_response("HTTP/1.1 " + std::string{status} + " OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(end.outcome == http_outcome::lost);
+    CHECK(end.body.empty());
+}
+
 TEST_CASE("http client: a cancelled call ends as cancelled")
 {
     asio::io_context context;
--- a/test/net/http_call_runner_test.cpp
+++ b/test/net/http_call_runner_test.cpp
@@ -36,6 +36,16 @@
     CHECK(result.body == "ok");
 }
 
+TEST_CASE("http call runner: a response with an invalid status fails the call")
+{
+    const auto* const status = GENERATE("000", "600");
+    CAPTURE(status);
+    const auto result =
+        call_with_response("HTTP/1.1 " + std::string{status} + " OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(result.outcome == http_outcome::lost);
+    CHECK(result.body.empty());
+}
+
 TEST_CASE("http call runner: a response body over the limit fails the call before the response ends")
 {
     const auto result = call_with_response("HTTP/1.1 200 OK\r\n\r\n" + std::string(2000, 'x'));
--- a/test/net/message_parser_test.cpp
+++ b/test/net/message_parser_test.cpp
@@ -67,6 +67,28 @@
     CHECK(one.parser.is_broken());
 }
 
+TEST_CASE("message parser: a response with an invalid status is rejected before its body")
+{
+    const auto* const status = GENERATE("000", "0", "20", "099", "600", "999", "1000");
+    CAPTURE(status);
+    response_fixture one;
+    one.parser.feed("HTTP/1.1 " + std::string{status} + " OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(one.parser.is_broken());
+    CHECK_FALSE(one.parser.has_head());
+    CHECK(one.message.body.empty());
+}
+
+TEST_CASE("message parser: the first and the last valid status of a final response are accepted")
+{
+    const auto* const status = GENERATE("200", "599");
+    CAPTURE(status);
+    response_fixture one;
+    one.parser.feed("HTTP/1.1 " + std::string{status} + " OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(one.parser.is_complete());
+    CHECK(one.message.head.status == std::stoi(status));
+    CHECK(one.message.body == "ok");
+}
+
 TEST_CASE("message parser: interim responses are skipped")
 {
     response_fixture one;
