A response with a blank or a control byte in a field's name is malformed

Callers saw: a 200 with the line passed on ("X Y: 1", "X-Y : 1"); a 200 in which the line was part of the signature before it (a blank or a tab in front); a 200 whose body ran to the connection's end, chunk sizes included ("Content Length", "Transfer Encoding"), or began with the rest of the head (carriage return or line feed in place of a name's first character).

Cause: http_parser accepts blanks in names, folded lines, and a head that ends with a line feed alone or with a carriage return before any byte. libcurl in http_client also accepts control bytes in names, and reports a head as a whole response that breaks off at a line with a zero byte in front.

Change: response_head_check checks the bytes of a response's head before they are parsed. message_parser feeds heads line by line for that, since where the final head ends is known only once its last line has been parsed; http_client checks the lines that libcurl hands over, and wants the final head's end to be among them. A rejected response counts as malformed, as before for bytes that are no response: repeated elsewhere or resumed if the request allows it, 502 otherwise.

Control bytes behind a name's first character were rejected by http_parser already and stay in the tests. Lines that all end with a line feed alone, an empty line before the response, all characters that a name may have, and lines of a body that begin with blanks were accepted and still are (tests).

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,7 @@
 #include "http/http_client.hpp"
 
+#include "http/response_head_check.hpp"
+
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -41,6 +43,8 @@
     curl_slist* headers = nullptr;
     http_result result;
     std::size_t header_bytes = 0;
+    response_head_check head_check;
+    bool has_final_head = false;
 };
 
 constexpr std::size_t max_header_bytes = 65536;
@@ -75,9 +79,13 @@
     auto& one = *static_cast<transfer*>(user);
     const std::string_view line{bytes, size * count};
     one.header_bytes += line.size();
-    if (one.header_bytes > max_header_bytes || !is_valid_status(status_of(one))) {
+    const auto status = status_of(one);
+    // Lines after the final head are trailers.
+    const bool is_valid = is_valid_status(status) && (one.has_final_head || one.head_check.accept(line));
+    if (one.header_bytes > max_header_bytes || !is_valid) {
         return abort_transfer;
     }
+    one.has_final_head = one.has_final_head || (one.head_check.has_ended() && !is_interim_status(status));
     const auto colon = line.find(": ");
     if (colon != std::string_view::npos) {
         auto value = line.substr(colon + 2);
@@ -126,13 +134,14 @@
     long sent = 0;
     curl_easy_getinfo(one.easy, CURLINFO_REQUEST_SIZE, &sent);
     one.result.status = status_of(one);
-    if (code == CURLE_OK) {
+    // libcurl reports success for a head that is cut off by a line which begins with a zero byte.
+    if (code == CURLE_OK && one.has_final_head) {
         one.result.outcome = http_outcome::answered;
         return;
     }
     one.result.outcome = sent > 0 ? http_outcome::lost : http_outcome::not_sent;
     one.result.refused = code == CURLE_COULDNT_CONNECT;
-    one.result.message = curl_easy_strerror(code);
+    one.result.message = code == CURLE_OK ? "incomplete response head" : curl_easy_strerror(code);
 }
 
 } // namespace
--- a/src/http/http_message.hpp
+++ b/src/http/http_message.hpp
@@ -19,6 +19,13 @@
     return status >= first_status && status <= last_status;
 }
 
+/// Whether a response with this status is followed by another one to the same request.
+[[nodiscard]] constexpr bool is_interim_status(int status) noexcept
+{
+    constexpr int first_final_status = 200;
+    return status < first_final_status;
+}
+
 /// A request passed to a handler. `path` excludes the query; header names are compared ignoring case.
 struct http_request {
     std::string method;
--- a/src/net/message_parser.cpp
+++ b/src/net/message_parser.cpp
@@ -3,7 +3,6 @@
 namespace coriander {
 namespace {
 
-constexpr int first_final_status = 200;
 /// For a response, including interim responses before it. Requests are limited by `connection_limits`.
 constexpr std::size_t max_response_head_bytes = 65536;
 
@@ -30,6 +29,7 @@
 {
     http_parser_init(&this->parser, this->parsed == side::requests ? HTTP_REQUEST : HTTP_RESPONSE);
     this->parser.data = this;
+    this->head_check = {};
     this->head = {};
     this->last_was_value = true;
     this->no_body = has_no_body;
@@ -60,7 +60,7 @@
     else if (!is_valid_status(this->head.status)) {
         return reject;
     }
-    else if (this->head.status < first_final_status) {
+    else if (is_interim_status(this->head.status)) {
         this->head = {};
         this->last_was_value = true;
         return 0; // Interim response; the final one follows.
@@ -114,11 +114,31 @@
 
 std::size_t message_parser::feed(std::string_view bytes)
 {
-    if (bytes.empty() || this->complete || this->broken) {
-        return 0;
+    std::size_t used = 0;
+    while (used < bytes.size() && !this->complete && !this->broken) {
+        used += this->feed_part(this->next_part(bytes.substr(used)));
+    }
+    return used;
+}
+
+std::string_view message_parser::next_part(std::string_view bytes) const
+{
+    if (this->parsed == side::requests || this->is_head_complete) {
+        return bytes;
     }
+    // Where a response's head ends is known only once its last line has been parsed.
+    const auto line_feed = bytes.find('\n');
+    return line_feed == std::string_view::npos ? bytes : bytes.substr(0, line_feed + 1);
+}
+
+std::size_t message_parser::feed_part(std::string_view part)
+{
     this->begun = true;
-    const auto used = http_parser_execute(&this->parser, &callbacks(), bytes.data(), bytes.size());
+    if (this->parsed == side::responses && !this->is_head_complete && !this->head_check.accept(part)) {
+        this->broken = true;
+        return 0;
+    }
+    const auto used = http_parser_execute(&this->parser, &callbacks(), part.data(), part.size());
     const auto problem = HTTP_PARSER_ERRNO(&this->parser);
     if (this->complete) {
         http_parser_pause(&this->parser, 0);
--- a/src/net/message_parser.hpp
+++ b/src/net/message_parser.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/response_head_check.hpp"
 #include "net/message_head.hpp"
 
 #include <http_parser.h>
@@ -50,12 +51,15 @@
 private:
     static message_parser& of(http_parser* parser) { return *static_cast<message_parser*>(parser->data); }
     static const http_parser_settings& callbacks();
+    [[nodiscard]] std::string_view next_part(std::string_view bytes) const;
+    std::size_t feed_part(std::string_view part);
     int finish_head();
     void add_name(std::string_view bytes);
 
     message_events& events;
     http_parser parser{};
     side parsed;
+    response_head_check head_check;
     message_head head;
     bool last_was_value = true;
     bool no_body = false;
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -1,5 +1,7 @@
 #include "http/http_client.hpp"
 
+#include "support/invalid_field_lines.hpp"
+
 #include <asio.hpp>
 
 #include <catch2/catch.hpp>
@@ -181,6 +183,25 @@
     CHECK(end.body.empty());
 }
 
+TEST_CASE("http client: a response is lost whose head has a blank or a control byte in a field's name")
+{
+    for (const auto& line : invalid_field_lines()) {
+        CAPTURE(line);
+        const auto end = call_with_response("HTTP/1.1 200 OK\r\nServer: s\r\n" + line + "\r\nok");
+        CHECK(end.outcome == http_outcome::lost);
+        CHECK(end.body.empty());
+    }
+}
+
+TEST_CASE("http client: interim responses, and trailers of a chunked body, are read")
+{
+    const auto end =
+        call_with_response("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nZ: z\r\nY: y\r\n\r\n");
+    CHECK(end.ok());
+    CHECK(end.body == "ok");
+}
+
 TEST_CASE("http client: a cancelled call ends as cancelled")
 {
     asio::io_context context;
--- a/test/net/http_call_runner_test.cpp
+++ b/test/net/http_call_runner_test.cpp
@@ -46,6 +46,13 @@
     CHECK(result.body.empty());
 }
 
+TEST_CASE("http call runner: a response with a blank in a field's name fails the call")
+{
+    const auto result = call_with_response("HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(result.outcome == http_outcome::lost);
+    CHECK(result.headers.empty());
+}
+
 TEST_CASE("http call runner: a response body over the limit fails the call before the response ends")
 {
     const auto result = call_with_response("HTTP/1.1 200 OK\r\n\r\n" + std::string(2000, 'x'));
--- a/test/net/message_parser_test.cpp
+++ b/test/net/message_parser_test.cpp
@@ -1,5 +1,7 @@
 #include "net/message_parser.hpp"
 
+#include "support/invalid_field_lines.hpp"
+
 #include <catch2/catch.hpp>
 
 namespace coriander {
@@ -89,6 +91,68 @@
     CHECK(one.message.body == "ok");
 }
 
+TEST_CASE("message parser: a response is rejected whose head has a blank or a control byte in a field's name")
+{
+    const auto* const lines_before = GENERATE("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nServer: s\r\n",
+                                              "HTTP/1.1 200 OK\r\nServer:\r\n", "HTTP/1.1 100 Continue\r\n");
+    const bool in_pieces = GENERATE(false, true);
+    for (const auto& line : invalid_field_lines()) {
+        const auto text = lines_before + line + "\r\nok";
+        CAPTURE(text, in_pieces);
+        response_fixture one;
+        for (std::size_t at = 0; at < text.size(); at += in_pieces ? 1 : text.size()) {
+            one.parser.feed(std::string_view{text}.substr(at, in_pieces ? 1 : text.size()));
+        }
+        CHECK(one.parser.is_broken());
+        CHECK_FALSE(one.parser.has_head());
+        CHECK(one.message.body.empty());
+    }
+}
+
+TEST_CASE("message parser: a response is rejected whose head ends its lines in different ways")
+{
+    const auto* const text = GENERATE(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\n\r\nok", "HTTP/1.1 200 OK\nContent-Length: 2\n\r\nok",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\nok", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rXok");
+    response_fixture one;
+    one.parser.feed(text);
+    CHECK(one.parser.is_broken());
+    CHECK_FALSE(one.parser.has_head());
+}
+
+TEST_CASE("message parser: a response is accepted whose head ends all lines with a line feed alone")
+{
+    response_fixture one;
+    one.parser.feed("HTTP/1.1 200 OK\nContent-Length: 2\n\nok");
+    CHECK(one.parser.is_complete());
+    CHECK(one.message.body == "ok");
+}
+
+TEST_CASE("message parser: a response is accepted behind an empty line")
+{
+    response_fixture one;
+    one.parser.feed("\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(one.parser.is_complete());
+    CHECK(one.message.body == "ok");
+}
+
+TEST_CASE("message parser: all characters that a field's name may have are accepted")
+{
+    const std::string name = "!#$%&'*+-.^_`|~09azAZ";
+    response_fixture one;
+    one.parser.feed("HTTP/1.1 200 OK\r\n" + name + ":v\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(one.parser.is_complete());
+    CHECK(one.message.head.header(name) == "v");
+}
+
+TEST_CASE("message parser: lines of a response's body may begin with blanks")
+{
+    response_fixture one;
+    one.parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n a: b\r\n\t");
+    CHECK(one.parser.is_complete());
+    CHECK(one.message.body == " a: b\r\n\t");
+}
+
 TEST_CASE("message parser: interim responses are skipped")
 {
     response_fixture one;
