--- a/include/coriander/event.hpp
+++ b/include/coriander/event.hpp
@@ -85,6 +85,7 @@
     outage_assessed = 6011,
     stale_rows_ignored = 6012,
     stale_rows_applied = 6013,
+    outdated_row_ignored = 6014,
 };
 
 /// An entry of the event catalogue.
@@ -170,6 +171,7 @@
     event_entry{event::outage_assessed, "outage_assessed", log_level::info},
     event_entry{event::stale_rows_ignored, "stale_rows_ignored", log_level::warn},
     event_entry{event::stale_rows_applied, "stale_rows_applied", log_level::warn},
+    event_entry{event::outdated_row_ignored, "outdated_row_ignored", log_level::info},
 };
 
 /// The catalogue entry of an event. Every event has one.
--- a/test/platform/table_follower_test.cpp
+++ b/test/platform/table_follower_test.cpp
@@ -99,6 +99,17 @@
     CHECK(table.store.server.requests()[3].find("after=6") != std::string::npos);
 }
 
+TEST_CASE("table follower: has the rows of a store that has gone back without naming a new era")
+{
+    followed_table table{
+        {page(row("a", "1", 7) + "," + row("b", "1", 8), 9), answer(410, ""), page(row("a", "2", 3), 4)},
+        {"t", 1_s, {}, {}, {}}};
+    table.start();
+    REQUIRE(table.store.loop.run_until([&] { return table.request_count() == 4; }));
+    CHECK(table.rows == std::map<std::string, std::string>{{"a", "2"}, {"b", "gone"}});
+    CHECK(table.store.server.requests()[3].find("after=4") != std::string::npos);
+}
+
 TEST_CASE("table follower: an answer from before a restore that arrives after it is not applied")
 {
     followed_table table{{in_era(2, page(row("a", "2", 4), 4)), in_era(1, page(row("a", "1", 9), 9)),
