--- a/test/platform/row_order_test.cpp
+++ b/test/platform/row_order_test.cpp
@@ -369,6 +369,23 @@
     CHECK(shared.loop.run_until([&] { return !late.value("a"); }));
 }
 
+// Guards against writes of a daemon's own row that can't succeed.
+TEST_CASE("row order: an answer from before a daemon's own write does not undo it")
+{
+    shared_reading shared{{false}};
+    shared.store.put("own", "1");
+    shared.start();
+    auto& writer = *shared.daemons[0];
+    shared.store.put("own", "2");
+    writer.path.is_slow = true;
+    shared.poll(0);
+    shared.store.put("own", "3");
+    writer.follower.apply_own_write({"own", "3", shared.store.latest()});
+    REQUIRE(writer.value("own") == "3");
+    shared.deliver_late_answer(0);
+    CHECK(writer.value("own") == "3");
+}
+
 // Guards against a gateway without contact to the store that uses a target again which has left.
 TEST_CASE("row order: deltas of a newer era that overtake each other, while the store is out of reach")
 {
