--- a/test/gateway/broken_head_test.cpp
+++ b/test/gateway/broken_head_test.cpp
@@ -59,6 +59,20 @@
     CHECK(relay.caller->body == "ok");
 }
 
+TEST_CASE(
+    "relay session: a response to HEAD with an invalid status is abandoned, and another target responds")
+{
+    const auto* const status = GENERATE("000", "099", "600");
+    CAPTURE(status);
+    relay_fixture relay{repetition::idempotent, respond_with(response_with_status(status)),
+                        respond_with(signed_head("Content-Length: 0\r\n"))};
+    relay.caller->send("HEAD /a HTTP/1.1\r\nHost: desk.example\r\nCoriander-Attempt: a1\r\n"
+                       "Authorization: Bearer key\r\nCoriander-Deadline-Ms: 60000\r\n\r\n");
+    REQUIRE(relay.loop.run_until([&] { return relay.caller->end.has_value(); }));
+    CHECK(relay.caller->head.status == 200);
+    CHECK(relay.requests_sent() == 2);
+}
+
 TEST_CASE("relay session: a stream is resumed on another target after a response with an invalid status")
 {
     relay_fixture relay{repetition::resumable, respond_with(response_with_status("000")),
--- a/test/gateway/interrupted_stream_test.cpp
+++ b/test/gateway/interrupted_stream_test.cpp
@@ -44,6 +44,19 @@
     CHECK(one.relay.requests_sent() == 2);
 }
 
+TEST_CASE("relay session: an invalid status in answer to a resumed stream never reaches the caller's stream")
+{
+    const auto* const status = GENERATE("000", "0", "099", "600");
+    CAPTURE(status);
+    const auto head = "HTTP/1.1 " + std::string{status} +
+                      " OK\r\nCoriander-Attempt: a1\r\nCoriander-Signature: s\r\n"
+                      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const interrupted_stream one{head + chunk_of_event(2) + last_chunk};
+    CHECK(one.end == exchange_end::lost);
+    CHECK(one.relay.caller->head.status == 200);
+    CHECK(one.relay.caller->body == first_event);
+}
+
 TEST_CASE("relay session: a success that doesn't continue the begun stream never ends it as complete")
 {
     const auto answer = GENERATE_COPY(
--- a/test/gateway/relay_through_gateway_test.cpp
+++ b/test/gateway/relay_through_gateway_test.cpp
@@ -183,6 +183,20 @@
     CHECK(relay.caller->head.status == 200);
 }
 
+TEST_CASE("relay through gateway: an invalid status of the other gateway is not passed on")
+{
+    const auto* const status = GENERATE("000", "099", "600");
+    CAPTURE(status);
+    auto relay = relay_to_both(repetition::non_idempotent,
+                               "HTTP/1.1 " + std::string{status} +
+                                   " OK\r\nCoriander-Attempt: a1\r\nCoriander-Signature: s\r\n"
+                                   "Content-Length: 3\r\n\r\nbad");
+    CHECK(relay.exchange() == exchange_end::complete);
+    CHECK(relay.caller->head.status == 502);
+    CHECK(relay.caller->head.header("Coriander-Not-Run").empty());
+    CHECK(relay.requests_sent() == 1);
+}
+
 TEST_CASE("relay through gateway: a request that may run once is not repeated if the other gateway is lost")
 {
     cut_relay relay{repetition::non_idempotent, respond_and_close(""), respond_and_close("")};
--- a/test/platform/row_client_test.cpp
+++ b/test/platform/row_client_test.cpp
@@ -41,11 +41,27 @@
                  outcome{answer(412, R"({"rows":[]})"), commit_state::conflict},
                  outcome{answer(503, ""), commit_state::not_applied},
                  outcome{answer(429, ""), commit_state::not_applied}, outcome{"cut", commit_state::unknown},
-                 outcome{answer(500, ""), commit_state::unknown});
+                 outcome{answer(500, ""), commit_state::unknown},
+                 outcome{"HTTP/1.1 000 X\r\nContent-Length: 9\r\n\r\n{\"ver\":9}", commit_state::unknown});
     CAPTURE(one.scripted);
     CHECK(outcome_of_write(one.scripted) == one.expected);
 }
 
+TEST_CASE("row client: a page with an invalid status is not used")
+{
+    const auto* const status = GENERATE("000", "099", "600");
+    CAPTURE(status);
+    auto response = page(row("k", "v", 3), 3);
+    scripted_store store{{response.replace(response.find("200"), 3, status)}};
+    std::optional<error_kind> problem;
+    store.rows.read("t", {}, [&](const result<row_page>& read) {
+        REQUIRE_FALSE(read);
+        problem = read.error().kind;
+    });
+    REQUIRE(store.loop.run_until([&] { return problem.has_value(); }));
+    CHECK(*problem == error_kind::unavailable);
+}
+
 TEST_CASE("row client: a write that expects a version of an earlier era is a conflict and is not sent")
 {
     scripted_store store{{in_era(1, page(row("k", "v", 3), 3)), in_era(2, page("", 3))}};
