--- a/include/coriander/row_ledger.hpp
+++ b/include/coriander/row_ledger.hpp
@@ -12,7 +12,7 @@
 
 namespace coriander {
 
-/// How a statement about a row compares with what is known of the row.
+/// How an update of a row compares with what is known of the row.
 enum class row_verdict {
     newer,    ///< It tells a later state.
     known,    ///< It tells the known state.
@@ -21,42 +21,43 @@
 
 /// The versions as of which the rows of a table are known.
 ///
-/// Statements about a row overtake each other: an answer of the store may arrive after a peer's delta that
+/// Updates of a row overtake each other: an answer of the store may arrive after a peer's delta that
 /// was read later, and deltas of two peers in any order. All sources are judged here, so that what is known
 /// of a row never goes back. Not thread-safe.
 class row_ledger {
 public:
-    /// Judges a statement. A change of a row tells the row's state as of its own version; a page of rows
+    /// Judges an update. A change of a row tells the row's state as of its own version; a page of rows
     /// tells the states of its rows, and of missing ones, `as_of` the page's version. Precondition: `as_of`
     /// is not lower than the version of the change.
-    [[nodiscard]] row_verdict judge(const changed_row& told, row_version as_of) const
+    [[nodiscard]] row_verdict judge(const changed_row& change, row_version as_of) const
     {
-        const auto existing = this->existing_rows.find(told.key);
+        const auto existing = this->existing_rows.find(change.key);
         if (existing == this->existing_rows.end()) {
-            const auto known = this->known_as_of(told.key);
-            if (told.value) {
+            const auto known = this->known_as_of(change.key);
+            if (change.value) {
                 return as_of < known ? row_verdict::outdated : row_verdict::newer;
             }
             return as_of > known ? row_verdict::newer : row_verdict::known;
         }
-        if (told.version > existing->second) {
+        if (change.version > existing->second) {
             return row_verdict::newer;
         }
-        return told.value && told.version == existing->second ? row_verdict::known : row_verdict::outdated;
+        return change.value && change.version == existing->second ? row_verdict::known
+                                                                  : row_verdict::outdated;
     }
 
-    /// Records a statement. Precondition: it is not outdated.
-    void record(const changed_row& told, time_ms now)
+    /// Records an update. Precondition: it is not outdated.
+    void record(const changed_row& change, time_ms now)
     {
-        if (told.value) {
-            this->existing_rows[told.key] = told.version;
-            this->deletions.erase(told.key);
+        if (change.value) {
+            this->existing_rows[change.key] = change.version;
+            this->deletions.erase(change.key);
             return;
         }
-        this->existing_rows.erase(told.key);
+        this->existing_rows.erase(change.key);
         std::erase_if(this->deletions, [&](const auto& entry) { return now - entry.second.at > max_age; });
-        if (told.version > this->complete_version) {
-            this->deletions[told.key] = {told.version, now};
+        if (change.version > this->complete_version) {
+            this->deletions[change.key] = {change.version, now};
         }
     }
 
@@ -71,7 +72,7 @@
         }
     }
 
-    /// Notes that the store gives out versions anew without a new era: any statement is newer from now on.
+    /// Notes that the store gives out versions anew without a new era: any update is newer from now on.
     void forget_versions()
     {
         this->complete_version = {};
--- a/test/row_ledger_test.cpp
+++ b/test/row_ledger_test.cpp
@@ -83,7 +83,7 @@
     CHECK(ledger.deletion_count() == 2);
 }
 
-TEST_CASE("row ledger: any statement is newer once the store gives out versions anew")
+TEST_CASE("row ledger: any update is newer once the store gives out versions anew")
 {
     row_ledger ledger;
     ledger.record(written({1, 50}), 0_s);
