--- a/include/coriander/row_ledger.hpp
+++ b/include/coriander/row_ledger.hpp
@@ -14,8 +14,8 @@
 
 /// How an update of a row compares with what is known of the row.
 enum class row_verdict {
-    newer,    ///< It tells a later state.
-    known,    ///< It tells the known state.
+    newer,    ///< It reports a later state.
+    known,    ///< It reports the known state.
     outdated, ///< The row has changed since.
 };
 
@@ -26,9 +26,9 @@
 /// of a row never goes back. Not thread-safe.
 class row_ledger {
 public:
-    /// Judges an update. A change of a row tells the row's state as of its own version; a page of rows
-    /// tells the states of its rows, and of missing ones, `as_of` the page's version. Precondition: `as_of`
-    /// is not lower than the version of the change.
+    /// Judges an update. A change reports the row's state as of its own version; a page of rows reports the
+    /// states of its rows, and of missing ones, `as_of` the page's version. Precondition: `as_of` is not
+    /// lower than the version of the change.
     [[nodiscard]] row_verdict judge(const changed_row& change, row_version as_of) const
     {
         const auto existing = this->existing_rows.find(change.key);
--- a/test/platform/row_order_test.cpp
+++ b/test/platform/row_order_test.cpp
@@ -19,12 +19,23 @@
 /// Longer than any test: the store is polled on request only.
 constexpr time_ms long_interval = 3600_s;
 
+std::map<std::string, std::string> values_of(const std::map<std::string, changed_row>& rows)
+{
+    std::map<std::string, std::string> values;
+    for (const auto& [key, row] : rows) {
+        if (row.value) {
+            values[key] = *row.value;
+        }
+    }
+    return values;
+}
+
 struct sent_delta {
     std::size_t sender = 0;
     table_delta delta;
 };
 
-/// A daemon that follows the table, and what it was told of each row.
+/// A daemon that follows the table, and the last state of each row that it passed on.
 class following_daemon {
 public:
     following_daemon(event_loop& loop, const history_store& store, const table_follower_settings& settings)
@@ -36,37 +47,28 @@
 
     [[nodiscard]] std::optional<std::string> value(const std::string& key) const
     {
-        const auto found = this->told.find(key);
-        return found == this->told.end() ? std::nullopt : found->second.value;
+        const auto found = this->received.find(key);
+        return found == this->received.end() ? std::nullopt : found->second.value;
     }
 
-    [[nodiscard]] std::map<std::string, std::string> values() const
-    {
-        std::map<std::string, std::string> found;
-        for (const auto& [key, row] : this->told) {
-            if (row.value) {
-                found[key] = *row.value;
-            }
-        }
-        return found;
-    }
+    [[nodiscard]] std::map<std::string, std::string> values() const { return values_of(this->received); }
 
     store_path path;
     http_call_runner calls;
     row_client client;
     std::vector<std::string> steps_back; ///< Rows that were replaced by an older state of the same era.
-    std::map<std::string, changed_row> told;
+    std::map<std::string, changed_row> received;
     table_follower follower;
 
 private:
     void on_row(const changed_row& changed)
     {
-        const auto known = this->told.find(changed.key);
-        if (known != this->told.end() && changed.version < known->second.version) {
+        const auto known = this->received.find(changed.key);
+        if (known != this->received.end() && changed.version < known->second.version) {
             this->steps_back.push_back(changed.key + " from " + std::to_string(known->second.version.number) +
                                        " to " + std::to_string(changed.version.number));
         }
-        this->told.insert_or_assign(changed.key, changed);
+        this->received.insert_or_assign(changed.key, changed);
     }
 };
 
@@ -219,15 +221,6 @@
     }
 }
 
-std::map<std::string, std::string> values_of(const std::map<std::string, changed_row>& rows)
-{
-    std::map<std::string, std::string> values;
-    for (const auto& [key, row] : rows) {
-        values[key] = row.value.value_or("");
-    }
-    return values;
-}
-
 } // namespace
 
 // Guards against rows that a gateway misses until they change again: it takes them for known.
--- a/test/support/history_store.hpp
+++ b/test/support/history_store.hpp
@@ -31,7 +31,7 @@
         }
     }
 
-    /// Goes back to the state after `count` fewer changes, and begins a new era.
+    /// Takes the last `count` changes back and begins a new era.
     void restore(std::size_t count)
     {
         auto copy = this->history();
@@ -54,22 +54,12 @@
         return changes.empty() ? row_version{this->era, 0} : changes.back().version;
     }
 
-    /// The rows after the change `version` of its era.
-    [[nodiscard]] std::map<std::string, changed_row> rows_at(row_version version) const
+    [[nodiscard]] std::map<std::string, changed_row> rows() const
     {
-        std::map<std::string, changed_row> found;
-        for (const auto& change : this->histories.at(version.era)) {
-            if (change.version > version) {
-                break;
-            }
-            found.insert_or_assign(change.key, change);
-            if (!change.value) {
-                found.erase(change.key);
-            }
-        }
+        auto found = this->changes_between({}, this->latest());
+        std::erase_if(found, [](const auto& entry) { return !entry.second.value; });
         return found;
     }
-    [[nodiscard]] std::map<std::string, changed_row> rows() const { return this->rows_at(this->latest()); }
 
     /// The last change of each row after `from`, up to and including `to`.
     [[nodiscard]] std::map<std::string, changed_row> changes_between(row_version from, row_version to) const
