A connection that fails during a write is not taken for an orderly end

Callers saw: a part of a body as a complete 200, when a target answered a long upload at once with a response that had no length, sent a part of it and reset the connection while the upload was still being written. A resumable stream ended as complete after its first events in the same way.

Cause: the system reports the failure of a connection to one call only. tcp_link dropped the error of a failed write, since the next read was to report it; but after ECONNRESET has been returned by send, recv returns the bytes that had arrived and then 0, as after an orderly end, and 0 completes a response without framing. A trace of the gateway's socket shows it: EPOLLIN|EPOLLOUT| EPOLLERR|EPOLLHUP, sendto = ECONNRESET, recvfrom = the part, recvfrom = 0. A reset that comes while no write is due reaches the read, which is why only some resets were affected. tcp_link::has_peer_closed, which looks without reading, takes the error away in the same way; only connections of callers use it now.

Change: tcp_link remembers that a write or a look has failed, and then reports the end as a reset, still after the bytes that had arrived. A broken pipe as the first error is not counted: the peer had ended its side before, so that its response has arrived whole. All responses on the event loop are read by way of this class: those of targets, of other gateways, of hosts and of the store.

--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -120,7 +120,8 @@
         return false;
     }
     if (problem) {
-        this->end(problem == asio::error::eof ? link_end::finished : link_end::reset);
+        const bool is_orderly = problem == asio::error::eof && !this->has_failed;
+        this->end(is_orderly ? link_end::finished : link_end::reset);
         return false;
     }
     if (this->bytes) {
@@ -142,7 +143,11 @@
     char next = 0;
     asio::error_code problem;
     (void)this->socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, problem);
-    return problem && problem != asio::error::would_block && problem != asio::error::try_again;
+    if (!problem || problem == asio::error::would_block || problem == asio::error::try_again) {
+        return false;
+    }
+    this->note_failure(problem);
+    return true;
 }
 
 void tcp_link::resume_reading()
@@ -175,7 +180,8 @@
             return;
         }
         if (problem) {
-            // The next read reports how the connection ended, after the bytes that were already received.
+            // The end is reported by the next read, after the bytes that were already received.
+            this->note_failure(problem);
             this->queue.clear();
             this->queue_begin = 0;
             if (this->closes_when_sent) {
@@ -212,6 +218,15 @@
                             });
 }
 
+/// The system reports a failure to one call only. After that, a read returns what it returns at an orderly
+/// end.
+void tcp_link::note_failure(const asio::error_code& problem) noexcept
+{
+    // As the first error, a broken pipe means that the peer had ended its side before the connection failed.
+    const bool is_orderly = problem == asio::error::eof || problem == asio::error::broken_pipe;
+    this->has_failed = this->has_failed || !is_orderly;
+}
+
 void tcp_link::end(link_end how)
 {
     const auto listener = std::move(this->ended);
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -17,7 +17,7 @@
 
 /// How a connection ended.
 enum class link_end {
-    finished,      ///< The peer closed the connection in an orderly way.
+    finished,      ///< The peer ended its side in an orderly way; all that it sent has been received.
     reset,         ///< The connection was reset, or the peer or the network failed.
     not_connected, ///< The connection was never established.
 };
@@ -96,6 +96,7 @@
     void wait_writable();
     void write_some();
     void send_end();
+    void note_failure(const asio::error_code& problem) noexcept;
     void end(link_end how);
 
     asio::ip::tcp::socket socket;
@@ -108,6 +109,7 @@
     std::string queue;
     std::size_t queue_begin = 0;
     bool established = false;
+    bool has_failed = false; ///< A call on the socket has reported that the connection failed.
     bool is_waiting_to_read = false;
     bool is_waiting_to_write = false;
     bool is_paused = false;
