A caller that speaks HTTP/1.0 gets streams without chunks, and a cut one is reset

Callers saw: to a request in HTTP/1.0, a stream with the sizes of chunks among its events; and a stream that broke off, or that the gateway gave up before it exits, as a complete one, since the connection ended in an orderly way, which to such a caller is the end of the body.

Cause: caller_connection sent each stream in chunks, whatever the request's version, and ended a truncated one by closing the connection without the last chunk. HTTP/1.0 has no chunks.

Change: to a caller that speaks HTTP/1.0, a stream is sent without framing, with Connection: close, and its connection is set to be reset by any end but that of a finished stream whose bytes have all been handed to the system: an abort, a lack of room, and the end of the process. What has no event stream is sent with a length, as before; nothing changes for HTTP/1.1.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -34,6 +34,14 @@
 /// A request is held once while it is answered, and once more on its way to a target.
 constexpr std::size_t copies_while_answered = 2;
 
+std::string chunk_text(std::string_view bytes)
+{
+    std::array<char, 24> size{};
+    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string text{size.data(), static_cast<std::size_t>(length)};
+    return text.append(bytes).append("\r\n");
+}
+
 } // namespace
 
 time_ms body_time_left(const connection_limits& limits, time_ms head_read_at, time_ms received_at,
@@ -241,6 +249,7 @@
 void caller_connection::on_message_head(message_head head)
 {
     this->caller_keeps_alive = head.keeps_connection;
+    this->caller_supports_chunks = head.supports_chunks;
     this->head_read_at = monotonic_clock{}.now();
     const auto length = head.header("Content-Length");
     std::uint64_t announced = 0;
@@ -328,22 +337,29 @@
         return;
     }
     this->stage = response_stage::streaming;
-    headers.push_back({"Transfer-Encoding", "chunked"});
+    if (this->caller_supports_chunks) {
+        headers.push_back({"Transfer-Encoding", "chunked"});
+    }
+    else {
+        this->caller_keeps_alive = false;
+        this->link->reset_unless_sent();
+    }
     this->add_connection_header(headers);
     this->link->write(response_head_text(status, headers));
 }
 
-void caller_connection::append(std::string_view chunk)
+void caller_connection::append(std::string_view part)
 {
-    if (chunk.empty() || !this->may_write(response_stage::streaming)) {
+    if (part.empty() || !this->may_write(response_stage::streaming)) {
         return; // An empty chunk would end the response.
     }
     const auto unsent_before = this->link->unsent();
-    std::array<char, 24> size{};
-    const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", chunk.size());
-    std::string text{size.data(), static_cast<std::size_t>(length)};
-    text.append(chunk).append("\r\n");
-    this->link->write(text);
+    if (this->caller_supports_chunks) {
+        this->link->write(chunk_text(part));
+    }
+    else {
+        this->link->write(part);
+    }
     if (this->link->unsent() != unsent_before) {
         this->note_held();
     }
@@ -351,10 +367,13 @@
 
 void caller_connection::finish_stream()
 {
-    if (this->may_write(response_stage::streaming)) {
+    if (!this->may_write(response_stage::streaming)) {
+        return;
+    }
+    if (this->caller_supports_chunks) {
         this->link->write("0\r\n\r\n");
-        this->finish_response();
     }
+    this->finish_response();
 }
 
 void caller_connection::finish_response()
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -72,14 +72,15 @@
     /// response. Has no effect once the caller has disconnected; the same goes for the next three methods.
     void send(int status, std::vector<http_header> headers, std::string_view body);
 
-    /// Starts a chunked response. Precondition: as for `send`.
+    /// Starts a chunked response; to a caller that speaks HTTP/1.0, one that ends with the connection.
+    /// Precondition: as for `send`.
     void begin_stream(int status, std::vector<http_header> headers);
-    /// Sends a chunk. Precondition: `begin_stream` was called.
-    void append(std::string_view chunk);
-    /// Sends the last chunk, which marks the response as complete. Precondition: as for `append`.
+    /// Sends a part of the body. Precondition: `begin_stream` was called.
+    void append(std::string_view part);
+    /// Sends what marks the response as complete. Precondition: as for `append`.
     void finish_stream();
 
-    /// Closes the connection without the last chunk, so that the caller sees an incomplete response.
+    /// Closes the connection without that mark, so that the caller sees an incomplete response.
     void abort();
 
     /// Sets the callback for a disconnect while a request is pending. It is cleared after the response.
@@ -155,6 +156,7 @@
     std::function<void()> disconnected;
     response_stage stage = response_stage::none;
     bool caller_keeps_alive = true;
+    bool caller_supports_chunks = true;
     bool is_body_too_large = false;
     bool closes_after_response = false;
     bool waits_for_room = false;
--- a/src/net/message_head.hpp
+++ b/src/net/message_head.hpp
@@ -16,7 +16,8 @@
     int status = 0;     ///< Responses only.
     std::vector<http_header> headers;
     bool keeps_connection = true;
-    bool has_framing = true; ///< Has a length or chunks; otherwise the body ends with the connection.
+    bool has_framing = true;     ///< Has a length or chunks; otherwise the body ends with the connection.
+    bool supports_chunks = true; ///< Whether the sender can receive chunks: speaks HTTP/1.1 or later.
 
     /// Value of the first header with this name, ignoring case; empty if there is none.
     [[nodiscard]] std::string_view header(std::string_view name) const;
--- a/src/net/message_parser.cpp
+++ b/src/net/message_parser.cpp
@@ -54,6 +54,8 @@
     this->head.keeps_connection = http_should_keep_alive(&this->parser) != 0;
     this->head.has_framing =
         (this->parser.flags & F_CHUNKED) != 0 || (this->parser.flags & F_CONTENTLENGTH) != 0;
+    this->head.supports_chunks =
+        this->parser.http_major > 1 || (this->parser.http_major == 1 && this->parser.http_minor > 0);
     if (this->parsed == side::requests) {
         this->head.method = http_method_str(static_cast<http_method>(this->parser.method));
     }
--- a/src/net/tcp_link.cpp
+++ b/src/net/tcp_link.cpp
@@ -249,11 +249,22 @@
 
 void tcp_link::reset()
 {
-    asio::error_code ignored; // Without the option, the connection is closed all the same.
-    this->socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    this->set_reset_on_close(true);
     this->close();
 }
 
+void tcp_link::reset_unless_sent()
+{
+    this->set_reset_on_close(true);
+}
+
+void tcp_link::set_reset_on_close(bool resets)
+{
+    asio::error_code ignored; // Without the option, the connection is closed all the same.
+    this->socket.set_option(asio::socket_base::linger{resets, 0}, ignored);
+    this->resets_on_close = resets;
+}
+
 void tcp_link::close_when_sent()
 {
     if (!this->established) {
@@ -271,6 +282,9 @@
 
 void tcp_link::send_end()
 {
+    if (this->resets_on_close) {
+        this->set_reset_on_close(false);
+    }
     asio::error_code failed;
     this->socket.shutdown(asio::socket_base::shutdown_send, failed);
     if (failed) {
--- a/src/net/tcp_link.hpp
+++ b/src/net/tcp_link.hpp
@@ -76,6 +76,10 @@
     /// otherwise keep sending it, and a peer that could not be reached meanwhile would get it late.
     void reset();
 
+    /// From now on, any end but that of `close_when_sent` resets the connection, also the end of this
+    /// process. For messages that end with the connection, so that a truncated one does not look complete.
+    void reset_unless_sent();
+
     /// Sends the queue and its end, then closes when the peer does or after a time-out. Received bytes are
     /// discarded: unread ones would reset the connection, and the peer would lose what it has not read yet.
     /// The end is reported if the peer causes it.
@@ -96,6 +100,7 @@
     void wait_writable();
     void write_some();
     void send_end();
+    void set_reset_on_close(bool resets);
     void note_failure(const asio::error_code& problem) noexcept;
     void end(link_end how);
 
@@ -114,6 +119,7 @@
     bool is_waiting_to_write = false;
     bool is_paused = false;
     bool closes_when_sent = false;
+    bool resets_on_close = false;
 };
 
 } // namespace coriander
