--- a/test/support/manual_server.hpp
+++ b/test/support/manual_server.hpp
@@ -16,6 +16,14 @@
 /// connection while the client's loop does not run.
 class manual_server {
 public:
+    /// With `receive_buffer`, sets the size of the connection's receive buffer.
+    explicit manual_server(int receive_buffer = 0)
+    {
+        if (receive_buffer > 0) {
+            this->acceptor.set_option(asio::socket_base::receive_buffer_size{receive_buffer});
+        }
+    }
+
     [[nodiscard]] asio::ip::tcp::endpoint endpoint() const { return this->acceptor.local_endpoint(); }
     [[nodiscard]] std::string address() const
     {
@@ -30,6 +38,17 @@
 
     void send(std::string_view bytes) { asio::write(this->socket, asio::buffer(bytes)); }
 
+    /// Reads until the client ends the connection. Returns whether it did so in an orderly way.
+    bool read_to_end(std::string& received)
+    {
+        asio::error_code end;
+        std::array<char, 65536> buffer{};
+        while (!end) {
+            received.append(buffer.data(), this->socket.read_some(asio::buffer(buffer), end));
+        }
+        return end == asio::error::eof;
+    }
+
     /// Reads and discards what has arrived.
     void read_available()
     {
