Test that http_client loses a response that is reset during the upload

Cause: libcurl reads the responses of the router, the controller, the command line and the load tool; it had no test of a response without framing whose connection is reset while the request is still being sent. Change: a test. The product is not changed: it passes on the code before.

--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.hpp"
 
 #include "support/invalid_field_lines.hpp"
+#include "support/manual_server.hpp"
 
 #include <asio.hpp>
 
@@ -193,6 +194,27 @@
     }
 }
 
+TEST_CASE("http client: a response without framing is lost when the connection is reset during the upload")
+{
+    constexpr std::size_t more_than_the_sockets_hold = 32U << 20U;
+    manual_server server;
+    http_client client;
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + server.address() + "/";
+    call.body = std::string(more_than_the_sockets_hold, 'u');
+    call.total_timeout = 60_s;
+    std::thread responder{[&] {
+        server.accept();
+        server.wait_for_bytes();
+        server.send("HTTP/1.1 200 OK\r\n\r\npart");
+        server.reset();
+    }};
+    const auto end = client.perform(call);
+    responder.join();
+    CHECK(end.outcome == http_outcome::lost);
+}
+
 TEST_CASE("http client: interim responses, and trailers of a chunked body, are read")
 {
     const auto end =
